--- /dev/null
+++ b/include/puffinvane/policy.h
@@ -0,0 +1,121 @@
+// The types and the interface of puffinvane's decision module. Whoever carries its visits (the bench's
+// adapter today, a sidecar later) tells a Policy what happens and does what it asks through a Host.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace puffinvane {
+
+using VisitId = std::uint32_t;
+
+enum class Kind { ReadLike, Tagged, Mutating };
+enum class Group { All, Zone, Cell };
+
+struct PathPrefix {
+  std::string name;
+  Kind kind = Kind::Mutating;
+  Group group = Group::Cell;
+  double memory_span = 0;
+  double target_latency = 1;
+  double client_timeout = 1;
+  double credit = 1;
+};
+
+struct Customer {
+  std::string name;
+  double quota_per_s = 0;
+};
+
+struct ColdRule {
+  double share = 0.1;
+  double warm_after = 30;
+};
+
+struct Deployment {
+  std::vector<PathPrefix> path_prefixes;
+  std::vector<Customer> customers;
+  ColdRule cold;
+  int me = 0;
+  int sidecars = 1;
+  int tier = 0;
+  int max_fetches = 1;
+  bool parallel_fetches = false;
+  bool may_cancel = false;
+  bool advises_wait = false;
+  bool list_on_request = false;
+  double ask_within = 10;
+  double longest_wait_advice = 0;
+  double answer_slack = 0;
+  double round = 0;
+};
+
+enum class Listed { Gone, Ready, Draining };
+
+struct ListEntry {
+  std::string endpoint;
+  std::string zone;
+  std::int64_t cell = 0;
+  Listed state = Listed::Ready;
+  double online_since = 0;  // 0: a long time back
+};
+
+enum class ListScope { Changes, Cached, Full, Failed };
+
+struct Visit {
+  VisitId id = 0;
+  std::string_view path_prefix;
+  std::string_view customer;
+  double time_left = 0;
+};
+
+enum class Outcome { Delivered, Failed, Refused, TimedOut, ConnectFailed, Broken, Cancelled, NotSent };
+
+struct Load {
+  double depth = -1;  // visits in hand as the endpoint reported them; below 0: not reported
+};
+
+struct FetchEnd {
+  VisitId visit = 0;
+  int number = 0;
+  Outcome outcome = Outcome::Failed;
+  bool concluded = false;
+  double took = 0;
+  Load load;
+};
+
+class Host {
+ public:
+  virtual ~Host() = default;
+  virtual void fetch(VisitId visit, std::string_view endpoint, double abandon_at) = 0;
+  virtual void cancel(VisitId visit, int number) = 0;
+  virtual void bounce(VisitId visit, double wait) = 0;
+  virtual void error(VisitId visit) = 0;
+  virtual void wake(double at, std::uint64_t token) = 0;
+  virtual void probe(std::string_view endpoint) = 0;
+  virtual void tell(int peer, std::string_view text) = 0;  // a peer below 0: all of them
+  virtual void read_list() = 0;
+  virtual void follow_list(bool want) = 0;
+  virtual void log(std::string_view text) = 0;
+};
+
+// One instance decides for one sidecar. Every call says what time it is; none blocks.
+class Policy {
+ public:
+  virtual ~Policy() = default;
+  virtual void list(double now, ListScope scope, std::span<const ListEntry> entries) = 0;
+  virtual void arrive(double now, const Visit& visit) = 0;
+  virtual void fetch_ended(double now, const FetchEnd& end) = 0;
+  virtual void withdrawn(double now, VisitId visit) = 0;
+  virtual void woken(double now, std::uint64_t token) = 0;
+  virtual void probed(double now, std::string_view endpoint, Outcome outcome, const Load& load) = 0;
+  virtual void told(double now, int peer, std::string_view text) = 0;
+};
+
+std::unique_ptr<Policy> make_policy(double now, Deployment deployment, std::uint64_t seed, Host& host);
+
+}  // namespace puffinvane
--- /dev/null
+++ b/src/policy.cpp
@@ -0,0 +1,653 @@
+// All decisions of puffinvane; the interface is include/puffinvane/policy.h. A host makes one Policy for a
+// sidecar, calls it with each event and the time, and carries out what it asks of the Host within that call.
+// Visits go through kVisitRows and endpoints through kHealthRows: state, input, next state, effect.
+// docs/design.md says which part is the source's and which is a departure, and when each departure acts.
+#include "puffinvane/policy.h"
+
+#include <algorithm>
+#include <array>
+#include <deque>
+#include <map>
+#include <set>
+#include <utility>
+
+namespace puffinvane {
+namespace {
+
+constexpr double kHedgePercentile = 0.95, kBoundShare = 0.85, kErrorGate = 0.01;  // the source's figures
+constexpr double kFirstCapacity = 4;        // C before anything is learned, from the design page
+constexpr std::size_t kLatencies = 128;     // kept for each path prefix: enough for a 95th percentile
+constexpr std::size_t kFewLatencies = 20;   // below this a 95th percentile is the maximum and says nothing
+constexpr std::size_t kEndpointSamples = 16;
+constexpr double kSampleAge = 15;           // an endpoint's older answers tell of another time
+constexpr double kSharedLate = 0.25;        // more of the last visits late than this: not one endpoint's doing
+constexpr double kRoom = 0.5;               // of a target latency that admitted visits may spend on average
+constexpr double kOverShareRoom = 0.35;
+constexpr double kPatience = 0.3;           // of the target latency that a visit may be held
+constexpr double kTick = 0.1;
+constexpr double kFirstHold = 1, kLongestHold = 8;
+constexpr int kTrickleDone = 8;
+
+// Permuted congruential generator (PCG-XSH-RR): same seed, same choices.
+class Chance {
+ public:
+  explicit Chance(std::uint64_t seed) : state_(seed * 2 + 1) { below(2); }
+  std::uint32_t below(std::uint32_t n) {
+    std::uint64_t old = std::exchange(state_, state_ * 6364136223846793005ULL + 1442695040888963407ULL);
+    auto mixed = static_cast<std::uint32_t>(((old >> 18) ^ old) >> 27);
+    auto turn = static_cast<std::uint32_t>(old >> 59);
+    return ((mixed >> turn) | (mixed << ((32 - turn) & 31))) % n;
+  }
+  double share() { return below(1u << 24) / double(1u << 24); }
+
+ private:
+  std::uint64_t state_;
+};
+
+template <typename T>
+void keep(std::deque<T>& samples, const T& sample, std::size_t most) {
+  samples.push_back(sample);
+  if (samples.size() > most) samples.pop_front();
+}
+
+double percentile(const std::deque<double>& samples, double share) {
+  std::vector<double> sorted(samples.begin(), samples.end());
+  auto at = sorted.begin() + static_cast<std::ptrdiff_t>(share * double(sorted.size() - 1));
+  std::nth_element(sorted.begin(), at, sorted.end());
+  return *at;
+}
+
+enum class Health { Steady, Aside, Trickle, Gone };
+enum class Sign { Failing, HoldOver, Good, Restored, Listed, Unlisted };
+
+struct Answer {
+  double at = 0, stretch = 0;  // stretch: its latency over what is usual for its path prefix
+  int depth = 0;
+  bool in_time = false, failed = false;
+};
+
+struct Endpoint {
+  std::string name, zone;
+  std::int64_t cell = 0;
+  Health health = Health::Gone;
+  double online_since = 0, hold = kFirstHold, hold_until = 0, full_until = 0, last_answer = -1;
+  double cold_credit = 0;           // fetches that the cold rule still leaves this sidecar
+  int allowance = 0, since_report = 0;
+  double reported = -1;
+  std::set<std::pair<double, std::uint64_t>> out;  // by time of sending
+  std::deque<Answer> answers;
+};
+
+enum class State { Held, Out, Paired, Done };
+enum class Input { Room, Late, Answered, MayGoAgain, MayBounce, MayOnlyFail, GaveUpBounce, GaveUpFail, Dropped };
+
+struct Fetch {
+  int endpoint = 0, depth = 0;
+  double sent = 0;
+  bool out = true, may_have_run = true;
+};
+
+struct Held {
+  int rank = 0;
+  std::uint64_t turn = 0;
+  auto operator<=>(const Held&) const = default;
+};
+
+struct Taken {
+  VisitId id = 0;
+  int prefix = 0;
+  State state = State::Held;
+  bool over_share = false, counted = false;
+  double arrived = 0, until = 0, held_until = 0;
+  Held place;
+  std::vector<Fetch> fetches;
+};
+
+class Module final : public Policy {
+ public:
+  Module(double now, Deployment deployment, std::uint64_t seed, Host& host)
+      : deployment_(std::move(deployment)), host_(host), chance_(seed), now_(now) {
+    latencies_.resize(deployment_.path_prefixes.size());
+    customer_arrivals_.resize(deployment_.customers.size());
+    double turn = (deployment_.me % deployment_.sidecars + chance_.share()) / deployment_.sidecars;
+    if (deployment_.list_on_request) ask_at_ = now + turn * deployment_.ask_within * 0.4;
+    host_.wake(now + kTick * (0.5 + chance_.share()), kTickToken);
+  }
+
+  void list(double now, ListScope scope, std::span<const ListEntry> entries) override {
+    now_ = now;
+    if (scope == ListScope::Failed) return ask_again_later();
+    if (scope != ListScope::Cached) asked_until_ = 0, ask_back_off_ = 0.5;
+    std::set<std::string_view> seen;
+    for (const ListEntry& entry : entries) seen.insert(entry.endpoint), note_listed(entry);
+    if (scope == ListScope::Changes) return pump();
+    for (Endpoint& endpoint : endpoints_) {
+      if (!seen.contains(endpoint.name)) turn_health(endpoint, Sign::Unlisted);
+    }
+    pump();
+  }
+
+  void arrive(double now, const Visit& visit) override {
+    now_ = now;
+    Taken taken;
+    taken.id = visit.id;
+    while (taken.prefix + 1 < int(deployment_.path_prefixes.size()) &&
+           deployment_.path_prefixes[taken.prefix].name != visit.path_prefix) {
+      ++taken.prefix;
+    }
+    taken.over_share = over_share(visit.customer);
+    taken.arrived = now;
+    taken.until = now + visit.time_left;
+    double patience = std::min(kPatience * prefix(taken).target_latency, visit.time_left / 2);
+    taken.held_until = now + patience;
+    taken.place = {taken.over_share, ++turns_};
+    held_.emplace(taken.place, taken.id);
+    // Rule 1: the answer has to be out before the client timeout, whatever has been sent.
+    host_.wake(std::max(now, taken.until - 2 * deployment_.round), kUntilToken | taken.id);
+    visits_[visit.id] = std::move(taken);
+    pump();
+  }
+
+  void fetch_ended(double now, const FetchEnd& end) override {
+    now_ = now;
+    auto found = visits_.find(end.visit);
+    if (found == visits_.end() || end.number >= int(found->second.fetches.size())) return;
+    Taken& visit = found->second;
+    Fetch& fetch = visit.fetches[end.number];
+    if (!std::exchange(fetch.out, false)) return;
+    Endpoint& endpoint = endpoints_[fetch.endpoint];
+    endpoint.out.erase({fetch.sent, key(visit.id, end.number)});
+    fetch.may_have_run = end.outcome != Outcome::Refused && end.outcome != Outcome::ConnectFailed &&
+                         end.outcome != Outcome::NotSent;
+    if (end.load.depth >= 0) endpoint.reported = end.load.depth, endpoint.since_report = 0;
+    judge(endpoint, visit, fetch, end);
+    if (visit.state != State::Done) {
+      if (end.concluded) turn(visit, end.outcome == Outcome::Delivered ? Input::Answered : Input::Dropped);
+      else turn(visit, after_loss(visit));
+    }
+    forget_if_over(found);
+    pump();
+  }
+
+  void withdrawn(double now, VisitId id) override {
+    now_ = now;
+    auto found = visits_.find(id);
+    if (found == visits_.end()) return;
+    if (found->second.state != State::Done) turn(found->second, Input::Dropped);
+    forget_if_over(found);
+    pump();
+  }
+
+  void woken(double now, std::uint64_t token) override {
+    now_ = now;
+    if (token == kTickToken) return tick();
+    auto found = visits_.find(static_cast<VisitId>(token));
+    if (found == visits_.end()) return;
+    Taken& visit = found->second;
+    if (token & kUntilToken) {
+      if (visit.state != State::Done) give_up(visit);
+      forget_if_over(found);
+      return pump();
+    }
+    if (visit.state == State::Out) consider_copy(visit);
+  }
+
+  void probed(double, std::string_view, Outcome, const Load&) override {}
+  void told(double, int, std::string_view) override {}
+
+ private:
+  static constexpr std::uint64_t kUntilToken = 1ULL << 32, kLateToken = 1ULL << 33, kTickToken = 1ULL << 34;
+
+  struct VisitRow {
+    State state;
+    Input input;
+    State next;
+    void (Module::*effect)(Taken&);
+  };
+  struct HealthRow {
+    Health health;
+    Sign sign;
+    Health next;
+    void (Module::*effect)(Endpoint&);
+  };
+  static const std::array<VisitRow, 20> kVisitRows;
+  static const std::array<HealthRow, 13> kHealthRows;
+
+  void turn(Taken& visit, Input input) {
+    for (const VisitRow& row : kVisitRows) {
+      if (row.state != visit.state || row.input != input) continue;
+      visit.state = row.next;
+      return (this->*row.effect)(visit);
+    }
+  }
+
+  void turn_health(Endpoint& endpoint, Sign sign) {
+    for (const HealthRow& row : kHealthRows) {
+      if (row.health != endpoint.health || row.sign != sign) continue;
+      endpoint.health = row.next;
+      return (this->*row.effect)(endpoint);
+    }
+  }
+
+  // ---- effects of the visit table
+  void nothing(Taken&) {}
+  void send_first(Taken& visit) { send(visit, choose(visit, false)); }
+  void send_copy(Taken& visit) { ++copies_sent_, send(visit, copy_to_); }
+  void queue_again(Taken& visit) {
+    // Goes before all that wait: its client has waited longest, and work may already be spent on it.
+    leave_count(visit);
+    visit.place = {-1, ++turns_};
+    visit.held_until = std::max(visit.held_until, now_ + kPatience * prefix(visit).target_latency);
+    held_.emplace(visit.place, visit.id);
+  }
+  void finish(Taken& visit) {
+    leave_count(visit);
+    held_.erase(visit.place);
+    if (!deployment_.may_cancel) return;
+    for (std::size_t n = 0; n < visit.fetches.size(); ++n) {
+      if (visit.fetches[n].out) host_.cancel(visit.id, int(n));
+    }
+  }
+  void bounce(Taken& visit) {
+    double wait = visit.over_share ? deployment_.longest_wait_advice : prefix(visit).target_latency / 4;
+    host_.bounce(visit.id, deployment_.advises_wait ? std::min(wait, deployment_.longest_wait_advice) : 0);
+    finish(visit);
+  }
+  void fail(Taken& visit) { host_.error(visit.id), finish(visit); }
+
+  // ---- effects of the health table
+  void nothing(Endpoint&) {}
+  void set_aside(Endpoint& endpoint) {
+    endpoint.hold_until = now_ + endpoint.hold * (0.75 + 0.5 * chance_.share());
+    endpoint.hold = std::min(endpoint.hold * 2, kLongestHold);
+    endpoint.answers.clear();
+  }
+  void open_trickle(Endpoint& endpoint) { endpoint.allowance = 1, endpoint.answers.clear(); }
+  void double_trickle(Endpoint& endpoint) { endpoint.allowance *= 2; }
+  void restore(Endpoint& endpoint) { endpoint.hold = kFirstHold; }
+
+  const PathPrefix& prefix(const Taken& visit) const { return deployment_.path_prefixes[visit.prefix]; }
+  static std::uint64_t key(VisitId id, int number) { return std::uint64_t{id} << 8 | unsigned(number); }
+
+  // ---- rule 2: the one place that says what may still be done with a visit
+  bool all_known_not_run(const Taken& visit) const {
+    return std::none_of(visit.fetches.begin(), visit.fetches.end(),
+                        [](const Fetch& fetch) { return fetch.out || fetch.may_have_run; });
+  }
+  bool may_fetch(const Taken& visit, const Endpoint& endpoint) const {
+    const PathPrefix& kind = prefix(visit);
+    if (int(visit.fetches.size()) >= deployment_.max_fetches) return false;
+    for (const Fetch& fetch : visit.fetches) {
+      if (fetch.out && !deployment_.parallel_fetches) return false;
+      if (!fetch.out && !fetch.may_have_run) continue;
+      if (kind.kind == Kind::Mutating) return false;
+      if (kind.kind == Kind::ReadLike) continue;
+      const Endpoint& earlier = endpoints_[fetch.endpoint];
+      if (now_ > fetch.sent + kind.memory_span - 2 * deployment_.round) return false;
+      if (kind.group == Group::Zone && earlier.zone != endpoint.zone) return false;
+      if (kind.group == Group::Cell && earlier.cell != endpoint.cell) return false;
+    }
+    return true;
+  }
+  bool may_bounce(const Taken& visit) const {
+    const PathPrefix& kind = prefix(visit);
+    return kind.kind == Kind::ReadLike || all_known_not_run(visit) ||
+           (kind.kind == Kind::Tagged && kind.group == Group::All);
+  }
+  Input after_loss(const Taken& visit) const {
+    bool again = now_ < visit.until - 2 * deployment_.round &&
+                 std::any_of(endpoints_.begin(), endpoints_.end(), [&](const Endpoint& endpoint) {
+                   return endpoint.health == Health::Steady && may_fetch(visit, endpoint);
+                 });
+    return again ? Input::MayGoAgain : may_bounce(visit) ? Input::MayBounce : Input::MayOnlyFail;
+  }
+  void give_up(Taken& visit) { turn(visit, may_bounce(visit) ? Input::GaveUpBounce : Input::GaveUpFail); }
+
+  // ---- the ordinary path: lowest depth, the hedge threshold, the gated copy
+  double threshold(int prefix) const {
+    const auto& samples = latencies_[prefix];
+    // Too few answers make no percentile: until then half the target latency stands in for it.
+    if (samples.size() < kFewLatencies) return deployment_.path_prefixes[prefix].target_latency / 2;
+    return percentile(samples, kHedgePercentile);
+  }
+  double usual(int prefix) const {
+    const auto& samples = latencies_[prefix];
+    return samples.empty() ? deployment_.path_prefixes[prefix].target_latency / 4 : percentile(samples, 0.5);
+  }
+  double depth(const Endpoint& endpoint) const {
+    return endpoint.reported >= 0 ? endpoint.reported + endpoint.since_report : double(endpoint.out.size());
+  }
+  // How slow the endpoint's recent answers were against the usual: where no report shows what other
+  // sidecars have there, a depth of our own fetches has to be measured against it.
+  double slowness(const Endpoint& endpoint) const {
+    double sum = 3, count = 3;
+    for (const Answer& answer : endpoint.answers) {
+      if (now_ - answer.at < kSampleAge && !answer.failed) sum += answer.stretch, count += 1;
+    }
+    return sum / count;
+  }
+  double learned_capacity(const Endpoint& endpoint) const {
+    double capacity = kFirstCapacity;
+    for (const Answer& answer : endpoint.answers) {
+      if (answer.in_time) capacity = std::max(capacity, answer.depth + 1.0);
+    }
+    for (const Answer& answer : endpoint.answers) {
+      int in_time = 0, late = 0;
+      for (const Answer& other : endpoint.answers) {
+        if (other.depth >= answer.depth) ++(other.in_time ? in_time : late);
+      }
+      if (late > in_time) capacity = std::min(capacity, double(answer.depth));
+    }
+    return capacity;
+  }
+  double error_share(const Endpoint& endpoint) const {
+    double failed = 0;
+    for (const Answer& answer : endpoint.answers) failed += answer.failed;
+    return endpoint.answers.empty() ? 0 : failed / double(endpoint.answers.size());
+  }
+  bool cold(const Endpoint& endpoint) const {
+    return endpoint.online_since > 0 && now_ < endpoint.online_since + deployment_.cold.warm_after;
+  }
+  bool open_to(const Endpoint& endpoint) const {
+    if (endpoint.health == Health::Trickle && int(endpoint.out.size()) >= endpoint.allowance) return false;
+    if (endpoint.health != Health::Steady && endpoint.health != Health::Trickle) return false;
+    if (cold(endpoint) && endpoint.cold_credit < 1) return false;
+    return now_ >= endpoint.full_until;
+  }
+  int choose(const Taken& visit, bool at_random) {
+    std::vector<std::pair<double, int>> ready;
+    for (int i = 0; i < int(endpoints_.size()); ++i) {
+      const Endpoint& endpoint = endpoints_[i];
+      bool tried = std::any_of(visit.fetches.begin(), visit.fetches.end(),
+                               [&](const Fetch& fetch) { return fetch.endpoint == i; });
+      if (tried || !open_to(endpoint) || !may_fetch(visit, endpoint)) continue;
+      // A trickle is a test: a mutating visit, which could not be sent again, is no stake for it.
+      if (endpoint.health == Health::Trickle && prefix(visit).kind == Kind::Mutating) continue;
+      ready.emplace_back(at_random ? 0 : (depth(endpoint) + 1) * slowness(endpoint), i);
+    }
+    if (ready.empty()) return -1;
+    double lowest = std::min_element(ready.begin(), ready.end())->first;
+    std::erase_if(ready, [&](const auto& one) { return one.first > lowest * 1.2; });
+    return ready[chance_.below(std::uint32_t(ready.size()))].second;
+  }
+  void send(Taken& visit, int to) {
+    Endpoint& endpoint = endpoints_[to];
+    Fetch fetch{to, int(endpoint.out.size()) + 1, now_};
+    int number = int(visit.fetches.size());
+    if (cold(endpoint)) endpoint.cold_credit -= 1;
+    else ++sent_warm_;
+    ++endpoint.since_report;
+    endpoint.out.insert({now_, key(visit.id, number)});
+    visit.fetches.push_back(fetch);
+    if (!std::exchange(visit.counted, true)) ++in_flight_, load_ += 1 / prefix(visit).target_latency;
+    host_.fetch(visit.id, endpoint.name, 0);
+    if (prefix(visit).kind == Kind::ReadLike && deployment_.parallel_fetches && visit.state == State::Out) {
+      host_.wake(now_ + threshold(visit.prefix), kLateToken | visit.id);
+    }
+  }
+  void consider_copy(Taken& visit) {
+    if (int(visit.fetches.size()) >= deployment_.max_fetches || !visit.fetches.back().out) return;
+    // A wake of an earlier fetch of the same visit is not this one's threshold.
+    if (now_ < visit.fetches.back().sent + threshold(visit.prefix) - deployment_.round) return;
+    double late = 0;
+    for (bool one : late_) late += one;
+    if (late > kSharedLate * double(late_.size()) && late_.size() >= kFewLatencies) return void(++shut_shared_);
+    copy_to_ = choose(visit, true);
+    if (copy_to_ < 0) return void(++shut_nowhere_);
+    const Endpoint& endpoint = endpoints_[copy_to_];
+    if (depth(endpoint) >= std::max(1.0, kBoundShare * learned_capacity(endpoint))) return void(++shut_depth_);
+    if (error_share(endpoint) >= kErrorGate) return void(++shut_errors_);
+    turn(visit, Input::Late);
+  }
+
+  // ---- room: what may be out at once, measured in target latencies
+  double best_rate() const {
+    double best = 0;
+    for (std::size_t i = 0; i + 4 <= rates_.size(); ++i) {
+      best = std::max(best, rates_[i] + rates_[i + 1] + rates_[i + 2] + rates_[i + 3]);
+    }
+    return best;
+  }
+  int ready_count() const {
+    return int(std::count_if(endpoints_.begin(), endpoints_.end(),
+                             [](const Endpoint& endpoint) { return endpoint.health == Health::Steady; }));
+  }
+  bool room(const Taken& visit) const {
+    if (deployment_.tier > 0 || visit.place.rank < 0 || in_flight_ < 2 * ready_count()) return true;
+    return load_ < (visit.over_share ? kOverShareRoom : kRoom) * best_rate_;
+  }
+  void pump() {
+    for (auto next = held_.begin(); next != held_.end();) {
+      Taken& visit = visits_.at(next->second);
+      if (!room(visit)) break;
+      if (choose(visit, false) < 0) {
+        ++next;
+        continue;
+      }
+      next = held_.erase(next);
+      turn(visit, Input::Room);
+    }
+  }
+  void leave_count(Taken& visit) {
+    if (std::exchange(visit.counted, false)) --in_flight_, load_ -= 1 / prefix(visit).target_latency;
+  }
+  void forget_if_over(std::map<VisitId, Taken>::iterator at) {
+    const Taken& visit = at->second;
+    bool out = std::any_of(visit.fetches.begin(), visit.fetches.end(), [](const Fetch& f) { return f.out; });
+    if (visit.state == State::Done && !out) visits_.erase(at);
+  }
+  bool over_share(std::string_view name) {
+    for (std::size_t i = 0; i < deployment_.customers.size(); ++i) {
+      const Customer& customer = deployment_.customers[i];
+      if (customer.name != name) continue;
+      auto& times = customer_arrivals_[i];
+      while (!times.empty() && now_ - times.front() > 2) times.pop_front();
+      if (double(times.size()) >= 2 * customer.quota_per_s / deployment_.sidecars) return true;
+      times.push_back(now_);
+    }
+    return false;
+  }
+
+  // ---- health: what an outcome, or none, says of its endpoint
+  void judge(Endpoint& endpoint, const Taken& visit, const Fetch& fetch, const FetchEnd& end) {
+    Answer answer{now_, end.took / usual(visit.prefix), fetch.depth, end.took <= threshold(visit.prefix), false};
+    switch (end.outcome) {
+      case Outcome::Delivered: {
+        endpoint.last_answer = now_;
+        keep(endpoint.answers, answer, kEndpointSamples);
+        if (visit.state != State::Done) {
+          double whole = now_ - visit.fetches.front().sent;
+          keep(late_, whole > threshold(visit.prefix), std::size_t{40});
+          keep(latencies_[visit.prefix], whole, kLatencies);
+        }
+        ++answers_;
+        turn_health(endpoint, Sign::Good);
+        if (endpoint.allowance >= kTrickleDone) turn_health(endpoint, Sign::Restored);
+        return;
+      }
+      case Outcome::Failed:
+        endpoint.last_answer = now_;
+        answer.failed = true;
+        keep(endpoint.answers, answer, kEndpointSamples);
+        if (fails_alone(endpoint)) note_failing(endpoint);
+        return;
+      case Outcome::Refused:
+        // Full now; by the time one of its visits is done it may have room again.
+        endpoint.full_until = now_ + usual(visit.prefix) / 4;
+        return;
+      case Outcome::ConnectFailed:
+      case Outcome::Broken: return note_failing(endpoint);
+      default: return;
+    }
+  }
+  bool fails_alone(const Endpoint& endpoint) const {
+    // An error may come from behind the endpoint: then its neighbours show as many.
+    double failed = 0, all = 0, here = 0;
+    for (const Answer& answer : endpoint.answers) here += answer.failed;
+    for (const Endpoint& other : endpoints_) {
+      if (&other == &endpoint) continue;
+      all += double(other.answers.size());
+      for (const Answer& answer : other.answers) failed += answer.failed;
+    }
+    double elsewhere = all > 0 ? failed / all : 0;
+    return here >= 3 && error_share(endpoint) > 0.2 + 2 * elsewhere;
+  }
+  void note_failing(Endpoint& endpoint) {
+    // With most of them failing the trouble is shared or behind them, and the rest would be pushed over.
+    int aside = 0, listed = 0;
+    for (const Endpoint& other : endpoints_) {
+      listed += other.health != Health::Gone;
+      aside += other.health == Health::Aside;
+    }
+    if (endpoint.health == Health::Trickle || 2 * (aside + 1) <= listed) turn_health(endpoint, Sign::Failing);
+  }
+  bool silent(const Endpoint& endpoint) const {
+    int overdue = 0;
+    for (const auto& [sent, what] : endpoint.out) {
+      auto visit = visits_.find(VisitId(what >> 8));
+      if (visit == visits_.end() || sent <= endpoint.last_answer) continue;
+      double late = (now_ - sent) / threshold(visit->second.prefix);
+      if (late > 2) return true;
+      overdue += late > 1;
+    }
+    return overdue >= 2;
+  }
+
+  // ---- the list
+  void note_listed(const ListEntry& entry) {
+    auto found = by_name_.find(entry.endpoint);
+    if (found == by_name_.end()) {
+      found = by_name_.emplace(entry.endpoint, int(endpoints_.size())).first;
+      endpoints_.emplace_back().name = entry.endpoint;
+    }
+    Endpoint& endpoint = endpoints_[found->second];
+    if (entry.state != Listed::Ready) return turn_health(endpoint, Sign::Unlisted);
+    endpoint.zone = entry.zone;
+    endpoint.cell = entry.cell;
+    if (entry.online_since != endpoint.online_since) {
+      // Restarted. Rule 4: each sidecar starts its budget at another part of one fetch, by its own number,
+      // so that their first fetches come one after another and not all at the news.
+      endpoint.online_since = entry.online_since;
+      endpoint.cold_credit = double(deployment_.me % deployment_.sidecars) / deployment_.sidecars;
+      turn_health(endpoint, Sign::Unlisted);
+    }
+    turn_health(endpoint, Sign::Listed);
+  }
+  void ask_again_later() {
+    // The list service is one for all: without spread and back-off every sidecar would knock at once.
+    asked_until_ = 0;
+    ask_at_ = now_ + ask_back_off_ * (0.5 + chance_.share());
+    ask_back_off_ = std::min(ask_back_off_ * 2, deployment_.ask_within);
+  }
+
+  void tick() {
+    host_.wake(now_ + kTick, kTickToken);
+    if (ask_at_ > 0 && now_ >= ask_at_) {
+      ask_at_ = 0;
+      asked_until_ = now_ + deployment_.ask_within;
+      host_.follow_list(true);
+    }
+    if (asked_until_ > 0 && now_ > asked_until_) ask_again_later();
+    keep(rates_, std::exchange(answers_, 0.0) / (4 * kTick), std::size_t{80});
+    best_rate_ = best_rate();
+    keep(sends_, std::exchange(sent_warm_, 0.0), std::size_t{20});
+    double sends = 0;
+    int warm = 0;
+    for (double one : sends_) sends += one;
+    for (const Endpoint& endpoint : endpoints_) warm += endpoint.health == Health::Steady && !cold(endpoint);
+    // A fresh endpoint may get the cold share, growing evenly to the whole, of what a warm one gets from us.
+    double pace = sends / double(sends_.size()) / std::max(1, warm);
+    for (Endpoint& endpoint : endpoints_) {
+      if (cold(endpoint)) {
+        double warmth = (now_ - endpoint.online_since) / deployment_.cold.warm_after;
+        double share = deployment_.cold.share + (1 - deployment_.cold.share) * std::clamp(warmth, 0.0, 1.0);
+        endpoint.cold_credit = std::min(endpoint.cold_credit + pace * share, 1.5);
+      }
+      if (endpoint.health == Health::Aside && now_ >= endpoint.hold_until) turn_health(endpoint, Sign::HoldOver);
+      if ((endpoint.health == Health::Steady || endpoint.health == Health::Trickle) && silent(endpoint)) {
+        note_failing(endpoint);
+      }
+    }
+    std::vector<VisitId> over;
+    for (const auto& [place, id] : held_) {
+      if (now_ >= visits_.at(id).held_until) over.push_back(id);
+    }
+    for (VisitId id : over) give_up(visits_.at(id)), forget_if_over(visits_.find(id));
+    pump();
+    report();
+  }
+  void report() {
+    std::uint64_t seen = copies_sent_ + shut_depth_ + shut_errors_ + shut_shared_ + shut_nowhere_;
+    if (now_ < report_at_ || seen == reported_) return;
+    report_at_ = now_ + 20;
+    reported_ = seen;
+    host_.log("tier " + std::to_string(deployment_.tier) + " copies sent " + std::to_string(copies_sent_) +
+              ", suppressed by depth " + std::to_string(shut_depth_) + " errors " +
+              std::to_string(shut_errors_) + " shared lateness " + std::to_string(shut_shared_) +
+              " no endpoint " + std::to_string(shut_nowhere_));
+  }
+
+  const Deployment deployment_;
+  Host& host_;
+  Chance chance_;
+  double now_;
+  std::vector<Endpoint> endpoints_;
+  std::map<std::string, int> by_name_;
+  std::map<VisitId, Taken> visits_;
+  std::map<Held, VisitId> held_;
+  std::vector<std::deque<double>> latencies_, customer_arrivals_;
+  std::deque<bool> late_;
+  std::deque<double> rates_, sends_;
+  double answers_ = 0, sent_warm_ = 0, best_rate_ = 0, load_ = 0;
+  int in_flight_ = 0, copy_to_ = -1;
+  double ask_at_ = 0, asked_until_ = 0, ask_back_off_ = 0.5, report_at_ = 0;
+  std::uint64_t turns_ = 0, reported_ = 0;
+  std::uint64_t copies_sent_ = 0, shut_depth_ = 0, shut_errors_ = 0, shut_shared_ = 0, shut_nowhere_ = 0;
+};
+
+const std::array<Module::VisitRow, 20> Module::kVisitRows = {{
+    {State::Held, Input::Room, State::Out, &Module::send_first},
+    {State::Held, Input::GaveUpBounce, State::Done, &Module::bounce},
+    {State::Held, Input::GaveUpFail, State::Done, &Module::fail},
+    {State::Held, Input::Dropped, State::Done, &Module::finish},
+    {State::Out, Input::Late, State::Paired, &Module::send_copy},
+    {State::Out, Input::Answered, State::Done, &Module::finish},
+    {State::Out, Input::MayGoAgain, State::Held, &Module::queue_again},
+    {State::Out, Input::MayBounce, State::Done, &Module::bounce},
+    {State::Out, Input::MayOnlyFail, State::Done, &Module::fail},
+    {State::Out, Input::GaveUpBounce, State::Done, &Module::bounce},
+    {State::Out, Input::GaveUpFail, State::Done, &Module::fail},
+    {State::Out, Input::Dropped, State::Done, &Module::finish},
+    {State::Paired, Input::Answered, State::Done, &Module::finish},
+    {State::Paired, Input::MayGoAgain, State::Out, &Module::nothing},
+    {State::Paired, Input::MayBounce, State::Out, &Module::nothing},
+    {State::Paired, Input::MayOnlyFail, State::Out, &Module::nothing},
+    {State::Paired, Input::GaveUpBounce, State::Done, &Module::bounce},
+    {State::Paired, Input::GaveUpFail, State::Done, &Module::fail},
+    {State::Paired, Input::Dropped, State::Done, &Module::finish},
+    {State::Held, Input::Answered, State::Done, &Module::finish},
+}};
+
+const std::array<Module::HealthRow, 13> Module::kHealthRows = {{
+    {Health::Gone, Sign::Listed, Health::Steady, &Module::restore},
+    {Health::Steady, Sign::Failing, Health::Aside, &Module::set_aside},
+    {Health::Steady, Sign::Unlisted, Health::Gone, &Module::nothing},
+    {Health::Aside, Sign::HoldOver, Health::Trickle, &Module::open_trickle},
+    {Health::Aside, Sign::Good, Health::Trickle, &Module::open_trickle},
+    {Health::Aside, Sign::Unlisted, Health::Gone, &Module::nothing},
+    {Health::Trickle, Sign::Good, Health::Trickle, &Module::double_trickle},
+    {Health::Trickle, Sign::Restored, Health::Steady, &Module::restore},
+    {Health::Trickle, Sign::Failing, Health::Aside, &Module::set_aside},
+    {Health::Trickle, Sign::Unlisted, Health::Gone, &Module::nothing},
+    {Health::Steady, Sign::Good, Health::Steady, &Module::nothing},
+    {Health::Steady, Sign::Listed, Health::Steady, &Module::nothing},
+    {Health::Gone, Sign::Unlisted, Health::Gone, &Module::nothing},
+}};
+
+}  // namespace
+
+std::unique_ptr<Policy> make_policy(double now, Deployment deployment, std::uint64_t seed, Host& host) {
+  return std::make_unique<Module>(now, std::move(deployment), seed, host);
+}
+
+}  // namespace puffinvane
--- /dev/null
+++ b/tests/stories.cpp
@@ -0,0 +1,1 @@
+int main() { return 0; }
--- /dev/null
+++ b/wirehost/codec.cpp
@@ -0,0 +1,220 @@
+#include "codec.h"
+
+#include <charconv>
+#include <cmath>
+
+namespace puffinvane::wire {
+
+using simdjson::dom::element;
+
+namespace {
+
+template <typename T>
+T option(element object, std::string_view key, T fallback) {
+  element found;
+  if (object[key].get(found)) return fallback;
+  if constexpr (std::is_same_v<T, std::string>) {
+    std::string_view text;
+    return found.get(text) ? fallback : std::string(text);
+  } else if constexpr (std::is_same_v<T, int>) {
+    double value;
+    return found.get(value) ? fallback : static_cast<int>(value);
+  } else {
+    T value;
+    return found.get(value) ? fallback : value;
+  }
+}
+
+element child(element object, std::string_view key) {
+  element found;
+  if (object[key].get(found)) throw Malformed("the options lack " + std::string(key));
+  return found;
+}
+
+simdjson::dom::array items(element object, std::string_view key) {
+  simdjson::dom::array found;
+  if (child(object, key).get(found)) throw Malformed(std::string(key) + " is not an array");
+  return found;
+}
+
+Kind read_kind(const std::string& word) {
+  if (word == "repeatable") return Kind::ReadLike;
+  return word == "by_key" ? Kind::Tagged : Kind::Mutating;
+}
+
+Group read_group(const std::string& word) {
+  if (word == "all") return Group::All;
+  return word == "zone" ? Group::Zone : Group::Cell;
+}
+
+}  // namespace
+
+Message::Message(element line) {
+  simdjson::dom::array values;
+  if (line.get(values)) throw Malformed("an event is not an array");
+  for (element value : values) values_.push_back(value);
+  if (values_.empty() || values_[0].get(name_)) throw Malformed("an event has no name");
+}
+
+void Message::lacks(const char* what) const {
+  throw Malformed("event " + std::string(name_) + " has no proper " + what);
+}
+
+element Message::at(std::size_t place, const char* what) const {
+  if (place >= values_.size() || values_[place].is_null()) lacks(what);
+  return values_[place];
+}
+
+Load Message::load(std::size_t place) const {
+  Load load;
+  simdjson::dom::object report;
+  if (place >= values_.size() || values_[place].get(report)) return load;
+  for (std::string_view field : {"busy_reqs", "pending"}) {
+    if (load.depth < 0 && report[field].get(load.depth)) load.depth = -1;
+  }
+  return load;
+}
+
+std::int64_t Message::whole(std::size_t place, const char* what) const {
+  std::int64_t value;
+  if (at(place, what).get(value)) lacks(what);
+  return value;
+}
+
+std::uint64_t Message::natural(std::size_t place, const char* what) const {
+  std::uint64_t value;
+  if (at(place, what).get(value)) lacks(what);
+  return value;
+}
+
+double Message::number(std::size_t place, const char* what) const {
+  double value;
+  if (at(place, what).get(value)) lacks(what);
+  return value;
+}
+
+bool Message::flag(std::size_t place, const char* what) const {
+  bool value;
+  if (at(place, what).get(value)) lacks(what);
+  return value;
+}
+
+std::string_view Message::text(std::size_t place, const char* what) const {
+  std::string_view value;
+  if (at(place, what).get(value)) lacks(what);
+  return value;
+}
+
+std::string_view Message::text_or_none(std::size_t place) const {
+  std::string_view value;
+  if (place >= values_.size() || values_[place].get(value)) return {};
+  return value;
+}
+
+Deployment read_deployment(element options) {
+  Deployment deployment;
+  for (element prefix : items(options, "PathPrefixes")) {
+    PathPrefix read;
+    read.name = option<std::string>(prefix, "Name", "");
+    read.kind = read_kind(option<std::string>(prefix, "Idempotency", "once"));
+    read.group = read_group(option<std::string>(prefix, "Group", "cell"));
+    read.memory_span = option(prefix, "MemorySpanS", 0.0);
+    read.target_latency = option(prefix, "TargetLatencyS", 1.0);
+    read.client_timeout = option(prefix, "ClientTimeoutS", read.target_latency);
+    read.credit = option(prefix, "Credit", 1.0);
+    deployment.path_prefixes.push_back(read);
+  }
+  simdjson::dom::array customers;
+  if (!options["Customers"].get(customers)) {
+    for (element customer : customers) {
+      deployment.customers.push_back(
+          {option<std::string>(customer, "Name", ""), option(customer, "QuotaPerS", 0.0)});
+    }
+  }
+  element limits = child(options, "Limits");
+  deployment.max_fetches = option(limits, "MaxBackendFetches", 1);
+  deployment.parallel_fetches = option(limits, "ParallelTries", false);
+  deployment.may_cancel = option(limits, "MayCancel", false);
+  deployment.advises_wait = option(limits, "RetryAfter", false);
+  deployment.longest_wait_advice = option(limits, "MaxRetryAfterS", 0.0);
+  element rules = child(options, "Rules");
+  deployment.cold.share = option(rules, "ColdShare", deployment.cold.share);
+  deployment.cold.warm_after = option(rules, "ColdS", deployment.cold.warm_after);
+  deployment.ask_within = option(rules, "AskWithinS", deployment.ask_within);
+  deployment.answer_slack = option(rules, "AnswerSlackS", 0.0);
+  deployment.me = option(options, "Me", 0);
+  deployment.sidecars = option(options, "PeersTotal", 1);
+  deployment.tier = option(options, "Layer", 0);
+  deployment.round = option(options, "RoundS", 0.0);
+  deployment.list_on_request = option<std::string>(options, "RegistryMode", "pushed") == "on_request";
+  return deployment;
+}
+
+std::vector<ListEntry> read_entries(element entries) {
+  simdjson::dom::array rows;
+  if (entries.get(rows)) throw Malformed("event CATALOG has no proper Entries");
+  std::vector<ListEntry> list;
+  for (element row : rows) {
+    simdjson::dom::array fields;
+    if (row.get(fields)) throw Malformed("a list entry is not an array");
+    std::vector<element> values(fields.begin(), fields.end());
+    ListEntry entry;
+    std::string_view endpoint, zone;
+    std::int64_t state;
+    if (values.size() < 5 || values[0].get(endpoint) || values[4].get(state)) {
+      throw Malformed("a list entry has no proper Endpoint or State");
+    }
+    entry.endpoint = endpoint;
+    if (!values[1].get(zone)) entry.zone = zone;
+    if (values[3].get(entry.cell)) entry.cell = 0;
+    entry.state = state == 1 ? Listed::Ready : state == 2 ? Listed::Draining : Listed::Gone;
+    if (values.size() < 7 || values[6].get(entry.online_since)) entry.online_since = 0;
+    list.push_back(std::move(entry));
+  }
+  return list;
+}
+
+Outcome read_outcome(std::int64_t result) {
+  switch (result) {
+    case 100: return Outcome::Delivered;
+    case 302: return Outcome::Refused;
+    case 303: return Outcome::TimedOut;
+    case 304: return Outcome::ConnectFailed;
+    case 305: return Outcome::Broken;
+    case 306: return Outcome::Cancelled;
+    case 307: return Outcome::NotSent;
+    default: return Outcome::Failed;
+  }
+}
+
+void write_text(std::string& out, std::string_view text) {
+  static constexpr char kHex[] = "0123456789abcdef";
+  out += '"';
+  for (char c : text) {
+    auto byte = static_cast<unsigned char>(c);
+    if (c == '"' || c == '\\') {
+      out += '\\';
+      out += c;
+    } else if (byte < 0x20) {
+      out += "\\u00";
+      out += kHex[byte >> 4];
+      out += kHex[byte & 15];
+    } else {
+      out += c;
+    }
+  }
+  out += '"';
+}
+
+void write_number(std::string& out, double value) {
+  char buffer[64];
+  auto end = std::to_chars(buffer, buffer + sizeof buffer, value, std::chars_format::fixed, 6).ptr;
+  out.append(buffer, end);
+}
+
+void write_whole(std::string& out, std::uint64_t value) {
+  char buffer[24];
+  out.append(buffer, std::to_chars(buffer, buffer + sizeof buffer, value).ptr);
+}
+
+}  // namespace puffinvane::wire
