--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -413,7 +413,10 @@
                              [](const Endpoint& endpoint) { return endpoint.health == Health::Steady; }));
   }
   bool room(const Taken& visit) const {
-    if (deployment_.tier > 0 || visit.place.rank < 0 || in_flight_ < 2 * ready_count()) return true;
+    // The floor is a share of what all sidecars leave out together: with many of them, each one's own small
+    // allowance adds up to a crowd on every endpoint.
+    if (deployment_.tier > 0 || visit.place.rank < 0) return true;
+    if (in_flight_ < std::max(1.0, 2.0 * ready_count() / deployment_.sidecars)) return true;
     return load_ < (visit.over_share ? kOverShareRoom : kRoom) * best_rate_;
   }
   void pump() {
