--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -21,8 +21,10 @@
 constexpr std::size_t kEndpointSamples = 16;
 constexpr double kSampleAge = 15;           // an endpoint's older answers tell of another time
 constexpr double kSharedLate = 0.25;        // more of the last visits late than this: not one endpoint's doing
-constexpr double kRoom = 0.5;               // of a target latency that admitted visits may spend on average
-constexpr double kOverShareRoom = 0.35;
+constexpr double kRoom = 0.5;         // of a target latency that admitted visits may spend on average
+constexpr double kCalmStretch = 2;    // and this many times what they spend in calm
+constexpr double kOverShareRoom = 0.7;
+constexpr std::size_t kCalmSeconds = 40;
 constexpr double kPatience = 0.3;           // of the target latency that a visit may be held
 constexpr double kTick = 0.1;
 constexpr double kFirstHold = 1, kLongestHold = 8;
@@ -98,7 +100,7 @@
   int prefix = 0;
   State state = State::Held;
   bool over_share = false, counted = false;
-  double arrived = 0, until = 0, held_until = 0;
+  double arrived = 0, until = 0, held_until = 0, weight = 0;
   Held place;
   std::vector<Fetch> fetches;
 };
@@ -108,6 +110,7 @@
   Module(double now, Deployment deployment, std::uint64_t seed, Host& host)
       : deployment_(std::move(deployment)), host_(host), chance_(seed), now_(now) {
     latencies_.resize(deployment_.path_prefixes.size());
+    medians_.resize(deployment_.path_prefixes.size());
     customer_arrivals_.resize(deployment_.customers.size());
     double turn = (deployment_.me % deployment_.sidecars + chance_.share()) / deployment_.sidecars;
     if (deployment_.list_on_request) ask_at_ = now + turn * deployment_.ask_within * 0.4;
@@ -314,6 +317,13 @@
     const auto& samples = latencies_[prefix];
     return samples.empty() ? deployment_.path_prefixes[prefix].target_latency / 4 : percentile(samples, 0.5);
   }
+  // The usual latency before it swelled: the lowest of the medians of the last while. A room measured
+  // against a median that moves with the jam would let the jam in.
+  double calm(int prefix) const {
+    const auto& medians = medians_[prefix];
+    return medians.empty() ? deployment_.path_prefixes[prefix].target_latency
+                           : *std::min_element(medians.begin(), medians.end());
+  }
   double depth(const Endpoint& endpoint) const {
     return endpoint.reported >= 0 ? endpoint.reported + endpoint.since_report : double(endpoint.out.size());
   }
@@ -379,7 +389,10 @@
     ++endpoint.since_report;
     endpoint.out.insert({now_, key(visit.id, number)});
     visit.fetches.push_back(fetch);
-    if (!std::exchange(visit.counted, true)) ++in_flight_, load_ += 1 / prefix(visit).target_latency;
+    if (!std::exchange(visit.counted, true)) {
+      visit.weight = 1 / std::min(kRoom * prefix(visit).target_latency, kCalmStretch * calm(visit.prefix));
+      ++in_flight_, load_ += visit.weight;
+    }
     host_.fetch(visit.id, endpoint.name, 0);
     if (prefix(visit).kind == Kind::ReadLike && deployment_.parallel_fetches && visit.state == State::Out) {
       host_.wake(now_ + threshold(visit.prefix), kLateToken | visit.id);
@@ -417,7 +430,7 @@
     // allowance adds up to a crowd on every endpoint.
     if (deployment_.tier > 0 || visit.place.rank < 0) return true;
     if (in_flight_ < std::max(1.0, 2.0 * ready_count() / deployment_.sidecars)) return true;
-    return load_ < (visit.over_share ? kOverShareRoom : kRoom) * best_rate_;
+    return load_ < (visit.over_share ? kOverShareRoom : 1) * best_rate_;
   }
   void pump() {
     for (auto next = held_.begin(); next != held_.end();) {
@@ -432,7 +445,7 @@
     }
   }
   void leave_count(Taken& visit) {
-    if (std::exchange(visit.counted, false)) --in_flight_, load_ -= 1 / prefix(visit).target_latency;
+    if (std::exchange(visit.counted, false)) --in_flight_, load_ -= visit.weight;
   }
   void forget_if_over(std::map<VisitId, Taken>::iterator at) {
     const Taken& visit = at->second;
@@ -553,6 +566,12 @@
     if (asked_until_ > 0 && now_ > asked_until_) ask_again_later();
     keep(rates_, std::exchange(answers_, 0.0) / (4 * kTick), std::size_t{80});
     best_rate_ = best_rate();
+    if (now_ >= medians_at_) {
+      medians_at_ = now_ + 1;
+      for (std::size_t i = 0; i < latencies_.size(); ++i) {
+        if (latencies_[i].size() >= kFewLatencies) keep(medians_[i], usual(int(i)), kCalmSeconds);
+      }
+    }
     keep(sends_, std::exchange(sent_warm_, 0.0), std::size_t{20});
     double sends = 0;
     int warm = 0;
@@ -598,12 +617,12 @@
   std::map<std::string, int> by_name_;
   std::map<VisitId, Taken> visits_;
   std::map<Held, VisitId> held_;
-  std::vector<std::deque<double>> latencies_, customer_arrivals_;
+  std::vector<std::deque<double>> latencies_, medians_, customer_arrivals_;
   std::deque<bool> late_;
   std::deque<double> rates_, sends_;
   double answers_ = 0, sent_warm_ = 0, best_rate_ = 0, load_ = 0;
   int in_flight_ = 0, copy_to_ = -1;
-  double ask_at_ = 0, asked_until_ = 0, ask_back_off_ = 0.5, report_at_ = 0;
+  double ask_at_ = 0, asked_until_ = 0, ask_back_off_ = 0.5, report_at_ = 0, medians_at_ = 0;
   std::uint64_t turns_ = 0, reported_ = 0;
   std::uint64_t copies_sent_ = 0, shut_depth_ = 0, shut_errors_ = 0, shut_shared_ = 0, shut_nowhere_ = 0;
 };
