Copy only where the endpoint is suspect, not the visit heavy

Cause: the 95th percentile picks heavy visits; their copies double the heaviest work on every tier behind.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -26,6 +26,8 @@
 constexpr double kOverShareRoom = 0.7;
 constexpr std::size_t kCalmSeconds = 40;
 constexpr double kPatience = 0.3;           // of the target latency that a visit may be held
+constexpr double kSlowEndpoint = 1.5;  // answers this many times slower than usual: lateness is the endpoint's
+constexpr double kUnsuspected = 2;     // thresholds that an endpoint with nothing against it is given
 constexpr double kTick = 0.1;
 constexpr double kFirstHold = 1, kLongestHold = 8;
 constexpr int kTrickleDone = 8;
@@ -401,7 +403,18 @@
   void consider_copy(Taken& visit) {
     if (int(visit.fetches.size()) >= deployment_.max_fetches || !visit.fetches.back().out) return;
     // A wake of an earlier fetch of the same visit is not this one's threshold.
-    if (now_ < visit.fetches.back().sent + threshold(visit.prefix) - deployment_.round) return;
+    const Fetch& first = visit.fetches.back();
+    double due = threshold(visit.prefix), waited = now_ - first.sent;
+    if (waited < due - deployment_.round) return;
+    // The source takes lateness for the endpoint's. A heavy visit is late anywhere, and its copy doubles the
+    // heaviest work on every tier behind: so an endpoint that answers what came later is believed, and one
+    // with nothing against it gets as long again.
+    const Endpoint& at = endpoints_[first.endpoint];
+    if (slowness(at) < kSlowEndpoint && (at.last_answer > first.sent || waited < kUnsuspected * due)) {
+      ++shut_weight_;
+      if (waited < 4 * due) host_.wake(now_ + due, kLateToken | visit.id);
+      return;
+    }
     double late = 0;
     for (bool one : late_) late += one;
     if (late > kSharedLate * double(late_.size()) && late_.size() >= kFewLatencies) return void(++shut_shared_);
@@ -599,14 +612,13 @@
     report();
   }
   void report() {
-    std::uint64_t seen = copies_sent_ + shut_depth_ + shut_errors_ + shut_shared_ + shut_nowhere_;
-    if (now_ < report_at_ || seen == reported_) return;
-    report_at_ = now_ + 20;
-    reported_ = seen;
+    // The source's diagnosis rests on both counts; one sidecar a tier in turn is enough to see them.
+    if (now_ < report_at_ || deployment_.me != 0) return;
+    report_at_ = now_ + 10;
     host_.log("tier " + std::to_string(deployment_.tier) + " copies sent " + std::to_string(copies_sent_) +
               ", suppressed by depth " + std::to_string(shut_depth_) + " errors " +
               std::to_string(shut_errors_) + " shared lateness " + std::to_string(shut_shared_) +
-              " no endpoint " + std::to_string(shut_nowhere_));
+              " no endpoint " + std::to_string(shut_nowhere_) + " weight " + std::to_string(shut_weight_));
   }
 
   const Deployment deployment_;
@@ -623,8 +635,8 @@
   double answers_ = 0, sent_warm_ = 0, best_rate_ = 0, load_ = 0;
   int in_flight_ = 0, copy_to_ = -1;
   double ask_at_ = 0, asked_until_ = 0, ask_back_off_ = 0.5, report_at_ = 0, medians_at_ = 0;
-  std::uint64_t turns_ = 0, reported_ = 0;
-  std::uint64_t copies_sent_ = 0, shut_depth_ = 0, shut_errors_ = 0, shut_shared_ = 0, shut_nowhere_ = 0;
+  std::uint64_t turns_ = 0;
+  std::uint64_t copies_sent_ = 0, shut_depth_ = 0, shut_errors_ = 0, shut_shared_ = 0, shut_nowhere_ = 0, shut_weight_ = 0;
 };
 
 const std::array<Module::VisitRow, 20> Module::kVisitRows = {{
