--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -24,7 +24,7 @@
 constexpr double kRoom = 0.5;         // of a target latency that admitted visits may spend on average
 constexpr double kCalmStretch = 1.5;    // and this many times what they spend in calm
 constexpr double kOverShareRoom = 0.7;
-constexpr std::size_t kCalmSeconds = 40;
+constexpr std::size_t kCalmSeconds = 40, kRecentTicks = 80, kRateTicks = 20;
 constexpr double kPatience = 0.3;           // of the target latency that a visit may be held
 constexpr double kSlowEndpoint = 1.5;  // answers this many times slower than usual: lateness is the endpoint's
 constexpr double kUnsuspected = 2;     // thresholds that an endpoint with nothing against it is given
@@ -102,7 +102,7 @@
   int prefix = 0;
   State state = State::Held;
   bool over_share = false, counted = false;
-  double arrived = 0, until = 0, held_until = 0, weight = 0;
+  double arrived = 0, until = 0, held_until = 0, weight = 0, calm_weight = 0;
   Held place;
   std::vector<Fetch> fetches;
 };
@@ -392,8 +392,9 @@
     endpoint.out.insert({now_, key(visit.id, number)});
     visit.fetches.push_back(fetch);
     if (!std::exchange(visit.counted, true)) {
-      visit.weight = 1 / std::min(kRoom * prefix(visit).target_latency, kCalmStretch * calm(visit.prefix));
-      ++in_flight_, load_ += visit.weight;
+      visit.weight = 1 / (kRoom * prefix(visit).target_latency);
+      visit.calm_weight = 1 / (kCalmStretch * calm(visit.prefix));
+      ++in_flight_, load_ += visit.weight, calm_load_ += visit.calm_weight;
     }
     host_.fetch(visit.id, endpoint.name, 0);
     if (prefix(visit).kind == Kind::ReadLike && deployment_.parallel_fetches && visit.state == State::Out) {
@@ -427,12 +428,14 @@
   }
 
   // ---- room: what may be out at once, measured in target latencies
-  double best_rate() const {
-    double best = 0;
-    for (std::size_t i = 0; i + 4 <= rates_.size(); ++i) {
-      best = std::max(best, rates_[i] + rates_[i + 1] + rates_[i + 2] + rates_[i + 3]);
+  double best_rate(std::size_t ticks) const {
+    double best = 0, sum = 0;
+    for (std::size_t i = rates_.size() - std::min(ticks, rates_.size()), n = 0; i < rates_.size(); ++i) {
+      sum += rates_[i];
+      if (++n > kRateTicks) sum -= rates_[i - kRateTicks];
+      best = std::max(best, sum);
     }
-    return best;
+    return best / (kRateTicks * kTick);
   }
   int ready_count() const {
     return int(std::count_if(endpoints_.begin(), endpoints_.end(),
@@ -443,7 +446,10 @@
     // allowance adds up to a crowd on every endpoint.
     if (deployment_.tier > 0 || visit.place.rank < 0) return true;
     if (in_flight_ < std::max(1.0, 2.0 * ready_count() / deployment_.sidecars)) return true;
-    return load_ < (visit.over_share ? kOverShareRoom : 1) * best_rate_;
+    // Calm is measured against the best rate of a long while: a recent one is lowered by the very limit that
+    // it sets, and when all is slow the limit would talk itself down to nothing.
+    double share = visit.over_share ? kOverShareRoom : 1;
+    return load_ < share * recent_rate_ && calm_load_ < share * calm_rate_;
   }
   void pump() {
     for (auto next = held_.begin(); next != held_.end();) {
@@ -458,7 +464,8 @@
     }
   }
   void leave_count(Taken& visit) {
-    if (std::exchange(visit.counted, false)) --in_flight_, load_ -= visit.weight;
+    if (!std::exchange(visit.counted, false)) return;
+    --in_flight_, load_ -= visit.weight, calm_load_ -= visit.calm_weight;
   }
   void forget_if_over(std::map<VisitId, Taken>::iterator at) {
     const Taken& visit = at->second;
@@ -577,10 +584,11 @@
       host_.follow_list(true);
     }
     if (asked_until_ > 0 && now_ > asked_until_) ask_again_later();
-    keep(rates_, std::exchange(answers_, 0.0) / (4 * kTick), std::size_t{80});
-    best_rate_ = best_rate();
+    keep(rates_, std::exchange(answers_, 0.0), std::size_t(kCalmSeconds / kTick));
+    recent_rate_ = best_rate(kRecentTicks);
     if (now_ >= medians_at_) {
       medians_at_ = now_ + 1;
+      calm_rate_ = best_rate(rates_.size());
       for (std::size_t i = 0; i < latencies_.size(); ++i) {
         if (latencies_[i].size() >= kFewLatencies) keep(medians_[i], usual(int(i)), kCalmSeconds);
       }
@@ -632,7 +640,7 @@
   std::vector<std::deque<double>> latencies_, medians_, customer_arrivals_;
   std::deque<bool> late_;
   std::deque<double> rates_, sends_;
-  double answers_ = 0, sent_warm_ = 0, best_rate_ = 0, load_ = 0;
+  double answers_ = 0, sent_warm_ = 0, recent_rate_ = 0, calm_rate_ = 0, load_ = 0, calm_load_ = 0;
   int in_flight_ = 0, copy_to_ = -1;
   double ask_at_ = 0, asked_until_ = 0, ask_back_off_ = 0.5, report_at_ = 0, medians_at_ = 0;
   std::uint64_t turns_ = 0;
