--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -21,8 +21,8 @@
 constexpr std::size_t kEndpointSamples = 16;
 constexpr double kSampleAge = 15;           // an endpoint's older answers tell of another time
 constexpr double kSharedLate = 0.25;        // more of the last visits late than this: not one endpoint's doing
-constexpr double kRoom = 0.5;         // of a target latency that admitted visits may spend on average
-constexpr double kCalmStretch = 1.5;    // and this many times what they spend in calm
+constexpr double kRoom = 0.8;         // of a target latency that admitted visits may spend on average
+constexpr double kCalmStretch = 2.2;    // and this many times what they spend in calm
 constexpr double kOverShareRoom = 0.7;
 constexpr std::size_t kCalmSeconds = 40, kRecentTicks = 80, kRateTicks = 20;
 constexpr double kPatience = 0.3;           // of the target latency that a visit may be held
