--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -21,11 +21,11 @@
 constexpr std::size_t kEndpointSamples = 16;
 constexpr double kSampleAge = 15;           // an endpoint's older answers tell of another time
 constexpr double kSharedLate = 0.25;        // more of the last visits late than this: not one endpoint's doing
-constexpr double kRoom = 0.8;         // of a target latency that admitted visits may spend on average
+constexpr double kRoom = 0.5;         // of a target latency that admitted visits may spend on average
 constexpr double kCalmStretch = 2.2;    // and this many times what they spend in calm
 constexpr double kOverShareRoom = 0.7;
 constexpr std::size_t kCalmSeconds = 40, kRecentTicks = 80, kRateTicks = 20;
-constexpr double kPatience = 0.3;           // of the target latency that a visit may be held
+constexpr double kLeastPatience = 0.2, kMostPatience = 0.8;  // of the target latency that a visit may be held
 constexpr double kSlowEndpoint = 1.5;  // answers this many times slower than usual: lateness is the endpoint's
 constexpr double kUnsuspected = 2;     // thresholds that an endpoint with nothing against it is given
 constexpr double kTick = 0.1;
@@ -143,8 +143,7 @@
     taken.over_share = over_share(visit.customer);
     taken.arrived = now;
     taken.until = now + visit.time_left;
-    double patience = std::min(kPatience * prefix(taken).target_latency, visit.time_left / 2);
-    taken.held_until = now + patience;
+    taken.held_until = now + std::min(patience(taken), visit.time_left / 2);
     taken.place = {taken.over_share, ++turns_};
     held_.emplace(taken.place, taken.id);
     // Rule 1: the answer has to be out before the client timeout, whatever has been sent.
@@ -242,7 +241,7 @@
     // Goes before all that wait: its client has waited longest, and work may already be spent on it.
     leave_count(visit);
     visit.place = {-1, ++turns_};
-    visit.held_until = std::max(visit.held_until, now_ + kPatience * prefix(visit).target_latency);
+    visit.held_until = std::max(visit.held_until, now_ + patience(visit));
     held_.emplace(visit.place, visit.id);
   }
   void finish(Taken& visit) {
@@ -326,6 +325,11 @@
     return medians.empty() ? deployment_.path_prefixes[prefix].target_latency
                            : *std::min_element(medians.begin(), medians.end());
   }
+  // A visit may be held for as long as a calm fetch would still end well within its target latency.
+  double patience(const Taken& visit) const {
+    double target = prefix(visit).target_latency;
+    return std::max(kLeastPatience * target, kMostPatience * target - 2 * calm(visit.prefix));
+  }
   double depth(const Endpoint& endpoint) const {
     return endpoint.reported >= 0 ? endpoint.reported + endpoint.since_report : double(endpoint.out.size());
   }
