--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -8,6 +8,7 @@
 #include <array>
 #include <deque>
 #include <map>
+#include <numeric>
 #include <set>
 #include <utility>
 
@@ -21,8 +22,8 @@
 constexpr std::size_t kEndpointSamples = 16;
 constexpr double kSampleAge = 15;           // an endpoint's older answers tell of another time
 constexpr double kSharedLate = 0.25;        // more of the last visits late than this: not one endpoint's doing
-constexpr double kRoom = 0.5;         // of a target latency that admitted visits may spend on average
-constexpr double kCalmStretch = 2.2;    // and this many times what they spend in calm
+constexpr double kRoom = 0.6;         // of a target latency that admitted visits may spend on average
+constexpr double kCalmStretch = 1.8;    // and this many times what they spend in calm
 constexpr double kOverShareRoom = 0.7;
 constexpr std::size_t kCalmSeconds = 40, kRecentTicks = 80, kRateTicks = 20;
 constexpr double kLeastPatience = 0.2, kMostPatience = 0.8;  // of the target latency that a visit may be held
@@ -61,6 +62,10 @@
   return *at;
 }
 
+double mean(const std::deque<double>& samples) {
+  return std::accumulate(samples.begin(), samples.end(), 0.0) / double(samples.size());
+}
+
 enum class Health { Steady, Aside, Trickle, Gone };
 enum class Sign { Failing, HoldOver, Good, Restored, Listed, Unlisted };
 
@@ -112,7 +117,7 @@
   Module(double now, Deployment deployment, std::uint64_t seed, Host& host)
       : deployment_(std::move(deployment)), host_(host), chance_(seed), now_(now) {
     latencies_.resize(deployment_.path_prefixes.size());
-    medians_.resize(deployment_.path_prefixes.size());
+    means_.resize(deployment_.path_prefixes.size());
     customer_arrivals_.resize(deployment_.customers.size());
     double turn = (deployment_.me % deployment_.sidecars + chance_.share()) / deployment_.sidecars;
     if (deployment_.list_on_request) ask_at_ = now + turn * deployment_.ask_within * 0.4;
@@ -318,12 +323,12 @@
     const auto& samples = latencies_[prefix];
     return samples.empty() ? deployment_.path_prefixes[prefix].target_latency / 4 : percentile(samples, 0.5);
   }
-  // The usual latency before it swelled: the lowest of the medians of the last while. A room measured
-  // against a median that moves with the jam would let the jam in.
+  // The mean latency before it swelled: the lowest of the last while's means, as Little's law wants means.
+  // A room measured against a figure that moves with the jam would let the jam in.
   double calm(int prefix) const {
-    const auto& medians = medians_[prefix];
-    return medians.empty() ? deployment_.path_prefixes[prefix].target_latency
-                           : *std::min_element(medians.begin(), medians.end());
+    const auto& means = means_[prefix];
+    return means.empty() ? deployment_.path_prefixes[prefix].target_latency
+                           : *std::min_element(means.begin(), means.end());
   }
   // A visit may be held for as long as a calm fetch would still end well within its target latency.
   double patience(const Taken& visit) const {
@@ -590,11 +595,11 @@
     if (asked_until_ > 0 && now_ > asked_until_) ask_again_later();
     keep(rates_, std::exchange(answers_, 0.0), std::size_t(kCalmSeconds / kTick));
     recent_rate_ = best_rate(kRecentTicks);
-    if (now_ >= medians_at_) {
-      medians_at_ = now_ + 1;
+    if (now_ >= means_at_) {
+      means_at_ = now_ + 1;
       calm_rate_ = best_rate(rates_.size());
       for (std::size_t i = 0; i < latencies_.size(); ++i) {
-        if (latencies_[i].size() >= kFewLatencies) keep(medians_[i], usual(int(i)), kCalmSeconds);
+        if (latencies_[i].size() >= kFewLatencies) keep(means_[i], mean(latencies_[i]), kCalmSeconds);
       }
     }
     keep(sends_, std::exchange(sent_warm_, 0.0), std::size_t{20});
@@ -641,12 +646,12 @@
   std::map<std::string, int> by_name_;
   std::map<VisitId, Taken> visits_;
   std::map<Held, VisitId> held_;
-  std::vector<std::deque<double>> latencies_, medians_, customer_arrivals_;
+  std::vector<std::deque<double>> latencies_, means_, customer_arrivals_;
   std::deque<bool> late_;
   std::deque<double> rates_, sends_;
   double answers_ = 0, sent_warm_ = 0, recent_rate_ = 0, calm_rate_ = 0, load_ = 0, calm_load_ = 0;
   int in_flight_ = 0, copy_to_ = -1;
-  double ask_at_ = 0, asked_until_ = 0, ask_back_off_ = 0.5, report_at_ = 0, medians_at_ = 0;
+  double ask_at_ = 0, asked_until_ = 0, ask_back_off_ = 0.5, report_at_ = 0, means_at_ = 0;
   std::uint64_t turns_ = 0;
   std::uint64_t copies_sent_ = 0, shut_depth_ = 0, shut_errors_ = 0, shut_shared_ = 0, shut_nowhere_ = 0, shut_weight_ = 0;
 };
