--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -593,11 +593,14 @@
       host_.follow_list(true);
     }
     if (asked_until_ > 0 && now_ > asked_until_) ask_again_later();
-    keep(rates_, std::exchange(answers_, 0.0), std::size_t(kCalmSeconds / kTick));
-    recent_rate_ = best_rate(kRecentTicks);
+    // Kept for each endpoint in use: a fleet that is drained must not be held to what the larger one did.
+    double ready = std::max(1, ready_count());
+    keep(rates_, std::exchange(answers_, 0.0) / ready, std::size_t(kCalmSeconds / kTick));
+    recent_rate_ = best_rate(kRecentTicks) * ready;
+    calm_rate_ = best_calm_ * ready;
     if (now_ >= means_at_) {
       means_at_ = now_ + 1;
-      calm_rate_ = best_rate(rates_.size());
+      best_calm_ = best_rate(rates_.size());
       for (std::size_t i = 0; i < latencies_.size(); ++i) {
         if (latencies_[i].size() >= kFewLatencies) keep(means_[i], mean(latencies_[i]), kCalmSeconds);
       }
@@ -649,7 +652,7 @@
   std::vector<std::deque<double>> latencies_, means_, customer_arrivals_;
   std::deque<bool> late_;
   std::deque<double> rates_, sends_;
-  double answers_ = 0, sent_warm_ = 0, recent_rate_ = 0, calm_rate_ = 0, load_ = 0, calm_load_ = 0;
+  double answers_ = 0, sent_warm_ = 0, recent_rate_ = 0, calm_rate_ = 0, best_calm_ = 0, load_ = 0, calm_load_ = 0;
   int in_flight_ = 0, copy_to_ = -1;
   double ask_at_ = 0, asked_until_ = 0, ask_back_off_ = 0.5, report_at_ = 0, means_at_ = 0;
   std::uint64_t turns_ = 0;
