--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -25,6 +25,7 @@
 constexpr double kRoom = 0.6;         // of a target latency that admitted visits may spend on average
 constexpr double kCalmStretch = 1.8;    // and this many times what they spend in calm
 constexpr double kOverShareRoom = 0.7;
+constexpr double kFloor = 2, kFirstSeconds = 3;
 constexpr std::size_t kCalmSeconds = 40, kRecentTicks = 80, kRateTicks = 20;
 constexpr double kLeastPatience = 0.2, kMostPatience = 0.8;  // of the target latency that a visit may be held
 constexpr double kSlowEndpoint = 1.5;  // answers this many times slower than usual: lateness is the endpoint's
@@ -115,7 +116,7 @@
 class Module final : public Policy {
  public:
   Module(double now, Deployment deployment, std::uint64_t seed, Host& host)
-      : deployment_(std::move(deployment)), host_(host), chance_(seed), now_(now) {
+      : deployment_(std::move(deployment)), host_(host), chance_(seed), now_(now), started_(now) {
     latencies_.resize(deployment_.path_prefixes.size());
     means_.resize(deployment_.path_prefixes.size());
     customer_arrivals_.resize(deployment_.customers.size());
@@ -454,7 +455,9 @@
     // The floor is a share of what all sidecars leave out together: with many of them, each one's own small
     // allowance adds up to a crowd on every endpoint.
     if (deployment_.tier > 0 || visit.place.rank < 0) return true;
-    if (in_flight_ < std::max(1.0, 2.0 * ready_count() / deployment_.sidecars)) return true;
+    // Before any rate is known C's first value stands in, or a sidecar's first seconds bounce half its visits.
+    double each = now_ < started_ + kFirstSeconds ? kFirstCapacity : kFloor;
+    if (in_flight_ < std::max(1.0, each * ready_count() / deployment_.sidecars)) return true;
     // Calm is measured against the best rate of a long while: a recent one is lowered by the very limit that
     // it sets, and when all is slow the limit would talk itself down to nothing.
     double share = visit.over_share ? kOverShareRoom : 1;
@@ -645,6 +648,7 @@
   Host& host_;
   Chance chance_;
   double now_;
+  const double started_;
   std::vector<Endpoint> endpoints_;
   std::map<std::string, int> by_name_;
   std::map<VisitId, Taken> visits_;
