--- a/include/puffinvane/policy.h
+++ b/include/puffinvane/policy.h
@@ -48,6 +48,9 @@
   bool may_cancel = false;
   bool advises_wait = false;
   bool list_on_request = false;
+  bool credit_by_work = false;  // else by visit
+  double weight_whole = 1;      // how the day is judged: by the whole,
+  double weight_evenness = 0;   // or by its worst-served path prefix and its tail
   double ask_within = 10;
   double longest_wait_advice = 0;
   double answer_slack = 0;
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -30,7 +30,7 @@
 constexpr double kLeastPatience = 0.2, kMostPatience = 0.8;  // of the target latency that a visit may be held
 constexpr double kSlowEndpoint = 1.5;  // answers this many times slower than usual: lateness is the endpoint's
 constexpr double kUnsuspected = 2;     // thresholds that an endpoint with nothing against it is given
-constexpr double kTick = 0.1;
+constexpr double kTick = 0.1, kFirstOfAll = -1e9;
 constexpr double kFirstHold = 1, kLongestHold = 8;
 constexpr int kTrickleDone = 8;
 
@@ -98,7 +98,7 @@
 };
 
 struct Held {
-  int rank = 0;
+  double rank = 0;
   std::uint64_t turn = 0;
   auto operator<=>(const Held&) const = default;
 };
@@ -150,7 +150,7 @@
     taken.arrived = now;
     taken.until = now + visit.time_left;
     taken.held_until = now + std::min(patience(taken), visit.time_left / 2);
-    taken.place = {taken.over_share, ++turns_};
+    taken.place = {rank(taken), ++turns_};
     held_.emplace(taken.place, taken.id);
     // Rule 1: the answer has to be out before the client timeout, whatever has been sent.
     host_.wake(std::max(now, taken.until - 2 * deployment_.round), kUntilToken | taken.id);
@@ -246,7 +246,7 @@
   void queue_again(Taken& visit) {
     // Goes before all that wait: its client has waited longest, and work may already be spent on it.
     leave_count(visit);
-    visit.place = {-1, ++turns_};
+    visit.place = {kFirstOfAll, ++turns_};
     visit.held_until = std::max(visit.held_until, now_ + patience(visit));
     held_.emplace(visit.place, visit.id);
   }
@@ -454,7 +454,7 @@
   bool room(const Taken& visit) const {
     // The floor is a share of what all sidecars leave out together: with many of them, each one's own small
     // allowance adds up to a crowd on every endpoint.
-    if (deployment_.tier > 0 || visit.place.rank < 0) return true;
+    if (deployment_.tier > 0 || visit.place.rank == kFirstOfAll) return true;
     // Before any rate is known C's first value stands in, or a sidecar's first seconds bounce half its visits.
     double each = now_ < started_ + kFirstSeconds ? kFirstCapacity : kFloor;
     if (in_flight_ < std::max(1.0, each * ready_count() / deployment_.sidecars)) return true;
@@ -475,6 +475,14 @@
       turn(visit, Input::Room);
     }
   }
+  // Who waits longest when there is no room: first those over their customer's share, then low credit for
+  // the work, unless the deployment is judged by its worst-served path prefix more than by the whole.
+  double rank(const Taken& visit) const {
+    double work = deployment_.credit_by_work ? 1 : calm(visit.prefix);
+    bool even = deployment_.weight_evenness >= deployment_.weight_whole;
+    double credit = even ? 0 : prefix(visit).credit / work;
+    return visit.over_share ? 1 / (1 + credit) : -credit;
+  }
   void leave_count(Taken& visit) {
     if (!std::exchange(visit.counted, false)) return;
     --in_flight_, load_ -= visit.weight, calm_load_ -= visit.calm_weight;
