--- a/include/puffinvane/policy.h
+++ b/include/puffinvane/policy.h
@@ -64,6 +64,7 @@
   std::string zone;
   std::int64_t cell = 0;
   Listed state = Listed::Ready;
+  double units = 1;         // its size against the others'
   double online_since = 0;  // 0: a long time back
 };
 
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -84,7 +84,7 @@
   double online_since = 0, hold = kFirstHold, hold_until = 0, full_until = 0, last_answer = -1;
   double cold_credit = 0;  // fetches that the cold rule still leaves this sidecar
   int allowance = 0, since_report = 0;
-  double reported = -1;
+  double reported = -1, units = 1;
   std::set<std::pair<double, std::uint64_t>> out;  // by time of sending
   std::deque<Answer> answers;
 };
@@ -400,7 +400,7 @@
       if (tried(visit, i) || !open_to(endpoint) || !may_fetch(visit, endpoint)) continue;
       // A trickle is a test: a mutating visit, which could not be sent again, is no stake for it.
       if (endpoint.health == Health::Trickle && prefix(visit).kind == Kind::Mutating) continue;
-      ready.emplace_back(at_random ? 0 : (depth(endpoint) + 1) * slowness(endpoint), i);
+      ready.emplace_back(at_random ? 0 : (depth(endpoint) + 1) * slowness(endpoint) / endpoint.units, i);
     }
     if (ready.empty()) return -1;
     double lowest = std::min_element(ready.begin(), ready.end())->first;
@@ -599,6 +599,7 @@
     if (entry.state != Listed::Ready) return turn_health(endpoint, Sign::Unlisted);
     endpoint.zone = entry.zone;
     endpoint.cell = entry.cell;
+    endpoint.units = entry.units;
     if (entry.online_since != endpoint.online_since) {
       // Restarted. Rule 4: each sidecar starts its budget at another part of one fetch, by its own number,
       // so that their first fetches come one after another and not all at the news.
--- a/tests/fake_host.h
+++ b/tests/fake_host.h
@@ -54,7 +54,7 @@
   void ready(int count, const std::string& name = "a") {
     std::vector<ListEntry> entries;
     for (int i = 0; i < count; ++i)
-      entries.push_back({name + std::to_string(i), "here", 1, Listed::Ready, 0});
+      entries.push_back({name + std::to_string(i), "here", 1, Listed::Ready, 1, 0});
     list(entries);
   }
   VisitId visit(const char* prefix = "read", double time_left = 4, const char* customer = "") {
--- a/tests/stories.cpp
+++ b/tests/stories.cpp
@@ -25,7 +25,7 @@
         Row{"tagged", Outcome::Refused, true, false}, Row{"tagged", Outcome::Failed, false, false},
         Row{"tagged-all", Outcome::Failed, true, false}, Row{"tagged-cell", Outcome::Broken, false, false}}) {
     FakeHost host(deployment());
-    host.list({{"near", "here", 1, Listed::Ready, 0}, {"far", "there", 2, Listed::Ready, 0}});
+    host.list({{"near", "here", 1, Listed::Ready, 1, 0}, {"far", "there", 2, Listed::Ready, 1, 0}});
     VisitId visit = host.visit(row.prefix);
     host.run(0.1);
     host.end(host.sent.at(0), row.outcome);
@@ -39,10 +39,10 @@
 
 void a_tagged_visit_that_may_have_run_stays_in_its_group_and_memory() {
   FakeHost host(deployment());
-  host.list({{"a", "here", 1, Listed::Ready, 0},
-             {"b", "here", 1, Listed::Ready, 0},
-             {"c", "there", 2, Listed::Ready, 0},
-             {"d", "there", 2, Listed::Ready, 0}});
+  host.list({{"a", "here", 1, Listed::Ready, 1, 0},
+             {"b", "here", 1, Listed::Ready, 1, 0},
+             {"c", "there", 2, Listed::Ready, 1, 0},
+             {"d", "there", 2, Listed::Ready, 1, 0}});
   std::map<std::string, char> zone = {{"a", 'h'}, {"b", 'h'}, {"c", 't'}, {"d", 't'}};
   for (int i = 0; i < 20; ++i) {
     VisitId visit = host.visit("tagged");
@@ -100,11 +100,11 @@
 void nothing_goes_to_an_endpoint_that_drains_or_is_missing() {
   FakeHost host(deployment());
   host.ready(3);
-  host.list({{"a0", "here", 1, Listed::Draining, 0}}, ListScope::Changes);
+  host.list({{"a0", "here", 1, Listed::Draining, 1, 0}}, ListScope::Changes);
   double told = host.now;
   host.calm(30, 0.01);
   assert(host.sent_to("a0", told) == 0 && host.sent_to("a1", told) > 0);
-  host.list({{"a1", "here", 1, Listed::Ready, 0}});
+  host.list({{"a1", "here", 1, Listed::Ready, 1, 0}});
   told = host.now;
   host.calm(30, 0.01);
   assert(host.sent_to("a2", told) == 0 && host.sent_to("a1", told) == 30);
@@ -119,7 +119,7 @@
     made.sidecars = 4;
     FakeHost host(made, 40 + unsigned(me));
     host.ready(2);
-    host.list({{"a0", "here", 1, Listed::Ready, 0}, {"a1", "here", 1, Listed::Ready, 0}}, ListScope::Cached);
+    host.list({{"a0", "here", 1, Listed::Ready, 1, 0}, {"a1", "here", 1, Listed::Ready, 1, 0}}, ListScope::Cached);
     std::vector<double> gaps;
     host.run(5);
     assert(host.asked.size() == 1);
@@ -149,7 +149,7 @@
     FakeHost host(made, unsigned(me));
     host.ready(4);
     host.calm(200, 0.02);
-    host.list({{"a0", "here", 1, Listed::Ready, host.now}}, ListScope::Changes);
+    host.list({{"a0", "here", 1, Listed::Ready, 1, host.now}}, ListScope::Changes);
     double told = host.now;
     host.calm(50, 0.02);
     in_first_second += host.sent_to("a0", told);
@@ -165,7 +165,7 @@
   Deployment made = deployment();
   made.sidecars = 2;
   FakeHost host(made);
-  host.list({{"warm", "here", 1, Listed::Ready, 0}, {"cold", "here", 1, Listed::Ready, host.now - 0.5}});
+  host.list({{"warm", "here", 1, Listed::Ready, 1, 0}, {"cold", "here", 1, Listed::Ready, 1, host.now - 0.5}});
   host.calm(50, 0.02);
   assert(host.sent_to("cold") < 0.45 * host.sent_to("warm"));
 }
--- a/wirehost/codec.cpp
+++ b/wirehost/codec.cpp
@@ -174,6 +174,7 @@
     if (!values[1].get(zone)) entry.zone = zone;
     if (values[3].get(entry.cell)) entry.cell = 0;
     entry.state = state == 1 ? Listed::Ready : state == 2 ? Listed::Draining : Listed::Gone;
+    if (values.size() < 6 || values[5].get(entry.units) || entry.units <= 0) entry.units = 1;
     if (values.size() < 7 || values[6].get(entry.online_since)) entry.online_since = 0;
     list.push_back(std::move(entry));
   }
