--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -31,6 +31,7 @@
 constexpr double kSlowEndpoint =
     1.5;                            // answers this many times slower than usual: lateness is the endpoint's
 constexpr double kUnsuspected = 2;  // thresholds that an endpoint with nothing against it is given
+constexpr double kSlowAlone = 2, kRecentAnswers = 8, kRest = 4;
 constexpr double kTick = 0.1, kFirstOfAll = -1e9;
 constexpr double kFirstHold = 1, kLongestHold = 8;
 constexpr int kTrickleDone = 8;
@@ -536,6 +537,10 @@
           keep(latencies_[visit.prefix], whole, kLatencies);
         }
         ++answers_;
+        if (slow_alone(endpoint)) {
+          endpoint.hold = std::max(endpoint.hold, kRest);
+          return note_failing(endpoint);
+        }
         turn_health(endpoint, Sign::Good);
         if (endpoint.allowance >= kTrickleDone) turn_health(endpoint, Sign::Restored);
         return;
@@ -567,6 +572,15 @@
     double elsewhere = all > 0 ? failed / all : 0;
     return here >= 3 && error_share(endpoint) > 0.2 + 2 * elsewhere;
   }
+  bool slow_alone(const Endpoint& endpoint) const {
+    // One that a crowd has turned slow gets well only while nearly idle; by depth alone each sidecar would
+    // keep it just busy enough to stay so. The median, as one heavy visit says nothing of the endpoint.
+    std::deque<double> stretches;
+    for (const Answer& answer : endpoint.answers) {
+      if (now_ - answer.at < kRecentAnswers && !answer.failed) stretches.push_back(answer.stretch);
+    }
+    return stretches.size() >= 5 && percentile(stretches, 0.5) > kSlowAlone;
+  }
   void note_failing(Endpoint& endpoint) {
     // With most of them failing the trouble is shared or behind them, and the rest would be pushed over.
     int aside = 0, listed = 0;
