--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -85,7 +85,7 @@
   double online_since = 0, hold = kFirstHold, hold_until = 0, full_until = 0, last_answer = -1;
   double cold_credit = 0;  // fetches that the cold rule still leaves this sidecar
   int allowance = 0, since_report = 0;
-  double reported = -1, units = 1;
+  double reported = -1, units = 1, calmest = 1e9;
   std::set<std::pair<double, std::uint64_t>> out;  // by time of sending
   std::deque<Answer> answers;
 };
@@ -572,14 +572,17 @@
     double elsewhere = all > 0 ? failed / all : 0;
     return here >= 3 && error_share(endpoint) > 0.2 + 2 * elsewhere;
   }
-  bool slow_alone(const Endpoint& endpoint) const {
+  bool slow_alone(Endpoint& endpoint) const {
     // One that a crowd has turned slow gets well only while nearly idle; by depth alone each sidecar would
     // keep it just busy enough to stay so. The median, as one heavy visit says nothing of the endpoint.
     std::deque<double> stretches;
     for (const Answer& answer : endpoint.answers) {
       if (now_ - answer.at < kRecentAnswers && !answer.failed) stretches.push_back(answer.stretch);
     }
-    return stretches.size() >= 5 && percentile(stretches, 0.5) > kSlowAlone;
+    if (stretches.size() < 5) return false;
+    double median = percentile(stretches, 0.5);
+    endpoint.calmest = std::min(endpoint.calmest, median);  // a small machine is slow by nature
+    return median > kSlowAlone * std::max(1.0, endpoint.calmest);
   }
   void note_failing(Endpoint& endpoint) {
     // With most of them failing the trouble is shared or behind them, and the rest would be pushed over.
