--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <deque>
 #include <map>
 #include <numeric>
@@ -401,7 +402,7 @@
       if (tried(visit, i) || !open_to(endpoint) || !may_fetch(visit, endpoint)) continue;
       // A trickle is a test: a mutating visit, which could not be sent again, is no stake for it.
       if (endpoint.health == Health::Trickle && prefix(visit).kind == Kind::Mutating) continue;
-      ready.emplace_back(at_random ? 0 : (depth(endpoint) + 1) * slowness(endpoint) / endpoint.units, i);
+      ready.emplace_back(at_random ? 0 : (depth(endpoint) + 1) * std::sqrt(slowness(endpoint)) / endpoint.units, i);
     }
     if (ready.empty()) return -1;
     double lowest = std::min_element(ready.begin(), ready.end())->first;
