--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -6,7 +6,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cmath>
 #include <deque>
 #include <map>
 #include <numeric>
@@ -24,10 +23,10 @@
 constexpr double kSampleAge = 15;     // an endpoint's older answers tell of another time
 constexpr double kSharedLate = 0.25;  // more of the last visits late than this: not one endpoint's doing
 constexpr double kRoom = 0.6;         // of a target latency that admitted visits may spend on average
-constexpr double kCalmStretch = 1.8;  // and this many times what they spend in calm
+constexpr double kLooseStretch = 2.4, kTightStretch = 1.5;  // and this many times what they spend in calm
 constexpr double kOverShareRoom = 0.7;
 constexpr double kFloor = 2, kFirstSeconds = 3;
-constexpr std::size_t kCalmSeconds = 40, kRecentTicks = 80, kRateTicks = 20;
+constexpr std::size_t kCalmSeconds = 40, kRecentTicks = 80, kRateTicks = 20, kCrowdTicks = 20;
 constexpr double kLeastPatience = 0.2, kMostPatience = 0.8;  // of the target latency that a visit may be held
 constexpr double kSlowEndpoint =
     1.5;                            // answers this many times slower than usual: lateness is the endpoint's
@@ -70,6 +69,10 @@
   return std::accumulate(samples.begin(), samples.end(), 0.0) / double(samples.size());
 }
 
+double share_of(const std::deque<bool>& samples) {
+  return samples.empty() ? 0 : double(std::count(samples.begin(), samples.end(), true)) / double(samples.size());
+}
+
 enum class Health { Steady, Aside, Trickle, Gone };
 enum class Sign { Failing, HoldOver, Good, Restored, Listed, Unlisted };
 
@@ -402,7 +405,7 @@
       if (tried(visit, i) || !open_to(endpoint) || !may_fetch(visit, endpoint)) continue;
       // A trickle is a test: a mutating visit, which could not be sent again, is no stake for it.
       if (endpoint.health == Health::Trickle && prefix(visit).kind == Kind::Mutating) continue;
-      ready.emplace_back(at_random ? 0 : (depth(endpoint) + 1) * std::sqrt(slowness(endpoint)) / endpoint.units, i);
+      ready.emplace_back(at_random ? 0 : (depth(endpoint) + 1) * slowness(endpoint) / endpoint.units, i);
     }
     if (ready.empty()) return -1;
     double lowest = std::min_element(ready.begin(), ready.end())->first;
@@ -420,7 +423,7 @@
     visit.fetches.push_back(fetch);
     if (!std::exchange(visit.counted, true)) {
       visit.weight = 1 / (kRoom * prefix(visit).target_latency);
-      visit.calm_weight = 1 / (kCalmStretch * calm(visit.prefix));
+      visit.calm_weight = 1 / calm(visit.prefix);
       ++in_flight_, load_ += visit.weight, calm_load_ += visit.calm_weight;
     }
     host_.fetch(visit.id, endpoint.name, 0);
@@ -481,7 +484,8 @@
     // Calm is measured against the best rate of a long while: a recent one is lowered by the very limit that
     // it sets, and when all is slow the limit would talk itself down to nothing.
     double share = visit.over_share ? kOverShareRoom : 1;
-    return load_ < share * recent_rate_ && calm_load_ < share * calm_rate_;
+    double stretch = kTightStretch + (kLooseStretch - kTightStretch) * (1 - share_of(crowded_));
+    return load_ < share * recent_rate_ && calm_load_ < share * stretch * calm_rate_;
   }
   void pump() {
     for (auto next = held_.begin(); next != held_.end();) {
@@ -647,6 +651,9 @@
     keep(rates_, std::exchange(answers_, 0.0) / ready, std::size_t(kCalmSeconds / kTick));
     recent_rate_ = best_rate(kRecentTicks) * ready;
     calm_rate_ = best_calm_ * ready;
+    // A crowd of a moment passes; one that lasts turns servers slow. So the longer the load has stood over the
+    // tight bound, the less of the loose one is left.
+    keep(crowded_, calm_load_ > kTightStretch * calm_rate_, kCrowdTicks);
     if (now_ >= means_at_) {
       means_at_ = now_ + 1;
       best_calm_ = best_rate(rates_.size());
@@ -701,7 +708,7 @@
   std::map<VisitId, Taken> visits_;
   std::map<Held, VisitId> held_;
   std::vector<std::deque<double>> latencies_, means_, customer_arrivals_;
-  std::deque<bool> late_;
+  std::deque<bool> late_, crowded_;
   std::deque<double> rates_, sends_;
   double answers_ = 0, sent_warm_ = 0, recent_rate_ = 0, calm_rate_ = 0, best_calm_ = 0, load_ = 0,
          calm_load_ = 0;
