--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -23,7 +23,7 @@
 constexpr double kSampleAge = 15;     // an endpoint's older answers tell of another time
 constexpr double kSharedLate = 0.25;  // more of the last visits late than this: not one endpoint's doing
 constexpr double kRoom = 0.6;         // of a target latency that admitted visits may spend on average
-constexpr double kLooseStretch = 2.4, kTightStretch = 1.5;  // and this many times what they spend in calm
+constexpr double kLooseStretch = 2.4, kTightStretch = 1.0;  // and this many times what they spend in calm
 constexpr double kOverShareRoom = 0.7;
 constexpr double kFloor = 2, kFirstSeconds = 3;
 constexpr std::size_t kCalmSeconds = 40, kRecentTicks = 80, kRateTicks = 20, kCrowdTicks = 20;
