--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -23,8 +23,9 @@
 constexpr double kSampleAge = 15;     // an endpoint's older answers tell of another time
 constexpr double kSharedLate = 0.25;  // more of the last visits late than this: not one endpoint's doing
 constexpr double kRoom = 0.6;         // of a target latency that admitted visits may spend on average
-constexpr double kLooseStretch = 2.4, kTightStretch = 1.0;  // and this many times what they spend in calm
+constexpr double kLooseStretch = 2.4, kTightStretch = 1.2;  // and this many times what they spend in calm
 constexpr double kOverShareRoom = 0.7;
+constexpr double kCrowdedAt = 1.5, kCrowdSeconds = 1, kHeavy = 4;
 constexpr double kFloor = 2, kFirstSeconds = 3;
 constexpr std::size_t kCalmSeconds = 40, kRecentTicks = 80, kRateTicks = 20, kCrowdTicks = 20;
 constexpr double kLeastPatience = 0.2, kMostPatience = 0.8;  // of the target latency that a visit may be held
@@ -538,6 +539,7 @@
         keep(endpoint.answers, answer, kEndpointSamples);
         if (visit.state != State::Done) {
           double whole = now_ - visit.fetches.front().sent;
+          stretches_.emplace_back(now_, whole / calm(visit.prefix));
           keep(late_, whole > threshold(visit.prefix), std::size_t{40});
           keep(latencies_[visit.prefix], whole, kLatencies);
         }
@@ -651,9 +653,12 @@
     keep(rates_, std::exchange(answers_, 0.0) / ready, std::size_t(kCalmSeconds / kTick));
     recent_rate_ = best_rate(kRecentTicks) * ready;
     calm_rate_ = best_calm_ * ready;
-    // A crowd of a moment passes; one that lasts turns servers slow. So the longer the load has stood over the
-    // tight bound, the less of the loose one is left.
-    keep(crowded_, calm_load_ > kTightStretch * calm_rate_, kCrowdTicks);
+    // A crowd of a moment passes; one that lasts turns servers slow. More visits out at calm latencies are no
+    // crowd but more traffic. So the longer answers have been stretched, the less of the loose bound is left.
+    while (!stretches_.empty() && now_ - stretches_.front().first > kCrowdSeconds) stretches_.pop_front();
+    double sum = 0;
+    for (const auto& [at, stretch] : stretches_) sum += std::min(stretch, kHeavy);
+    keep(crowded_, sum > kCrowdedAt * double(stretches_.size()), kCrowdTicks);
     if (now_ >= means_at_) {
       means_at_ = now_ + 1;
       best_calm_ = best_rate(rates_.size());
@@ -710,6 +715,7 @@
   std::vector<std::deque<double>> latencies_, means_, customer_arrivals_;
   std::deque<bool> late_, crowded_;
   std::deque<double> rates_, sends_;
+  std::deque<std::pair<double, double>> stretches_;  // of the last answers against calm, with their times
   double answers_ = 0, sent_warm_ = 0, recent_rate_ = 0, calm_rate_ = 0, best_calm_ = 0, load_ = 0,
          calm_load_ = 0;
   int in_flight_ = 0, copy_to_ = -1;
