--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -25,7 +25,7 @@
 constexpr double kRoom = 0.6;         // of a target latency that admitted visits may spend on average
 constexpr double kLooseStretch = 2.4, kTightStretch = 1.2;  // and this many times what they spend in calm
 constexpr double kOverShareRoom = 0.7;
-constexpr double kCrowdedAt = 1.5, kCrowdSeconds = 1, kHeavy = 4;
+constexpr double kCrowdedAt = 1.3, kCrowdSeconds = 1, kHeavy = 4;
 constexpr double kFloor = 2, kFirstSeconds = 3;
 constexpr std::size_t kCalmSeconds = 40, kRecentTicks = 80, kRateTicks = 20, kCrowdTicks = 20;
 constexpr double kLeastPatience = 0.2, kMostPatience = 0.8;  // of the target latency that a visit may be held
