--- a/include/puffinvane/policy.h
+++ b/include/puffinvane/policy.h
@@ -53,6 +53,7 @@
   double weight_evenness = 0;   // or by its worst-served path prefix and its tail
   double ask_within = 10;
   double longest_wait_advice = 0;
+  double connection_idle = 0;  // after this an unused connection is closed
   double answer_slack = 0;
   double round = 0;
 };
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -33,6 +33,7 @@
     1.5;                            // answers this many times slower than usual: lateness is the endpoint's
 constexpr double kUnsuspected = 2;  // thresholds that an endpoint with nothing against it is given
 constexpr double kSlowAlone = 2, kRecentAnswers = 8, kRest = 4;
+constexpr double kOpening = 0.5;  // of a visit's depth that opening a connection counts for
 constexpr double kTick = 0.1, kFirstOfAll = -1e9;
 constexpr double kFirstHold = 1, kLongestHold = 8;
 constexpr int kTrickleDone = 8;
@@ -87,7 +88,7 @@
   std::string name, zone;
   std::int64_t cell = 0;
   Health health = Health::Gone;
-  double online_since = 0, hold = kFirstHold, hold_until = 0, full_until = 0, last_answer = -1;
+  double online_since = 0, hold = kFirstHold, hold_until = 0, full_until = 0, last_answer = -1e9;
   double cold_credit = 0;  // fetches that the cold rule still leaves this sidecar
   int allowance = 0, since_report = 0;
   double reported = -1, units = 1, calmest = 1e9;
@@ -406,7 +407,10 @@
       if (tried(visit, i) || !open_to(endpoint) || !may_fetch(visit, endpoint)) continue;
       // A trickle is a test: a mutating visit, which could not be sent again, is no stake for it.
       if (endpoint.health == Health::Trickle && prefix(visit).kind == Kind::Mutating) continue;
-      ready.emplace_back(at_random ? 0 : (depth(endpoint) + 1) * slowness(endpoint) / endpoint.units, i);
+      // A new connection is work for the endpoint too, and its table may be full of other sidecars' ones.
+      double opening = now_ - endpoint.last_answer < deployment_.connection_idle ? 0 : kOpening;
+      double ahead = (depth(endpoint) + 1 + opening) * slowness(endpoint) / endpoint.units;
+      ready.emplace_back(at_random ? 0 : ahead, i);
     }
     if (ready.empty()) return -1;
     double lowest = std::min_element(ready.begin(), ready.end())->first;
--- a/wirehost/codec.cpp
+++ b/wirehost/codec.cpp
@@ -137,6 +137,7 @@
   deployment.may_cancel = option(limits, "MayCancel", false);
   deployment.advises_wait = option(limits, "RetryAfter", false);
   deployment.longest_wait_advice = option(limits, "MaxRetryAfterS", 0.0);
+  deployment.connection_idle = option(limits, "ConnIdleS", 0.0);
   element rules = child(options, "Rules");
   deployment.cold.share = option(rules, "ColdShare", deployment.cold.share);
   deployment.cold.warm_after = option(rules, "ColdS", deployment.cold.warm_after);
