--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -72,7 +72,8 @@
 }
 
 double share_of(const std::deque<bool>& samples) {
-  return samples.empty() ? 0 : double(std::count(samples.begin(), samples.end(), true)) / double(samples.size());
+  return samples.empty() ? 0
+                         : double(std::count(samples.begin(), samples.end(), true)) / double(samples.size());
 }
 
 enum class Health { Steady, Aside, Trickle, Gone };
@@ -97,17 +98,7 @@
 };
 
 enum class State { Held, Out, Paired, Done };
-enum class Input {
-  Room,
-  Late,
-  Answered,
-  MayGoAgain,
-  MayBounce,
-  MayOnlyFail,
-  GaveUpBounce,
-  GaveUpFail,
-  Dropped
-};
+enum class Input { Room, Late, Over, OneLost, Again, Bounce, Fail };
 
 struct Fetch {
   int endpoint = 0, depth = 0;
@@ -126,7 +117,7 @@
   int prefix = 0;
   State state = State::Held;
   bool over_share = false, counted = false;
-  double arrived = 0, until = 0, held_until = 0, weight = 0, calm_weight = 0;
+  double until = 0, held_until = 0, weight = 0, calm_weight = 0;
   Held place;
   std::vector<Fetch> fetches;
 };
@@ -165,7 +156,7 @@
       ++taken.prefix;
     }
     taken.over_share = over_share(visit.customer);
-    taken.arrived = now;
+
     taken.until = now + visit.time_left;
     taken.held_until = now + std::min(patience(taken), visit.time_left / 2);
     taken.place = {rank(taken), ++turns_};
@@ -189,10 +180,7 @@
                          end.outcome != Outcome::NotSent;
     if (end.load.depth >= 0) endpoint.reported = end.load.depth, endpoint.since_report = 0;
     judge(endpoint, visit, fetch, end);
-    if (visit.state != State::Done) {
-      if (end.concluded) turn(visit, end.outcome == Outcome::Delivered ? Input::Answered : Input::Dropped);
-      else turn(visit, after_loss(visit));
-    }
+    if (visit.state != State::Done) turn(visit, end.concluded ? Input::Over : after_loss(visit));
     forget_if_over(found);
     pump();
   }
@@ -201,7 +189,7 @@
     now_ = now;
     auto found = visits_.find(id);
     if (found == visits_.end()) return;
-    if (found->second.state != State::Done) turn(found->second, Input::Dropped);
+    if (found->second.state != State::Done) turn(found->second, Input::Over);
     forget_if_over(found);
     pump();
   }
@@ -213,7 +201,7 @@
     if (found == visits_.end()) return;
     Taken& visit = found->second;
     if (token & kUntilToken) {
-      if (visit.state != State::Done) give_up(visit);
+      if (visit.state != State::Done) turn(visit, gave_up(visit));
       forget_if_over(found);
       return pump();
     }
@@ -226,6 +214,10 @@
  private:
   static constexpr std::uint64_t kUntilToken = 1ULL << 32, kLateToken = 1ULL << 33, kTickToken = 1ULL << 34;
 
+  enum Count { Copies, Deep, Errors, Shared, Nowhere, Weight, Counted };
+  static constexpr const char* kCounted[] = {" copies sent ",      ", suppressed by depth ", ", errors ",
+                                             ", shared lateness ", ", no endpoint ",         ", weight "};
+
   struct VisitRow {
     State state;
     Input input;
@@ -238,29 +230,24 @@
     Health next;
     void (Module::*effect)(Endpoint&);
   };
-  static const std::array<VisitRow, 20> kVisitRows;
-  static const std::array<HealthRow, 13> kHealthRows;
+  static const std::array<VisitRow, 13> kVisitRows;
+  static const std::array<HealthRow, 10> kHealthRows;
 
   void turn(Taken& visit, Input input) {
-    for (const VisitRow& row : kVisitRows) {
-      if (row.state != visit.state || row.input != input) continue;
-      visit.state = row.next;
-      return (this->*row.effect)(visit);
+    for (const auto& [state, on, next, effect] : kVisitRows) {
+      if (state == visit.state && on == input) return visit.state = next, (this->*effect)(visit);
     }
   }
-
   void turn_health(Endpoint& endpoint, Sign sign) {
-    for (const HealthRow& row : kHealthRows) {
-      if (row.health != endpoint.health || row.sign != sign) continue;
-      endpoint.health = row.next;
-      return (this->*row.effect)(endpoint);
+    for (const auto& [health, on, next, effect] : kHealthRows) {
+      if (health == endpoint.health && on == sign) return endpoint.health = next, (this->*effect)(endpoint);
     }
   }
 
   // ---- effects of the visit table
   void nothing(Taken&) {}
   void send_first(Taken& visit) { send(visit, choose(visit, false)); }
-  void send_copy(Taken& visit) { ++copies_sent_, send(visit, copy_to_); }
+  void send_copy(Taken& visit) { ++counts_[Copies], send(visit, copy_to_); }
   void queue_again(Taken& visit) {
     // Goes before all that wait: its client has waited longest, and work may already be spent on it.
     leave_count(visit);
@@ -327,14 +314,14 @@
            (kind.kind == Kind::Tagged && kind.group == Group::All);
   }
   Input after_loss(const Taken& visit) const {
-    bool again = false;
+    if (visit.state == State::Paired) return Input::OneLost;
     for (int i = 0; i < int(endpoints_.size()) && now_ < visit.until - 2 * deployment_.round; ++i) {
-      again = again ||
-              (endpoints_[i].health == Health::Steady && !tried(visit, i) && may_fetch(visit, endpoints_[i]));
+      bool usable = endpoints_[i].health == Health::Steady && !tried(visit, i);
+      if (usable && may_fetch(visit, endpoints_[i])) return Input::Again;
     }
-    return again ? Input::MayGoAgain : may_bounce(visit) ? Input::MayBounce : Input::MayOnlyFail;
+    return gave_up(visit);
   }
-  void give_up(Taken& visit) { turn(visit, may_bounce(visit) ? Input::GaveUpBounce : Input::GaveUpFail); }
+  Input gave_up(const Taken& visit) const { return may_bounce(visit) ? Input::Bounce : Input::Fail; }
 
   // ---- the ordinary path: lowest depth, the hedge threshold, the gated copy
   double threshold(int prefix) const {
@@ -386,10 +373,12 @@
     }
     return capacity;
   }
-  double error_share(const Endpoint& endpoint) const {
-    double failed = 0;
-    for (const Answer& answer : endpoint.answers) failed += answer.failed;
-    return endpoint.answers.empty() ? 0 : failed / double(endpoint.answers.size());
+  static double failures(const Endpoint& endpoint) {
+    return double(std::count_if(endpoint.answers.begin(), endpoint.answers.end(),
+                                [](const Answer& answer) { return answer.failed; }));
+  }
+  static double error_share(const Endpoint& endpoint) {
+    return failures(endpoint) / std::max(1.0, double(endpoint.answers.size()));
   }
   bool cold(const Endpoint& endpoint) const {
     return endpoint.online_since > 0 && now_ < endpoint.online_since + deployment_.cold.warm_after;
@@ -447,20 +436,17 @@
     // with nothing against it gets as long again.
     const Endpoint& at = endpoints_[first.endpoint];
     if (slowness(at) < kSlowEndpoint && (at.last_answer > first.sent || waited < kUnsuspected * due)) {
-      ++shut_weight_;
+      ++counts_[Weight];
       if (waited < 4 * due) host_.wake(now_ + due, kLateToken | visit.id);
       return;
     }
-    double late = 0;
-    for (bool one : late_) late += one;
-    if (late > kSharedLate * double(late_.size()) && late_.size() >= kFewLatencies)
-      return void(++shut_shared_);
+    if (share_of(late_) > kSharedLate && late_.size() >= kFewLatencies) return void(++counts_[Shared]);
     copy_to_ = choose(visit, true);
-    if (copy_to_ < 0) return void(++shut_nowhere_);
+    if (copy_to_ < 0) return void(++counts_[Nowhere]);
     const Endpoint& endpoint = endpoints_[copy_to_];
     if (depth(endpoint) >= std::max(1.0, kBoundShare * learned_capacity(endpoint)))
-      return void(++shut_depth_);
-    if (error_share(endpoint) >= kErrorGate) return void(++shut_errors_);
+      return void(++counts_[Deep]);
+    if (error_share(endpoint) >= kErrorGate) return void(++counts_[Errors]);
     turn(visit, Input::Late);
   }
 
@@ -474,9 +460,9 @@
     }
     return best / (kRateTicks * kTick);
   }
-  int ready_count() const {
+  int count(Health health) const {
     return int(std::count_if(endpoints_.begin(), endpoints_.end(),
-                             [](const Endpoint& endpoint) { return endpoint.health == Health::Steady; }));
+                             [&](const Endpoint& endpoint) { return endpoint.health == health; }));
   }
   bool room(const Taken& visit) const {
     // The floor is a share of what all sidecars leave out together: with many of them, each one's own small
@@ -485,7 +471,7 @@
     // Before any rate is known C's first value stands in, or a sidecar's first seconds bounce half its
     // visits.
     double each = now_ < started_ + kFirstSeconds ? kFirstCapacity : kFloor;
-    if (in_flight_ < std::max(1.0, each * ready_count() / deployment_.sidecars)) return true;
+    if (in_flight_ < std::max(1.0, each * count(Health::Steady) / deployment_.sidecars)) return true;
     // Calm is measured against the best rate of a long while: a recent one is lowered by the very limit that
     // it sets, and when all is slow the limit would talk itself down to nothing.
     double share = visit.over_share ? kOverShareRoom : 1;
@@ -537,12 +523,12 @@
   void judge(Endpoint& endpoint, const Taken& visit, const Fetch& fetch, const FetchEnd& end) {
     Answer answer{now_, end.took / usual(visit.prefix), fetch.depth, end.took <= threshold(visit.prefix),
                   false};
+    double whole = now_ - visit.fetches.front().sent;
     switch (end.outcome) {
-      case Outcome::Delivered: {
+      case Outcome::Delivered:
         endpoint.last_answer = now_;
         keep(endpoint.answers, answer, kEndpointSamples);
         if (visit.state != State::Done) {
-          double whole = now_ - visit.fetches.front().sent;
           stretches_.emplace_back(now_, whole / calm(visit.prefix));
           keep(late_, whole > threshold(visit.prefix), std::size_t{40});
           keep(latencies_[visit.prefix], whole, kLatencies);
@@ -555,7 +541,6 @@
         turn_health(endpoint, Sign::Good);
         if (endpoint.allowance >= kTrickleDone) turn_health(endpoint, Sign::Restored);
         return;
-      }
       case Outcome::Failed:
         endpoint.last_answer = now_;
         answer.failed = true;
@@ -573,15 +558,9 @@
   }
   bool fails_alone(const Endpoint& endpoint) const {
     // An error may come from behind the endpoint: then its neighbours show as many.
-    double failed = 0, all = 0, here = 0;
-    for (const Answer& answer : endpoint.answers) here += answer.failed;
-    for (const Endpoint& other : endpoints_) {
-      if (&other == &endpoint) continue;
-      all += double(other.answers.size());
-      for (const Answer& answer : other.answers) failed += answer.failed;
-    }
-    double elsewhere = all > 0 ? failed / all : 0;
-    return here >= 3 && error_share(endpoint) > 0.2 + 2 * elsewhere;
+    double failed = -failures(endpoint), all = -double(endpoint.answers.size());
+    for (const Endpoint& other : endpoints_) failed += failures(other), all += double(other.answers.size());
+    return failures(endpoint) >= 3 && error_share(endpoint) > 0.2 + 2 * failed / std::max(1.0, all);
   }
   bool slow_alone(Endpoint& endpoint) const {
     // One that a crowd has turned slow gets well only while nearly idle; by depth alone each sidecar would
@@ -597,11 +576,7 @@
   }
   void note_failing(Endpoint& endpoint) {
     // With most of them failing the trouble is shared or behind them, and the rest would be pushed over.
-    int aside = 0, listed = 0;
-    for (const Endpoint& other : endpoints_) {
-      listed += other.health != Health::Gone;
-      aside += other.health == Health::Aside;
-    }
+    int aside = count(Health::Aside), listed = int(endpoints_.size()) - count(Health::Gone);
     if (endpoint.health == Health::Trickle || 2 * (aside + 1) <= listed) turn_health(endpoint, Sign::Failing);
   }
   bool silent(const Endpoint& endpoint) const {
@@ -653,7 +628,7 @@
     }
     if (asked_until_ > 0 && now_ > asked_until_) ask_again_later();
     // Kept for each endpoint in use: a fleet that is drained must not be held to what the larger one did.
-    double ready = std::max(1, ready_count());
+    double ready = std::max(1, count(Health::Steady));
     keep(rates_, std::exchange(answers_, 0.0) / ready, std::size_t(kCalmSeconds / kTick));
     recent_rate_ = best_rate(kRecentTicks) * ready;
     calm_rate_ = best_calm_ * ready;
@@ -671,12 +646,12 @@
       }
     }
     keep(sends_, std::exchange(sent_warm_, 0.0), std::size_t{20});
-    double sends = 0;
-    int warm = 0;
-    for (double one : sends_) sends += one;
+    double sends = std::accumulate(sends_.begin(), sends_.end(), 0.0), warm = 0;
     for (const Endpoint& endpoint : endpoints_) warm += endpoint.health == Health::Steady && !cold(endpoint);
     // A fresh endpoint may get the cold share, growing evenly to the whole, of what a warm one gets from us.
-    double pace = sends / double(sends_.size()) / std::max(1, warm);
+    // With none warm it is what one got before, and with nothing known a fetch a second for all sidecars.
+    double pace = warm > 0 ? sends / double(sends_.size()) / warm : best_calm_ * kTick;
+    pace = std::max(pace, kTick / deployment_.sidecars);
     for (Endpoint& endpoint : endpoints_) {
       if (cold(endpoint)) {
         double warmth = (now_ - endpoint.online_since) / deployment_.cold.warm_after;
@@ -693,7 +668,7 @@
     for (const auto& [place, id] : held_) {
       if (now_ >= visits_.at(id).held_until) over.push_back(id);
     }
-    for (VisitId id : over) give_up(visits_.at(id)), forget_if_over(visits_.find(id));
+    for (VisitId id : over) turn(visits_.at(id), gave_up(visits_.at(id))), forget_if_over(visits_.find(id));
     pump();
     report();
   }
@@ -701,10 +676,9 @@
     // The source's diagnosis rests on both counts; one sidecar a tier in turn is enough to see them.
     if (now_ < report_at_ || deployment_.me != 0) return;
     report_at_ = now_ + 10;
-    host_.log("tier " + std::to_string(deployment_.tier) + " copies sent " + std::to_string(copies_sent_) +
-              ", suppressed by depth " + std::to_string(shut_depth_) + " errors " +
-              std::to_string(shut_errors_) + " shared lateness " + std::to_string(shut_shared_) +
-              " no endpoint " + std::to_string(shut_nowhere_) + " weight " + std::to_string(shut_weight_));
+    std::string line = "tier " + std::to_string(deployment_.tier);
+    for (int i = 0; i < Counted; ++i) line += kCounted[i] + std::to_string(counts_[i]);
+    host_.log(line);
   }
 
   const Deployment deployment_;
@@ -725,34 +699,26 @@
   int in_flight_ = 0, copy_to_ = -1;
   double ask_at_ = 0, asked_until_ = 0, ask_back_off_ = 0.5, report_at_ = 0, means_at_ = 0;
   std::uint64_t turns_ = 0;
-  std::uint64_t copies_sent_ = 0, shut_depth_ = 0, shut_errors_ = 0, shut_shared_ = 0, shut_nowhere_ = 0,
-                shut_weight_ = 0;
+  std::array<std::uint64_t, Counted> counts_{};
 };
 
-const std::array<Module::VisitRow, 20> Module::kVisitRows = {{
+const std::array<Module::VisitRow, 13> Module::kVisitRows = {{
     {State::Held, Input::Room, State::Out, &Module::send_first},
-    {State::Held, Input::GaveUpBounce, State::Done, &Module::bounce},
-    {State::Held, Input::GaveUpFail, State::Done, &Module::fail},
-    {State::Held, Input::Dropped, State::Done, &Module::finish},
+    {State::Held, Input::Bounce, State::Done, &Module::bounce},
+    {State::Held, Input::Fail, State::Done, &Module::fail},
+    {State::Held, Input::Over, State::Done, &Module::finish},
     {State::Out, Input::Late, State::Paired, &Module::send_copy},
-    {State::Out, Input::Answered, State::Done, &Module::finish},
-    {State::Out, Input::MayGoAgain, State::Held, &Module::queue_again},
-    {State::Out, Input::MayBounce, State::Done, &Module::bounce},
-    {State::Out, Input::MayOnlyFail, State::Done, &Module::fail},
-    {State::Out, Input::GaveUpBounce, State::Done, &Module::bounce},
-    {State::Out, Input::GaveUpFail, State::Done, &Module::fail},
-    {State::Out, Input::Dropped, State::Done, &Module::finish},
-    {State::Paired, Input::Answered, State::Done, &Module::finish},
-    {State::Paired, Input::MayGoAgain, State::Out, &Module::nothing},
-    {State::Paired, Input::MayBounce, State::Out, &Module::nothing},
-    {State::Paired, Input::MayOnlyFail, State::Out, &Module::nothing},
-    {State::Paired, Input::GaveUpBounce, State::Done, &Module::bounce},
-    {State::Paired, Input::GaveUpFail, State::Done, &Module::fail},
-    {State::Paired, Input::Dropped, State::Done, &Module::finish},
-    {State::Held, Input::Answered, State::Done, &Module::finish},
+    {State::Out, Input::Again, State::Held, &Module::queue_again},
+    {State::Out, Input::Bounce, State::Done, &Module::bounce},
+    {State::Out, Input::Fail, State::Done, &Module::fail},
+    {State::Out, Input::Over, State::Done, &Module::finish},
+    {State::Paired, Input::OneLost, State::Out, &Module::nothing},
+    {State::Paired, Input::Bounce, State::Done, &Module::bounce},
+    {State::Paired, Input::Fail, State::Done, &Module::fail},
+    {State::Paired, Input::Over, State::Done, &Module::finish},
 }};
 
-const std::array<Module::HealthRow, 13> Module::kHealthRows = {{
+const std::array<Module::HealthRow, 10> Module::kHealthRows = {{
     {Health::Gone, Sign::Listed, Health::Steady, &Module::restore},
     {Health::Steady, Sign::Failing, Health::Aside, &Module::set_aside},
     {Health::Steady, Sign::Unlisted, Health::Gone, &Module::nothing},
@@ -763,9 +729,6 @@
     {Health::Trickle, Sign::Restored, Health::Steady, &Module::restore},
     {Health::Trickle, Sign::Failing, Health::Aside, &Module::set_aside},
     {Health::Trickle, Sign::Unlisted, Health::Gone, &Module::nothing},
-    {Health::Steady, Sign::Good, Health::Steady, &Module::nothing},
-    {Health::Steady, Sign::Listed, Health::Steady, &Module::nothing},
-    {Health::Gone, Sign::Unlisted, Health::Gone, &Module::nothing},
 }};
 
 }  // namespace
