--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -33,7 +33,7 @@
     1.5;                            // answers this many times slower than usual: lateness is the endpoint's
 constexpr double kUnsuspected = 2;  // thresholds that an endpoint with nothing against it is given
 constexpr double kSlowAlone = 2, kRecentAnswers = 8, kRest = 4;
-constexpr double kOpening = 0.5;  // of a visit's depth that opening a connection counts for
+constexpr double kOpening = 1;  // of a visit's depth that opening a connection counts for
 constexpr double kTick = 0.1, kFirstOfAll = -1e9;
 constexpr double kFirstHold = 1, kLongestHold = 8;
 constexpr int kTrickleDone = 8;
