--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -397,7 +397,8 @@
       // A trickle is a test: a mutating visit, which could not be sent again, is no stake for it.
       if (endpoint.health == Health::Trickle && prefix(visit).kind == Kind::Mutating) continue;
       // A new connection is work for the endpoint too, and its table may be full of other sidecars' ones.
-      double opening = now_ - endpoint.last_answer < deployment_.connection_idle ? 0 : kOpening;
+      bool met = cold(endpoint) || now_ - endpoint.last_answer < deployment_.connection_idle;
+      double opening = met ? 0 : kOpening;
       double ahead = (depth(endpoint) + 1 + opening) * slowness(endpoint) / endpoint.units;
       ready.emplace_back(at_random ? 0 : ahead, i);
     }
