--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -339,8 +339,7 @@
   // A room measured against a figure that moves with the jam would let the jam in.
   double calm(int prefix) const {
     const auto& means = means_[prefix];
-    return means.empty() ? deployment_.path_prefixes[prefix].target_latency
-                         : *std::min_element(means.begin(), means.end());
+    return means.empty() ? usual(prefix) : *std::min_element(means.begin(), means.end());
   }
   // A visit may be held for as long as a calm fetch would still end well within its target latency.
   double patience(const Taken& visit) const {
@@ -350,8 +349,9 @@
   double depth(const Endpoint& endpoint) const {
     return endpoint.reported >= 0 ? endpoint.reported + endpoint.since_report : double(endpoint.out.size());
   }
-  // How slow the endpoint's recent answers were against the usual: where no report shows what other
-  // sidecars have there, a depth of our own fetches has to be measured against it.
+  // How slow the endpoint's recent answers were against calm, not against a usual that moves
+  // with a jam and makes those in it look no worse than those left out of use: where no report shows what
+  // other sidecars have there, a depth of our own fetches has to be measured against it.
   double slowness(const Endpoint& endpoint) const {
     double sum = 3, count = 3;
     for (const Answer& answer : endpoint.answers) {
@@ -359,6 +359,14 @@
     }
     return sum / count;
   }
+  // Against the others in use: what slows all of them alike is no endpoint's own.
+  double slowness_alone(const Endpoint& endpoint) const {
+    double sum = 0, used = 0;
+    for (const Endpoint& other : endpoints_) {
+      if (other.health == Health::Steady && !other.answers.empty()) sum += slowness(other), ++used;
+    }
+    return slowness(endpoint) * std::max(1.0, used) / std::max(1.0, sum);
+  }
   double learned_capacity(const Endpoint& endpoint) const {
     double capacity = kFirstCapacity;
     for (const Answer& answer : endpoint.answers) {
@@ -436,7 +444,7 @@
     // heaviest work on every tier behind: so an endpoint that answers what came later is believed, and one
     // with nothing against it gets as long again.
     const Endpoint& at = endpoints_[first.endpoint];
-    if (slowness(at) < kSlowEndpoint && (at.last_answer > first.sent || waited < kUnsuspected * due)) {
+    if (slowness_alone(at) < kSlowEndpoint && (at.last_answer > first.sent || waited < kUnsuspected * due)) {
       ++counts_[Weight];
       if (waited < 4 * due) host_.wake(now_ + due, kLateToken | visit.id);
       return;
@@ -522,7 +530,7 @@
 
   // ---- health: what an outcome, or none, says of its endpoint
   void judge(Endpoint& endpoint, const Taken& visit, const Fetch& fetch, const FetchEnd& end) {
-    Answer answer{now_, end.took / usual(visit.prefix), fetch.depth, end.took <= threshold(visit.prefix),
+    Answer answer{now_, end.took / calm(visit.prefix), fetch.depth, end.took <= threshold(visit.prefix),
                   false};
     double whole = now_ - visit.fetches.front().sent;
     switch (end.outcome) {
@@ -573,7 +581,7 @@
     if (stretches.size() < 5) return false;
     double median = percentile(stretches, 0.5);
     endpoint.calmest = std::min(endpoint.calmest, median);  // a small machine is slow by nature
-    return median > kSlowAlone * std::max(1.0, endpoint.calmest);
+    return median > kSlowAlone * endpoint.calmest && slowness_alone(endpoint) > kSlowEndpoint;
   }
   void note_failing(Endpoint& endpoint) {
     // With most of them failing the trouble is shared or behind them, and the rest would be pushed over.
