--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -460,11 +460,11 @@
   }
 
   // ---- room: what may be out at once, measured in target latencies
-  double best_rate(std::size_t ticks) const {
+  static double best_rate(const std::deque<double>& rates, std::size_t ticks) {
     double best = 0, sum = 0;
-    for (std::size_t i = rates_.size() - std::min(ticks, rates_.size()), n = 0; i < rates_.size(); ++i) {
-      sum += rates_[i];
-      if (++n > kRateTicks) sum -= rates_[i - kRateTicks];
+    for (std::size_t i = rates.size() - std::min(ticks, rates.size()), n = 0; i < rates.size(); ++i) {
+      sum += rates[i];
+      if (++n > kRateTicks) sum -= rates[i - kRateTicks];
       best = std::max(best, sum);
     }
     return best / (kRateTicks * kTick);
@@ -636,11 +636,14 @@
       host_.follow_list(true);
     }
     if (asked_until_ > 0 && now_ > asked_until_) ask_again_later();
-    // Kept for each endpoint in use: a fleet that is drained must not be held to what the larger one did.
+    // Kept for each endpoint in use as well: a fleet that is drained must not be held to what the larger one
+    // did. But one that is enlarged does no more for it until seen to, as the tier behind may be the narrow
+    // one.
     double ready = std::max(1, count(Health::Steady));
-    keep(rates_, std::exchange(answers_, 0.0) / ready, std::size_t(kCalmSeconds / kTick));
-    recent_rate_ = best_rate(kRecentTicks) * ready;
-    calm_rate_ = best_calm_ * ready;
+    keep(rates_, answers_, std::size_t(kCalmSeconds / kTick));
+    keep(rates_each_, std::exchange(answers_, 0.0) / ready, std::size_t(kCalmSeconds / kTick));
+    recent_rate_ = std::min(best_rate(rates_, kRecentTicks), best_rate(rates_each_, kRecentTicks) * ready);
+    calm_rate_ = std::min(best_calm_, best_each_ * ready);
     // A crowd of a moment passes; one that lasts turns servers slow. More visits out at calm latencies are no
     // crowd but more traffic. So the longer answers have been stretched, the less of the loose bound is left.
     while (!stretches_.empty() && now_ - stretches_.front().first > kCrowdSeconds) stretches_.pop_front();
@@ -649,7 +652,8 @@
     keep(crowded_, sum > kCrowdedAt * double(stretches_.size()), kCrowdTicks);
     if (now_ >= means_at_) {
       means_at_ = now_ + 1;
-      best_calm_ = best_rate(rates_.size());
+      best_calm_ = best_rate(rates_, rates_.size());
+      best_each_ = best_rate(rates_each_, rates_each_.size());
       for (std::size_t i = 0; i < latencies_.size(); ++i) {
         if (latencies_[i].size() >= kFewLatencies) keep(means_[i], mean(latencies_[i]), kCalmSeconds);
       }
@@ -659,7 +663,7 @@
     for (const Endpoint& endpoint : endpoints_) warm += endpoint.health == Health::Steady && !cold(endpoint);
     // A fresh endpoint may get the cold share, growing evenly to the whole, of what a warm one gets from us.
     // With none warm it is what one got before, and with nothing known a fetch a second for all sidecars.
-    double pace = warm > 0 ? sends / double(sends_.size()) / warm : best_calm_ * kTick;
+    double pace = warm > 0 ? sends / double(sends_.size()) / warm : best_each_ * kTick;
     pace = std::max(pace, kTick / deployment_.sidecars);
     for (Endpoint& endpoint : endpoints_) {
       if (cold(endpoint)) {
@@ -701,10 +705,10 @@
   std::map<Held, VisitId> held_;
   std::vector<std::deque<double>> latencies_, means_, customer_arrivals_;
   std::deque<bool> late_, crowded_;
-  std::deque<double> rates_, sends_;
+  std::deque<double> rates_, rates_each_, sends_;
   std::deque<std::pair<double, double>> stretches_;  // of the last answers against calm, with their times
-  double answers_ = 0, sent_warm_ = 0, recent_rate_ = 0, calm_rate_ = 0, best_calm_ = 0, load_ = 0,
-         calm_load_ = 0;
+  double answers_ = 0, sent_warm_ = 0, recent_rate_ = 0, calm_rate_ = 0, best_calm_ = 0, best_each_ = 0,
+         load_ = 0, calm_load_ = 0;
   int in_flight_ = 0, copy_to_ = -1;
   double ask_at_ = 0, asked_until_ = 0, ask_back_off_ = 0.5, report_at_ = 0, means_at_ = 0;
   std::uint64_t turns_ = 0;
