--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -276,6 +276,8 @@
     endpoint.hold_until = now_ + endpoint.hold * (0.75 + 0.5 * chance_.share());
     endpoint.hold = std::min(endpoint.hold * 2, kLongestHold);
     endpoint.answers.clear();
+    // What is lost there must not fill the room of the living until its client timeout.
+    for (const auto& [sent, what] : endpoint.out) leave_count(visits_.at(VisitId(what >> 8)));
   }
   void open_trickle(Endpoint& endpoint) { endpoint.allowance = 1, endpoint.answers.clear(); }
   void double_trickle(Endpoint& endpoint) { endpoint.allowance *= 2; }
