--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -562,7 +562,7 @@
         // Full now; by the time one of its visits is done it may have room again.
         endpoint.full_until = now_ + usual(visit.prefix) / 4;
         return;
-      case Outcome::ConnectFailed: return turn_health(endpoint, Sign::Failing);
+      case Outcome::ConnectFailed:
       case Outcome::Broken: return note_failing(endpoint);
       default: return;
     }
@@ -587,7 +587,6 @@
   }
   void note_failing(Endpoint& endpoint) {
     // With most of them failing the trouble is shared or behind them, and the rest would be pushed over.
-    // Those that take no connection at all are another matter: nothing sent there is served.
     int aside = count(Health::Aside), listed = int(endpoints_.size()) - count(Health::Gone);
     if (endpoint.health == Health::Trickle || 2 * (aside + 1) <= listed) turn_health(endpoint, Sign::Failing);
   }
