--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -31,7 +31,7 @@
 constexpr double kLeastPatience = 0.2, kMostPatience = 0.8;  // of the target latency that a visit may be held
 constexpr double kSlowEndpoint =
     1.5;                            // answers this many times slower than usual: lateness is the endpoint's
-constexpr double kUnsuspected = 2;  // thresholds that an endpoint with nothing against it is given
+constexpr double kUnsuspected = 1.6;  // thresholds that an endpoint with nothing against it is given
 constexpr double kSlowAlone = 2, kRecentAnswers = 8, kRest = 4;
 constexpr double kOpening = 1;  // of a visit's depth that opening a connection counts for
 constexpr double kTick = 0.1, kFirstOfAll = -1e9;
