--- a/include/puffinvane/policy.h
+++ b/include/puffinvane/policy.h
@@ -48,6 +48,8 @@
   bool may_cancel = false;
   bool advises_wait = false;
   bool list_on_request = false;
+  bool crossing_priced = false;  // fetches into another zone cost the deployment
+  std::string zone;
   bool credit_by_work = false;  // else by visit
   double weight_whole = 1;      // how the day is judged: by the whole,
   double weight_evenness = 0;   // or by its worst-served path prefix and its tail
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -31,9 +31,10 @@
 constexpr double kLeastPatience = 0.2, kMostPatience = 0.8;  // of the target latency that a visit may be held
 constexpr double kSlowEndpoint =
     1.5;                            // answers this many times slower than usual: lateness is the endpoint's
-constexpr double kUnsuspected = 1.6;  // thresholds that an endpoint with nothing against it is given
+constexpr double kUnsuspected = 2;  // thresholds that an endpoint with nothing against it is given
 constexpr double kSlowAlone = 2, kRecentAnswers = 8, kRest = 4;
-constexpr double kOpening = 1;  // of a visit's depth that opening a connection counts for
+constexpr double kCrossing = 0.3;  // and crossing zones, where that has a price
+constexpr double kOpening = 1;     // of a visit's depth that opening a connection counts for
 constexpr double kTick = 0.1, kFirstOfAll = -1e9;
 constexpr double kFirstHold = 1, kLongestHold = 8;
 constexpr int kTrickleDone = 8;
@@ -409,7 +410,10 @@
       // A new connection is work for the endpoint too, and its table may be full of other sidecars' ones.
       bool met = cold(endpoint) || now_ - endpoint.last_answer < deployment_.connection_idle;
       double opening = met ? 0 : kOpening;
-      double ahead = (depth(endpoint) + 1 + opening) * slowness(endpoint) / endpoint.units;
+      // A crossing is priced: it counts a little deeper, so that zones are crossed for shorter queues, not by
+      // chance.
+      double crossing = endpoint.zone == deployment_.zone || !deployment_.crossing_priced ? 0 : kCrossing;
+      double ahead = (depth(endpoint) + 1 + opening + crossing) * slowness(endpoint) / endpoint.units;
       ready.emplace_back(at_random ? 0 : ahead, i);
     }
     if (ready.empty()) return -1;
--- a/tests/stories.cpp
+++ b/tests/stories.cpp
@@ -452,6 +452,17 @@
   assert(host.sent_to("a0", then) < 5);
 }
 
+// Incident i88de38: crossings by chance cost more than they brought.
+void priced_crossings_are_made_for_shorter_queues_only() {
+  Deployment made = deployment();
+  made.crossing_priced = true;
+  made.zone = "here";
+  FakeHost host(made);
+  host.list({{"near", "here", 1, Listed::Ready, 1, 0}, {"far", "there", 2, Listed::Ready, 1, 0}});
+  host.visit(), host.visit();
+  assert(host.sent[0].endpoint == "near" && host.sent[1].endpoint == "far");
+}
+
 void a_fleet_that_is_cold_as_a_whole_is_still_sent_to() {
   FakeHost host(deployment());
   host.list(
@@ -504,6 +515,7 @@
   a_small_endpoint_gets_less_than_a_large_one();
   connected_endpoints_go_first_until_they_turn_slow();
   an_endpoint_slower_than_the_others_gets_little();
+  priced_crossings_are_made_for_shorter_queues_only();
   a_fleet_that_is_cold_as_a_whole_is_still_sent_to();
   a_drained_fleet_is_given_less();
   std::puts("all stories hold");
--- a/wirehost/codec.cpp
+++ b/wirehost/codec.cpp
@@ -138,6 +138,9 @@
   deployment.advises_wait = option(limits, "RetryAfter", false);
   deployment.longest_wait_advice = option(limits, "MaxRetryAfterS", 0.0);
   deployment.connection_idle = option(limits, "ConnIdleS", 0.0);
+  element fees;
+  if (!options["Fees"].get(fees)) deployment.crossing_priced = option(fees, "CrossZone", 0.0) > 0;
+  deployment.zone = option<std::string>(options, "Zone", "");
   element rules = child(options, "Rules");
   deployment.cold.share = option(rules, "ColdShare", deployment.cold.share);
   deployment.cold.warm_after = option(rules, "ColdS", deployment.cold.warm_after);
