--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -29,9 +29,8 @@
 constexpr double kFloor = 2, kFirstSeconds = 3;
 constexpr std::size_t kCalmSeconds = 40, kRecentTicks = 80, kRateTicks = 20, kCrowdTicks = 20;
 constexpr double kLeastPatience = 0.2, kMostPatience = 0.8;  // of the target latency that a visit may be held
-constexpr double kSlowEndpoint =
-    1.5;                            // answers this many times slower than usual: lateness is the endpoint's
-constexpr double kUnsuspected = 2;  // thresholds that an endpoint with nothing against it is given
+constexpr double kSlowEndpoint = 1.5;  // times the others: lateness is the endpoint's own
+constexpr double kUnsuspected = 2;     // thresholds that an endpoint with nothing against it is given
 constexpr double kSlowAlone = 2, kRecentAnswers = 8, kRest = 4;
 constexpr double kCrossing = 0.3;  // and crossing zones, where that has a price
 constexpr double kOpening = 1;     // of a visit's depth that opening a connection counts for
@@ -164,7 +163,11 @@
     held_.emplace(taken.place, taken.id);
     // Rule 1: the answer has to be out before the client timeout, whatever has been sent.
     host_.wake(std::max(now, taken.until - 2 * deployment_.round), kUntilToken | taken.id);
-    visits_[visit.id] = std::move(taken);
+    // Behind more than can be sent in its patience it would only wait to be turned away: better at once.
+    double ahead = double(std::distance(held_.begin(), held_.find(taken.place)));
+    bool hopeless = recent_rate_ > 0 && ahead > recent_rate_ * (taken.held_until - now);
+    Taken& held = visits_[visit.id] = std::move(taken);
+    if (hopeless && !room(held)) turn(held, gave_up(held)), visits_.erase(visit.id);
     pump();
   }
 
--- a/wirehost/codec.cpp
+++ b/wirehost/codec.cpp
@@ -1,5 +1,6 @@
 #include "codec.h"
 
+#include <algorithm>
 #include <charconv>
 #include <cmath>
 
@@ -124,6 +125,7 @@
     read.credit = option(prefix, "Credit", 1.0);
     deployment.path_prefixes.push_back(read);
   }
+  if (deployment.path_prefixes.empty()) throw Malformed("the options have no PathPrefixes");
   simdjson::dom::array customers;
   if (!options["Customers"].get(customers)) {
     for (element customer : customers) {
@@ -153,7 +155,7 @@
     deployment.weight_evenness = option(parts, "WorstClass", 0.0) + option(parts, "Tail", 0.0);
   }
   deployment.me = option(options, "Me", 0);
-  deployment.sidecars = option(options, "PeersTotal", 1);
+  deployment.sidecars = std::max(1, option(options, "PeersTotal", 1));
   deployment.tier = option(options, "Layer", 0);
   deployment.round = option(options, "RoundS", 0.0);
   deployment.list_on_request = option<std::string>(options, "RegistryMode", "pushed") == "on_request";
