--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -31,7 +31,6 @@
 constexpr double kLeastPatience = 0.2, kMostPatience = 0.8;  // of the target latency that a visit may be held
 constexpr double kSlowEndpoint = 1.5;  // times the others: lateness is the endpoint's own
 constexpr double kUnsuspected = 2;     // thresholds that an endpoint with nothing against it is given
-constexpr double kSlowAlone = 2, kRecentAnswers = 8, kRest = 4;
 constexpr double kCrossing = 0.3;  // and crossing zones, where that has a price
 constexpr double kOpening = 1;     // of a visit's depth that opening a connection counts for
 constexpr double kTick = 0.1, kFirstOfAll = -1e9;
@@ -92,7 +91,7 @@
   double online_since = 0, hold = kFirstHold, hold_until = 0, full_until = 0, last_answer = -1e9;
   double cold_credit = 0;  // fetches that the cold rule still leaves this sidecar
   int allowance = 0, since_report = 0;
-  double reported = -1, units = 1, calmest = 1e9;
+  double reported = -1, units = 1;
   std::set<std::pair<double, std::uint64_t>> out;  // by time of sending
   std::deque<Answer> answers;
 };
@@ -552,10 +551,6 @@
           keep(latencies_[visit.prefix], whole, kLatencies);
         }
         ++answers_;
-        if (slow_alone(endpoint)) {
-          endpoint.hold = std::max(endpoint.hold, kRest);
-          return note_failing(endpoint);
-        }
         turn_health(endpoint, Sign::Good);
         if (endpoint.allowance >= kTrickleDone) turn_health(endpoint, Sign::Restored);
         return;
@@ -580,18 +575,6 @@
     for (const Endpoint& other : endpoints_) failed += failures(other), all += double(other.answers.size());
     return failures(endpoint) >= 3 && error_share(endpoint) > 0.2 + 2 * failed / std::max(1.0, all);
   }
-  bool slow_alone(Endpoint& endpoint) const {
-    // One that a crowd has turned slow gets well only while nearly idle; by depth alone each sidecar would
-    // keep it just busy enough to stay so. The median, as one heavy visit says nothing of the endpoint.
-    std::deque<double> stretches;
-    for (const Answer& answer : endpoint.answers) {
-      if (now_ - answer.at < kRecentAnswers && !answer.failed) stretches.push_back(answer.stretch);
-    }
-    if (stretches.size() < 5) return false;
-    double median = percentile(stretches, 0.5);
-    endpoint.calmest = std::min(endpoint.calmest, median);  // a small machine is slow by nature
-    return median > kSlowAlone * endpoint.calmest && slowness_alone(endpoint) > kSlowEndpoint;
-  }
   void note_failing(Endpoint& endpoint) {
     // With most of them failing the trouble is shared or behind them, and the rest would be pushed over.
     int aside = count(Health::Aside), listed = int(endpoints_.size()) - count(Health::Gone);
