Each sidecar is dealt an even part of the list by its own number

Cause: with the whole list for all, what each of many sidecars happens to use loads some endpoints several times the mean; they choke at half load, and connections are opened everywhere. A ring of the list, shuffled alike at all, is cut evenly; rings of other shuffles serve the next sidecars. Parts of eight endpoints and eight sidecars at least: at the first size mostly the whole list.

--- a/include/puffinvane/policy.h
+++ b/include/puffinvane/policy.h
@@ -22,7 +22,6 @@
   Group group = Group::Cell;
   double memory_span = 0;
   double target_latency = 1;
-  double client_timeout = 1;
   double credit = 1;
 };
 
@@ -55,8 +54,6 @@
   double weight_evenness = 0;   // or by its worst-served path prefix and its tail
   double ask_within = 10;
   double longest_wait_advice = 0;
-  double connection_idle = 0;  // after this an unused connection is closed
-  double answer_slack = 0;
   double round = 0;
 };
 
@@ -103,9 +100,6 @@
   virtual void bounce(VisitId visit, double wait) = 0;
   virtual void error(VisitId visit) = 0;
   virtual void wake(double at, std::uint64_t token) = 0;
-  virtual void probe(std::string_view endpoint) = 0;
-  virtual void tell(int peer, std::string_view text) = 0;  // a peer below 0: all of them
-  virtual void read_list() = 0;
   virtual void follow_list(bool want) = 0;
   virtual void log(std::string_view text) = 0;
 };
@@ -119,8 +113,6 @@
   virtual void fetch_ended(double now, const FetchEnd& end) = 0;
   virtual void withdrawn(double now, VisitId visit) = 0;
   virtual void woken(double now, std::uint64_t token) = 0;
-  virtual void probed(double now, std::string_view endpoint, Outcome outcome, const Load& load) = 0;
-  virtual void told(double now, int peer, std::string_view text) = 0;
 };
 
 std::unique_ptr<Policy> make_policy(double now, Deployment deployment, std::uint64_t seed, Host& host);
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -24,15 +24,15 @@
 constexpr double kSharedLate = 0.25;  // more of the last visits late than this: not one endpoint's doing
 constexpr double kRoom = 0.6;         // of a target latency that admitted visits may spend on average
 constexpr double kLooseStretch = 2.4, kTightStretch = 1.2;  // and this many times what they spend in calm
-constexpr double kOverShareRoom = 0.7;
+constexpr int kDealt = 8;  // endpoints a sidecar, and sidecars an endpoint, that a part must leave at least
+constexpr std::uint64_t kMixer = 0xff51afd7ed558ccdULL;  // odd and well spread: parts names that look alike
 constexpr double kCrowdedAt = 1.3, kCrowdSeconds = 1, kHeavy = 4;
 constexpr double kFloor = 2, kFirstSeconds = 3;
 constexpr std::size_t kCalmSeconds = 40, kRecentTicks = 80, kRateTicks = 20, kCrowdTicks = 20;
 constexpr double kLeastPatience = 0.2, kMostPatience = 0.8;  // of the target latency that a visit may be held
 constexpr double kSlowEndpoint = 1.5;  // times the others: lateness is the endpoint's own
 constexpr double kUnsuspected = 2;     // thresholds that an endpoint with nothing against it is given
-constexpr double kCrossing = 0.3;  // and crossing zones, where that has a price
-constexpr double kOpening = 1;     // of a visit's depth that opening a connection counts for
+constexpr double kCrossing = 0.3;      // and crossing zones, where that has a price
 constexpr double kTick = 0.1, kFirstOfAll = -1e9;
 constexpr double kFirstHold = 1, kLongestHold = 8;
 constexpr int kTrickleDone = 8;
@@ -88,10 +88,10 @@
   std::string name, zone;
   std::int64_t cell = 0;
   Health health = Health::Gone;
-  double online_since = 0, hold = kFirstHold, hold_until = 0, full_until = 0, last_answer = -1e9;
+  double online_since = 0, hold = kFirstHold, hold_until = 0, last_answer = -1e9;
   double cold_credit = 0;  // fetches that the cold rule still leaves this sidecar
   int allowance = 0, since_report = 0;
-  double reported = -1, units = 1;
+  double reported = -1, units = 1, dealt = 0;      // dealt: the part of its units that is ours
   std::set<std::pair<double, std::uint64_t>> out;  // by time of sending
   std::deque<Answer> answers;
 };
@@ -139,11 +139,10 @@
     if (scope != ListScope::Cached) asked_until_ = 0, ask_back_off_ = 0.5;
     std::set<std::string_view> seen;
     for (const ListEntry& entry : entries) seen.insert(entry.endpoint), note_listed(entry);
-    if (scope == ListScope::Changes) return pump();
     for (Endpoint& endpoint : endpoints_) {
-      if (!seen.contains(endpoint.name)) turn_health(endpoint, Sign::Unlisted);
+      if (scope != ListScope::Changes && !seen.contains(endpoint.name)) turn_health(endpoint, Sign::Unlisted);
     }
-    pump();
+    shuffle(), deal(), pump();
   }
 
   void arrive(double now, const Visit& visit) override {
@@ -211,41 +210,31 @@
     if (visit.state == State::Out) consider_copy(visit);
   }
 
-  void probed(double, std::string_view, Outcome, const Load&) override {}
-  void told(double, int, std::string_view) override {}
-
  private:
   static constexpr std::uint64_t kUntilToken = 1ULL << 32, kLateToken = 1ULL << 33, kTickToken = 1ULL << 34;
 
   enum Count { Copies, Deep, Errors, Shared, Nowhere, Weight, Counted };
-  static constexpr const char* kCounted[] = {" copies sent ",      ", suppressed by depth ", ", errors ",
-                                             ", shared lateness ", ", no endpoint ",         ", weight "};
+  static constexpr const char* kCounted[] = {"copies sent",     "suppressed by depth", "errors",
+                                             "shared lateness", "no endpoint",         "weight"};
 
-  struct VisitRow {
+  template <typename State, typename Input, typename Subject>
+  struct Row {
     State state;
     Input input;
     State next;
-    void (Module::*effect)(Taken&);
+    void (Module::*effect)(Subject&);
   };
-  struct HealthRow {
-    Health health;
-    Sign sign;
-    Health next;
-    void (Module::*effect)(Endpoint&);
-  };
-  static const std::array<VisitRow, 13> kVisitRows;
-  static const std::array<HealthRow, 10> kHealthRows;
+  static const std::array<Row<State, Input, Taken>, 13> kVisitRows;
+  static const std::array<Row<Health, Sign, Endpoint>, 10> kHealthRows;
 
-  void turn(Taken& visit, Input input) {
-    for (const auto& [state, on, next, effect] : kVisitRows) {
-      if (state == visit.state && on == input) return visit.state = next, (this->*effect)(visit);
-    }
-  }
-  void turn_health(Endpoint& endpoint, Sign sign) {
-    for (const auto& [health, on, next, effect] : kHealthRows) {
-      if (health == endpoint.health && on == sign) return endpoint.health = next, (this->*effect)(endpoint);
+  template <typename Rows, typename State, typename Input, typename Subject>
+  void step(const Rows& rows, State& from, Input input, Subject& subject) {
+    for (const auto& [state, on, next, effect] : rows) {
+      if (state == from && on == input) return from = next, (this->*effect)(subject);
     }
   }
+  void turn(Taken& visit, Input input) { step(kVisitRows, visit.state, input, visit); }
+  void turn_health(Endpoint& endpoint, Sign sign) { step(kHealthRows, endpoint.health, sign, endpoint); }
 
   // ---- effects of the visit table
   void nothing(Taken&) {}
@@ -335,16 +324,13 @@
     if (samples.size() < kFewLatencies) return deployment_.path_prefixes[prefix].target_latency / 2;
     return percentile(samples, kHedgePercentile);
   }
-  double usual(int prefix) const {
-    const auto& samples = latencies_[prefix];
-    return samples.empty() ? deployment_.path_prefixes[prefix].target_latency / 4
-                           : std::max(deployment_.round, percentile(samples, 0.5));
-  }
   // The mean latency before it swelled: the lowest of the last while's means, as Little's law wants means.
   // A room measured against a figure that moves with the jam would let the jam in.
   double calm(int prefix) const {
     const auto& means = means_[prefix];
-    return means.empty() ? usual(prefix) : *std::min_element(means.begin(), means.end());
+    if (!means.empty()) return *std::min_element(means.begin(), means.end());
+    return latencies_[prefix].empty() ? deployment_.path_prefixes[prefix].target_latency / 4
+                                      : mean(latencies_[prefix]);
   }
   // A visit may be held for as long as a calm fetch would still end well within its target latency.
   double patience(const Taken& visit) const {
@@ -364,14 +350,6 @@
     }
     return sum / count;
   }
-  // Against the others in use: what slows all of them alike is no endpoint's own.
-  double slowness_alone(const Endpoint& endpoint) const {
-    double sum = 0, used = 0;
-    for (const Endpoint& other : endpoints_) {
-      if (other.health == Health::Steady && !other.answers.empty()) sum += slowness(other), ++used;
-    }
-    return slowness(endpoint) * std::max(1.0, used) / std::max(1.0, sum);
-  }
   double learned_capacity(const Endpoint& endpoint) const {
     double capacity = kFirstCapacity;
     for (const Answer& answer : endpoint.answers) {
@@ -399,23 +377,61 @@
   bool open_to(const Endpoint& endpoint) const {
     if (endpoint.health == Health::Trickle && int(endpoint.out.size()) >= endpoint.allowance) return false;
     if (endpoint.health != Health::Steady && endpoint.health != Health::Trickle) return false;
-    if (cold(endpoint) && endpoint.cold_credit < 1) return false;
-    return now_ >= endpoint.full_until;
+    return !cold(endpoint) || endpoint.cold_credit >= 1;
+  }
+  // Many sidecars with few visits each: with the whole list for all, connections are opened everywhere, no
+  // endpoint answers one often enough to be known, and what each happens to use makes some endpoints
+  // everyone's and others nobody's. So a ring of the list, shuffled alike at all, is cut evenly among as many
+  // sidecars as it gives parts, by their own numbers; the next ones cut a ring shuffled in another way.
+  int rings() const { return deployment_.sidecars / parts_; }
+  void shuffle() {
+    // Cut anew only for a list that is clearly another: each new cut is a round of new connections for all.
+    int parts = std::max(1, std::min(listed(), deployment_.sidecars) / kDealt);
+    if (parts > parts_ * 1.25 || parts < parts_ * 0.75) parts_ = parts;
+    std::vector<std::pair<std::uint64_t, int>> order;
+    for (int i = 0; i < int(endpoints_.size()); ++i) {
+      std::uint64_t at = kMixer * std::uint64_t(deployment_.me % rings() + 1);
+      for (char each : endpoints_[i].name) at = (at ^ std::uint8_t(each)) * kMixer, at ^= at >> 29;
+      if (endpoints_[i].health != Health::Gone) order.emplace_back(at, i);
+    }
+    std::sort(order.begin(), order.end());
+    ring_.clear();
+    for (const auto& [at, i] : order) ring_.push_back(i);
+  }
+  void deal() {
+    int turns = rings(), cuts = 1;
+    if (parts_ > 1) cuts = (deployment_.sidecars - deployment_.me % turns + turns - 1) / turns;
+    double whole = 0, at = 0;
+    for (int i : ring_) whole += endpoints_[i].units, endpoints_[i].dealt = 0;
+    double from = whole * (deployment_.me / turns % cuts) / cuts, to = from + whole / cuts;
+    dealt_.clear();
+    for (std::size_t n = 0; n < 2 * ring_.size() && at < to && dealt_.size() < ring_.size(); ++n) {
+      int i = ring_[n % ring_.size()];
+      Endpoint& endpoint = endpoints_[i];
+      double part = std::min(at + endpoint.units, to) - std::max(at, from);
+      at += endpoint.units;
+      if (part <= 0) continue;
+      if (endpoint.dealt == 0) dealt_.push_back(i);
+      endpoint.dealt = part;
+      // What is set aside or cold leaves its part to the next on the ring, not to the few others dealt.
+      if (endpoint.health == Health::Aside || cold(endpoint)) to += part;
+    }
   }
   int choose(const Taken& visit, bool at_random) {
+    int found = choose_among(visit, at_random, dealt_);
+    return found < 0 && dealt_.size() < ring_.size() ? choose_among(visit, at_random, ring_) : found;
+  }
+  int choose_among(const Taken& visit, bool at_random, const std::vector<int>& among) {
     std::vector<std::pair<double, int>> ready;
-    for (int i = 0; i < int(endpoints_.size()); ++i) {
+    for (int i : among) {
       const Endpoint& endpoint = endpoints_[i];
       if (tried(visit, i) || !open_to(endpoint) || !may_fetch(visit, endpoint)) continue;
       // A trickle is a test: a mutating visit, which could not be sent again, is no stake for it.
       if (endpoint.health == Health::Trickle && prefix(visit).kind == Kind::Mutating) continue;
-      // A new connection is work for the endpoint too, and its table may be full of other sidecars' ones.
-      bool met = cold(endpoint) || now_ - endpoint.last_answer < deployment_.connection_idle;
-      double opening = met ? 0 : kOpening;
-      // A crossing is priced: it counts a little deeper, so that zones are crossed for shorter queues, not by
-      // chance.
+      // A crossing is priced: zones are crossed for shorter queues, not by chance.
       double crossing = endpoint.zone == deployment_.zone || !deployment_.crossing_priced ? 0 : kCrossing;
-      double ahead = (depth(endpoint) + 1 + opening + crossing) * slowness(endpoint) / endpoint.units;
+      double size = endpoint.dealt > 0 ? endpoint.dealt : endpoint.units;
+      double ahead = (depth(endpoint) + 1 + crossing) * slowness(endpoint) / size;
       ready.emplace_back(at_random ? 0 : ahead, i);
     }
     if (ready.empty()) return -1;
@@ -452,7 +468,7 @@
     // heaviest work on every tier behind: so an endpoint that answers what came later is believed, and one
     // with nothing against it gets as long again.
     const Endpoint& at = endpoints_[first.endpoint];
-    if (slowness_alone(at) < kSlowEndpoint && (at.last_answer > first.sent || waited < kUnsuspected * due)) {
+    if (slowness(at) < kSlowEndpoint && (at.last_answer > first.sent || waited < kUnsuspected * due)) {
       ++counts_[Weight];
       if (waited < 4 * due) host_.wake(now_ + due, kLateToken | visit.id);
       return;
@@ -481,6 +497,7 @@
     return int(std::count_if(endpoints_.begin(), endpoints_.end(),
                              [&](const Endpoint& endpoint) { return endpoint.health == health; }));
   }
+  int listed() const { return int(endpoints_.size()) - count(Health::Gone); }
   bool room(const Taken& visit) const {
     // The floor is a share of what all sidecars leave out together: with many of them, each one's own small
     // allowance adds up to a crowd on every endpoint.
@@ -491,9 +508,8 @@
     if (in_flight_ < std::max(1.0, each * count(Health::Steady) / deployment_.sidecars)) return true;
     // Calm is measured against the best rate of a long while: a recent one is lowered by the very limit that
     // it sets, and when all is slow the limit would talk itself down to nothing.
-    double share = visit.over_share ? kOverShareRoom : 1;
     double stretch = kTightStretch + (kLooseStretch - kTightStretch) * (1 - share_of(crowded_));
-    return load_ < share * recent_rate_ && calm_load_ < share * stretch * calm_rate_;
+    return load_ < recent_rate_ && calm_load_ < stretch * calm_rate_;
   }
   void pump() {
     for (auto next = held_.begin(); next != held_.end();) {
@@ -560,10 +576,6 @@
         keep(endpoint.answers, answer, kEndpointSamples);
         if (fails_alone(endpoint)) note_failing(endpoint);
         return;
-      case Outcome::Refused:
-        // Full now; by the time one of its visits is done it may have room again.
-        endpoint.full_until = now_ + usual(visit.prefix) / 4;
-        return;
       case Outcome::ConnectFailed:
       case Outcome::Broken: return note_failing(endpoint);
       default: return;
@@ -577,8 +589,9 @@
   }
   void note_failing(Endpoint& endpoint) {
     // With most of them failing the trouble is shared or behind them, and the rest would be pushed over.
-    int aside = count(Health::Aside), listed = int(endpoints_.size()) - count(Health::Gone);
-    if (endpoint.health == Health::Trickle || 2 * (aside + 1) <= listed) turn_health(endpoint, Sign::Failing);
+    int aside = count(Health::Aside);
+    if (endpoint.health == Health::Trickle || 2 * (aside + 1) <= listed())
+      turn_health(endpoint, Sign::Failing);
   }
   bool silent(const Endpoint& endpoint) const {
     int overdue = 0;
@@ -628,9 +641,8 @@
       host_.follow_list(true);
     }
     if (asked_until_ > 0 && now_ > asked_until_) ask_again_later();
-    // Kept for each endpoint in use as well: a fleet that is drained must not be held to what the larger one
-    // did. But one that is enlarged does no more for it until seen to, as the tier behind may be the narrow
-    // one.
+    // Kept for each endpoint in use as well: a drained fleet must not be held to what the larger one did, and
+    // an enlarged one does no more for it until seen to, as the tier behind may be the narrow one.
     double ready = std::max(1, count(Health::Steady));
     keep(rates_, answers_, std::size_t(kCalmSeconds / kTick));
     keep(rates_each_, std::exchange(answers_, 0.0) / ready, std::size_t(kCalmSeconds / kTick));
@@ -650,18 +662,20 @@
         if (latencies_[i].size() >= kFewLatencies) keep(means_[i], mean(latencies_[i]), kCalmSeconds);
       }
     }
+    deal();
     keep(sends_, std::exchange(sent_warm_, 0.0), std::size_t{20});
     double sends = std::accumulate(sends_.begin(), sends_.end(), 0.0), warm = 0;
-    for (const Endpoint& endpoint : endpoints_) warm += endpoint.health == Health::Steady && !cold(endpoint);
-    // A fresh endpoint may get the cold share, growing evenly to the whole, of what a warm one gets from us.
-    // With none warm it is what one got before, and with nothing known a fetch a second for all sidecars.
-    double pace = warm > 0 ? sends / double(sends_.size()) / warm : best_each_ * kTick;
-    pace = std::max(pace, kTick / deployment_.sidecars);
+    for (int i : dealt_) {
+      if (endpoints_[i].health == Health::Steady && !cold(endpoints_[i])) warm += endpoints_[i].dealt;
+    }
+    // A fresh endpoint may get the cold share, growing evenly to the whole, of what a warm one gets from us,
+    // size for size. With none warm it is a fetch a second from all that it is dealt to.
+    double pace = std::max(warm > 0 ? sends / double(sends_.size()) / warm : 0, kTick / rings());
     for (Endpoint& endpoint : endpoints_) {
       if (cold(endpoint)) {
         double warmth = (now_ - endpoint.online_since) / deployment_.cold.warm_after;
         double share = deployment_.cold.share + (1 - deployment_.cold.share) * std::clamp(warmth, 0.0, 1.0);
-        endpoint.cold_credit = std::min(endpoint.cold_credit + pace * share, 1.5);
+        endpoint.cold_credit = std::min(endpoint.cold_credit + pace * share * endpoint.dealt, 1.5);
       }
       if (endpoint.health == Health::Aside && now_ >= endpoint.hold_until)
         turn_health(endpoint, Sign::HoldOver);
@@ -678,11 +692,12 @@
     report();
   }
   void report() {
-    // The source's diagnosis rests on both counts; one sidecar a tier in turn is enough to see them.
+    // The source's diagnosis rests on both counts; one sidecar a tier is enough to see them.
     if (now_ < report_at_ || deployment_.me != 0) return;
     report_at_ = now_ + 10;
     std::string line = "tier " + std::to_string(deployment_.tier);
-    for (int i = 0; i < Counted; ++i) line += kCounted[i] + std::to_string(counts_[i]);
+    for (int i = 0; i < Counted; ++i)
+      line.append(", ").append(kCounted[i]).append(" ") += std::to_string(counts_[i]);
     host_.log(line);
   }
 
@@ -692,6 +707,7 @@
   double now_;
   const double started_;
   std::vector<Endpoint> endpoints_;
+  std::vector<int> ring_, dealt_;  // the listed endpoints in this sidecar's order, and its part of them
   std::map<std::string, int> by_name_;
   std::map<VisitId, Taken> visits_;
   std::map<Held, VisitId> held_;
@@ -701,13 +717,13 @@
   std::deque<std::pair<double, double>> stretches_;  // of the last answers against calm, with their times
   double answers_ = 0, sent_warm_ = 0, recent_rate_ = 0, calm_rate_ = 0, best_calm_ = 0, best_each_ = 0,
          load_ = 0, calm_load_ = 0;
-  int in_flight_ = 0, copy_to_ = -1;
+  int in_flight_ = 0, copy_to_ = -1, parts_ = 1;
   double ask_at_ = 0, asked_until_ = 0, ask_back_off_ = 0.5, report_at_ = 0, means_at_ = 0;
   std::uint64_t turns_ = 0;
   std::array<std::uint64_t, Counted> counts_{};
 };
 
-const std::array<Module::VisitRow, 13> Module::kVisitRows = {{
+const std::array<Module::Row<State, Input, Taken>, 13> Module::kVisitRows = {{
     {State::Held, Input::Room, State::Out, &Module::send_first},
     {State::Held, Input::Bounce, State::Done, &Module::bounce},
     {State::Held, Input::Fail, State::Done, &Module::fail},
@@ -723,7 +739,7 @@
     {State::Paired, Input::Over, State::Done, &Module::finish},
 }};
 
-const std::array<Module::HealthRow, 10> Module::kHealthRows = {{
+const std::array<Module::Row<Health, Sign, Endpoint>, 10> Module::kHealthRows = {{
     {Health::Gone, Sign::Listed, Health::Steady, &Module::restore},
     {Health::Steady, Sign::Failing, Health::Aside, &Module::set_aside},
     {Health::Steady, Sign::Unlisted, Health::Gone, &Module::nothing},
--- a/wirehost/codec.cpp
+++ b/wirehost/codec.cpp
@@ -121,7 +121,6 @@
     read.group = read_group(option<std::string>(prefix, "Group", "cell"));
     read.memory_span = option(prefix, "MemorySpanS", 0.0);
     read.target_latency = option(prefix, "TargetLatencyS", 1.0);
-    read.client_timeout = option(prefix, "ClientTimeoutS", read.target_latency);
     read.credit = option(prefix, "Credit", 1.0);
     deployment.path_prefixes.push_back(read);
   }
@@ -139,7 +138,6 @@
   deployment.may_cancel = option(limits, "MayCancel", false);
   deployment.advises_wait = option(limits, "RetryAfter", false);
   deployment.longest_wait_advice = option(limits, "MaxRetryAfterS", 0.0);
-  deployment.connection_idle = option(limits, "ConnIdleS", 0.0);
   element fees;
   if (!options["Fees"].get(fees)) deployment.crossing_priced = option(fees, "CrossZone", 0.0) > 0;
   deployment.zone = option<std::string>(options, "Zone", "");
@@ -147,7 +145,6 @@
   deployment.cold.share = option(rules, "ColdShare", deployment.cold.share);
   deployment.cold.warm_after = option(rules, "ColdS", deployment.cold.warm_after);
   deployment.ask_within = option(rules, "AskWithinS", deployment.ask_within);
-  deployment.answer_slack = option(rules, "AnswerSlackS", 0.0);
   deployment.credit_by_work = option<std::string>(options, "CreditBasis", "request") == "work";
   element parts;
   if (!options["ScoreParts"].get(parts)) {
--- a/wirehost/main.cpp
+++ b/wirehost/main.cpp
@@ -31,14 +31,6 @@
   void bounce(VisitId visit, double wait) override { open("DENY"), add(visit), add(wait), close(); }
   void error(VisitId visit) override { open("ERROR"), add(visit), close(); }
   void wake(double at, std::uint64_t token) override { open("REMIND"), add(at), add(token), close(); }
-  void probe(std::string_view endpoint) override { open("SAMPLE"), add(endpoint), close(); }
-  void tell(int peer, std::string_view text) override {
-    open("WRITE_PEER");
-    if (peer < 0) add("all");
-    else add(static_cast<std::uint32_t>(peer));
-    add(text), close();
-  }
-  void read_list() override { open("READ_LIST"), close(); }
   void follow_list(bool want) override { open("LISTEN"), out_ += want ? ",true" : ",false", close(); }
   void log(std::string_view text) override { open("EMIT"), add(text), close(); }
   void fault(std::string_view text) { open("BUG"), add(text), close(); }
@@ -119,15 +111,6 @@
       lists_[event.natural(1, "Buffer")] = read_entries(event.at(2, "Entries"));
     } else if (name == "REGISTRY") {
       take_list(event);
-    } else if (name == "CHECK_RESULT") {
-      std::string_view endpoint = event.text(2, "Endpoint");
-      Outcome outcome = read_outcome(event.whole(4, "Result"));
-      Load load = event.load(5);
-      pass(event, [&](Policy& policy) { policy.probed(now_, endpoint, outcome, load); });
-    } else if (name == "MAIL") {
-      int peer = static_cast<int>(event.whole(2, "SrcPeer"));
-      std::string_view text = event.text(3, "Content");
-      pass(event, [&](Policy& policy) { policy.told(now_, peer, text); });
     } else if (name == "POWER_ON") {
       std::uint64_t number = event.natural(1, "Sidecar"), seed = event.natural(2, "Nonce64");
       Deployment deployment = read_deployment(event.at(3, "Options"));
