--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -309,6 +309,9 @@
   }
   Input after_loss(const Taken& visit) const {
     if (visit.state == State::Paired) return Input::OneLost;
+    // A tier that turns away or fails a good part of all would be sent each visit as often as is allowed,
+    // from every tier above times the same.
+    if (share_of(lost_) > kSharedLate && lost_.size() >= kFewLatencies) return gave_up(visit);
     for (int i = 0; i < int(endpoints_.size()) && now_ < visit.until - 2 * deployment_.round; ++i) {
       bool usable = endpoints_[i].health == Health::Steady && !tried(visit, i);
       if (usable && may_fetch(visit, endpoints_[i])) return Input::Again;
@@ -340,9 +343,8 @@
   double depth(const Endpoint& endpoint) const {
     return endpoint.reported >= 0 ? endpoint.reported + endpoint.since_report : double(endpoint.out.size());
   }
-  // How slow the endpoint's recent answers were against calm, not against a usual that moves
-  // with a jam and makes those in it look no worse than those left out of use: where no report shows what
-  // other sidecars have there, a depth of our own fetches has to be measured against it.
+  // Against calm, not against a usual that moves with a jam and makes those in it look no worse than those
+  // left out of use: a depth of our own fetches shows nothing of what other sidecars have there.
   double slowness(const Endpoint& endpoint) const {
     double sum = 3, count = 3;
     for (const Answer& answer : endpoint.answers) {
@@ -499,15 +501,12 @@
   }
   int listed() const { return int(endpoints_.size()) - count(Health::Gone); }
   bool room(const Taken& visit) const {
-    // The floor is a share of what all sidecars leave out together: with many of them, each one's own small
-    // allowance adds up to a crowd on every endpoint.
+    // The floor is shared: many sidecars' own small allowances would add up to a crowd on every endpoint.
     if (deployment_.tier > 0 || visit.place.rank == kFirstOfAll) return true;
-    // Before any rate is known C's first value stands in, or a sidecar's first seconds bounce half its
-    // visits.
+    // Before any rate is known C's first value stands in: else the first seconds bounce half of all.
     double each = now_ < started_ + kFirstSeconds ? kFirstCapacity : kFloor;
     if (in_flight_ < std::max(1.0, each * count(Health::Steady) / deployment_.sidecars)) return true;
-    // Calm is measured against the best rate of a long while: a recent one is lowered by the very limit that
-    // it sets, and when all is slow the limit would talk itself down to nothing.
+    // Calm goes by the best rate of a long while: a recent one is lowered by the very limit that it sets.
     double stretch = kTightStretch + (kLooseStretch - kTightStretch) * (1 - share_of(crowded_));
     return load_ < recent_rate_ && calm_load_ < stretch * calm_rate_;
   }
@@ -557,6 +556,8 @@
     Answer answer{now_, end.took / calm(visit.prefix), fetch.depth, end.took <= threshold(visit.prefix),
                   false};
     double whole = now_ - visit.fetches.front().sent;
+    if (end.outcome != Outcome::Cancelled)
+      keep(lost_, end.outcome == Outcome::Failed || end.outcome == Outcome::Refused, std::size_t{40});
     switch (end.outcome) {
       case Outcome::Delivered:
         endpoint.last_answer = now_;
@@ -646,8 +647,10 @@
     double ready = std::max(1, count(Health::Steady));
     keep(rates_, answers_, std::size_t(kCalmSeconds / kTick));
     keep(rates_each_, std::exchange(answers_, 0.0) / ready, std::size_t(kCalmSeconds / kTick));
-    recent_rate_ = std::min(best_rate(rates_, kRecentTicks), best_rate(rates_each_, kRecentTicks) * ready);
-    calm_rate_ = std::min(best_calm_, best_each_ * ready);
+    auto best = [&](std::size_t ticks) {
+      return std::min(best_rate(rates_, ticks), best_rate(rates_each_, ticks) * ready);
+    };
+    recent_rate_ = best(kRecentTicks), calm_rate_ = best(rates_.size());
     // A crowd of a moment passes; one that lasts turns servers slow. More visits out at calm latencies are no
     // crowd but more traffic. So the longer answers have been stretched, the less of the loose bound is left.
     while (!stretches_.empty() && now_ - stretches_.front().first > kCrowdSeconds) stretches_.pop_front();
@@ -656,8 +659,6 @@
     keep(crowded_, sum > kCrowdedAt * double(stretches_.size()), kCrowdTicks);
     if (now_ >= means_at_) {
       means_at_ = now_ + 1;
-      best_calm_ = best_rate(rates_, rates_.size());
-      best_each_ = best_rate(rates_each_, rates_each_.size());
       for (std::size_t i = 0; i < latencies_.size(); ++i) {
         if (latencies_[i].size() >= kFewLatencies) keep(means_[i], mean(latencies_[i]), kCalmSeconds);
       }
@@ -712,11 +713,10 @@
   std::map<VisitId, Taken> visits_;
   std::map<Held, VisitId> held_;
   std::vector<std::deque<double>> latencies_, means_, customer_arrivals_;
-  std::deque<bool> late_, crowded_;
+  std::deque<bool> late_, lost_, crowded_;
   std::deque<double> rates_, rates_each_, sends_;
   std::deque<std::pair<double, double>> stretches_;  // of the last answers against calm, with their times
-  double answers_ = 0, sent_warm_ = 0, recent_rate_ = 0, calm_rate_ = 0, best_calm_ = 0, best_each_ = 0,
-         load_ = 0, calm_load_ = 0;
+  double answers_ = 0, sent_warm_ = 0, recent_rate_ = 0, calm_rate_ = 0, load_ = 0, calm_load_ = 0;
   int in_flight_ = 0, copy_to_ = -1, parts_ = 1;
   double ask_at_ = 0, asked_until_ = 0, ask_back_off_ = 0.5, report_at_ = 0, means_at_ = 0;
   std::uint64_t turns_ = 0;
--- a/tests/stories.cpp
+++ b/tests/stories.cpp
@@ -37,6 +37,22 @@
   }
 }
 
+// Incident i3c6004: a drained tier turned nearly all away, and each tier above sent each visit five times.
+void a_tier_that_turns_most_away_is_not_sent_each_visit_again_and_again() {
+  FakeHost host(deployment());
+  host.ready(8);
+  host.calm(40, 0.05);
+  int fetches = 0;
+  for (int i = 0; i < 60; ++i) {
+    VisitId visit = host.visit();
+    for (std::size_t at = host.sent.size() - 1; at < host.sent.size(); ++at)
+      host.end(Sent(host.sent[at]), Outcome::Refused);
+    if (i >= 30) fetches += host.fetches(visit);
+    host.run(0.02);
+  }
+  assert(fetches <= 30 && host.bounced.size() >= 30);
+}
+
 void a_tagged_visit_that_may_have_run_stays_in_its_group_and_memory() {
   FakeHost host(deployment());
   host.list({{"a", "here", 1, Listed::Ready, 1, 0},
@@ -524,6 +540,7 @@
 
 int main() {
   a_lost_fetch_goes_on_only_where_rule_two_lets_it();
+  a_tier_that_turns_most_away_is_not_sent_each_visit_again_and_again();
   a_tagged_visit_that_may_have_run_stays_in_its_group_and_memory();
   a_tagged_visit_is_bounced_only_if_the_whole_fleet_drops_its_repeat();
   each_visit_gets_one_answer_though_outcomes_cross_and_come_late();
