Parts of four endpoints, and four sidecars an endpoint, at least

Cause: a first-tier sidecar has about four visits out; over eight endpoints its own depth says nothing and each endpoint is loaded by chance. Over four, its own fetches even out what it sends, and four sidecars and more still even out what they bring.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -24,7 +24,7 @@
 constexpr double kSharedLate = 0.25;  // more of the last visits late than this: not one endpoint's doing
 constexpr double kRoom = 0.6;         // of a target latency that admitted visits may spend on average
 constexpr double kLooseStretch = 2.4, kTightStretch = 1.2;  // and this many times what they spend in calm
-constexpr int kDealt = 8;  // endpoints a sidecar, and sidecars an endpoint, that a part must leave at least
+constexpr int kDealt = 4;  // endpoints a sidecar, and sidecars an endpoint, that a part must leave at least
 constexpr std::uint64_t kMixer = 0xff51afd7ed558ccdULL;  // odd and well spread: parts names that look alike
 constexpr double kCrowdedAt = 1.3, kCrowdSeconds = 1, kHeavy = 4;
 constexpr double kFloor = 2, kFirstSeconds = 3;
