--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -28,7 +28,7 @@
 constexpr std::uint64_t kMixer = 0xff51afd7ed558ccdULL;  // odd and well spread: parts names that look alike
 constexpr double kCrowdedAt = 1.3, kCrowdSeconds = 1, kHeavy = 4;
 constexpr double kFloor = 2, kFirstSeconds = 3;
-constexpr std::size_t kCalmSeconds = 40, kRecentTicks = 80, kRateTicks = 20, kCrowdTicks = 20;
+constexpr std::size_t kCalmSeconds = 40, kRateTicks = 80, kLeastTicks = 20, kCrowdTicks = 20;
 constexpr double kLeastPatience = 0.2, kMostPatience = 0.8;  // of the target latency that a visit may be held
 constexpr double kSlowEndpoint = 1.5;  // times the others: lateness is the endpoint's own
 constexpr double kUnsuspected = 2;     // thresholds that an endpoint with nothing against it is given
@@ -486,6 +486,7 @@
   }
 
   // ---- room: what may be out at once, measured in target latencies
+  // Over windows long enough for a few dozen answers: the best of a few handfuls is only their luck.
   static double best_rate(const std::deque<double>& rates, std::size_t ticks) {
     double best = 0, sum = 0;
     for (std::size_t i = rates.size() - std::min(ticks, rates.size()), n = 0; i < rates.size(); ++i) {
@@ -493,7 +494,7 @@
       if (++n > kRateTicks) sum -= rates[i - kRateTicks];
       best = std::max(best, sum);
     }
-    return best / (kRateTicks * kTick);
+    return best / (double(std::clamp(rates.size(), kLeastTicks, kRateTicks)) * kTick);
   }
   int count(Health health) const {
     return int(std::count_if(endpoints_.begin(), endpoints_.end(),
@@ -650,7 +651,7 @@
     auto best = [&](std::size_t ticks) {
       return std::min(best_rate(rates_, ticks), best_rate(rates_each_, ticks) * ready);
     };
-    recent_rate_ = best(kRecentTicks), calm_rate_ = best(rates_.size());
+    recent_rate_ = best(kRateTicks), calm_rate_ = best(rates_.size());
     // A crowd of a moment passes; one that lasts turns servers slow. More visits out at calm latencies are no
     // crowd but more traffic. So the longer answers have been stretched, the less of the loose bound is left.
     while (!stretches_.empty() && now_ - stretches_.front().first > kCrowdSeconds) stretches_.pop_front();
