Further fetches stop at half lost instead of a quarter

Cause: of four dealt endpoints one that hangs and turns visits away is a quarter, and a lost visit was errored that had three others to go to.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -20,9 +20,9 @@
 constexpr std::size_t kLatencies = 128;    // kept for each path prefix: enough for a 95th percentile
 constexpr std::size_t kFewLatencies = 20;  // below this a 95th percentile is the maximum and says nothing
 constexpr std::size_t kEndpointSamples = 16;
-constexpr double kSampleAge = 15;     // an endpoint's older answers tell of another time
-constexpr double kSharedLate = 0.25;  // more of the last visits late than this: not one endpoint's doing
-constexpr double kRoom = 0.6;         // of a target latency that admitted visits may spend on average
+constexpr double kSampleAge = 15;                      // an endpoint's older answers tell of another time
+constexpr double kSharedLate = 0.25, kMostLost = 0.5;  // of the last visits: not one endpoint's doing
+constexpr double kRoom = 0.6;  // of a target latency that admitted visits may spend on average
 constexpr double kLooseStretch = 2.4, kTightStretch = 1.2;  // and this many times what they spend in calm
 constexpr int kDealt = 4;  // endpoints a sidecar, and sidecars an endpoint, that a part must leave at least
 constexpr std::uint64_t kMixer = 0xff51afd7ed558ccdULL;  // odd and well spread: parts names that look alike
@@ -311,7 +311,7 @@
     if (visit.state == State::Paired) return Input::OneLost;
     // A tier that turns away or fails a good part of all would be sent each visit as often as is allowed,
     // from every tier above times the same.
-    if (share_of(lost_) > kSharedLate && lost_.size() >= kFewLatencies) return gave_up(visit);
+    if (share_of(lost_) > kMostLost && lost_.size() >= kFewLatencies) return gave_up(visit);
     for (int i = 0; i < int(endpoints_.size()) && now_ < visit.until - 2 * deployment_.round; ++i) {
       bool usable = endpoints_[i].health == Health::Steady && !tried(visit, i);
       if (usable && may_fetch(visit, endpoints_[i])) return Input::Again;
