--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -446,7 +446,6 @@
     Fetch fetch{to, int(endpoint.out.size()) + 1, now_};
     int number = int(visit.fetches.size());
     if (cold(endpoint)) endpoint.cold_credit -= 1;
-    else ++sent_warm_;
     ++endpoint.since_report;
     endpoint.out.insert({now_, key(visit.id, number)});
     visit.fetches.push_back(fetch);
@@ -665,14 +664,13 @@
       }
     }
     deal();
-    keep(sends_, std::exchange(sent_warm_, 0.0), std::size_t{20});
-    double sends = std::accumulate(sends_.begin(), sends_.end(), 0.0), warm = 0;
+    double warm = 0;
     for (int i : dealt_) {
       if (endpoints_[i].health == Health::Steady && !cold(endpoints_[i])) warm += endpoints_[i].dealt;
     }
     // A fresh endpoint may get the cold share, growing evenly to the whole, of what a warm one gets from us,
     // size for size. With none warm it is a fetch a second from all that it is dealt to.
-    double pace = std::max(warm > 0 ? sends / double(sends_.size()) / warm : 0, kTick / rings());
+    double pace = std::max(warm > 0 ? recent_rate_ * kTick / warm : 0, kTick / rings());
     for (Endpoint& endpoint : endpoints_) {
       if (cold(endpoint)) {
         double warmth = (now_ - endpoint.online_since) / deployment_.cold.warm_after;
@@ -715,9 +713,9 @@
   std::map<Held, VisitId> held_;
   std::vector<std::deque<double>> latencies_, means_, customer_arrivals_;
   std::deque<bool> late_, lost_, crowded_;
-  std::deque<double> rates_, rates_each_, sends_;
+  std::deque<double> rates_, rates_each_;
   std::deque<std::pair<double, double>> stretches_;  // of the last answers against calm, with their times
-  double answers_ = 0, sent_warm_ = 0, recent_rate_ = 0, calm_rate_ = 0, load_ = 0, calm_load_ = 0;
+  double answers_ = 0, recent_rate_ = 0, calm_rate_ = 0, load_ = 0, calm_load_ = 0;
   int in_flight_ = 0, copy_to_ = -1, parts_ = 1;
   double ask_at_ = 0, asked_until_ = 0, ask_back_off_ = 0.5, report_at_ = 0, means_at_ = 0;
   std::uint64_t turns_ = 0;
