--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -16,26 +16,26 @@
 namespace {
 
 constexpr double kHedgePercentile = 0.95, kBoundShare = 0.85, kErrorGate = 0.01;  // the source's figures
-constexpr double kFirstCapacity = 4;       // C before anything is learned, from the design page
-constexpr std::size_t kLatencies = 128;    // kept for each path prefix: enough for a 95th percentile
-constexpr std::size_t kFewLatencies = 20;  // below this a 95th percentile is the maximum and says nothing
-constexpr std::size_t kEndpointSamples = 16;
-constexpr double kSampleAge = 15;                      // an endpoint's older answers tell of another time
+constexpr double kFirstCapacity = 4;          // C before anything is learned, from the design page
+constexpr std::size_t kLatencies = 128;       // kept for each path prefix: enough for a 95th percentile
+constexpr std::size_t kFewLatencies = 20;     // below this a 95th percentile is the maximum and says nothing
+constexpr std::size_t kEndpointSamples = 16;  // an endpoint's state changes within a dozen or two answers
+constexpr double kSampleAge = 15;             // an endpoint's older answers tell of another time
 constexpr double kSharedLate = 0.25, kMostLost = 0.5;  // of the last visits: not one endpoint's doing
 constexpr double kRoom = 0.6;  // of a target latency that admitted visits may spend on average
 constexpr double kLooseStretch = 2.4, kTightStretch = 1.2;  // and this many times what they spend in calm
 constexpr int kDealt = 4;  // endpoints a sidecar, and sidecars an endpoint, that a part must leave at least
 constexpr std::uint64_t kMixer = 0xff51afd7ed558ccdULL;  // odd and well spread: parts names that look alike
-constexpr double kCrowdedAt = 1.3, kCrowdSeconds = 1, kHeavy = 4;
-constexpr double kFloor = 2, kFirstSeconds = 3;
+constexpr double kCrowdedAt = 1.3, kCrowdSeconds = 1, kHeavy = 4;  // kHeavy: one visit must not make a crowd
+constexpr double kFloor = 2, kFirstSeconds = 3;  // visits an endpoint, of all sidecars, that need no room
 constexpr std::size_t kCalmSeconds = 40, kRateTicks = 80, kLeastTicks = 20, kCrowdTicks = 20;
 constexpr double kLeastPatience = 0.2, kMostPatience = 0.8;  // of the target latency that a visit may be held
-constexpr double kSlowEndpoint = 1.5;  // times the others: lateness is the endpoint's own
-constexpr double kUnsuspected = 2;     // thresholds that an endpoint with nothing against it is given
-constexpr double kCrossing = 0.3;      // and crossing zones, where that has a price
+constexpr double kSlowEndpoint = 1.5;                        // times calm: lateness may be the endpoint's own
+constexpr double kUnsuspected = 2;  // thresholds that an endpoint with nothing against it is given
+constexpr double kCrossing = 0.3;   // visits of depth that crossing zones counts for, where it has a price
 constexpr double kTick = 0.1, kFirstOfAll = -1e9;
-constexpr double kFirstHold = 1, kLongestHold = 8;
-constexpr int kTrickleDone = 8;
+constexpr double kFirstHold = 1, kLongestHold = 8;  // seconds set aside, doubling
+constexpr int kTrickleDone = 8;  // fetches at a time that a trickle has to bear before it is over
 
 // Permuted congruential generator (PCG-XSH-RR): same seed, same choices.
 class Chance {
@@ -79,7 +79,7 @@
 enum class Sign { Failing, HoldOver, Good, Restored, Listed, Unlisted };
 
 struct Answer {
-  double at = 0, stretch = 0;  // stretch: its latency over what is usual for its path prefix
+  double at = 0, stretch = 0;  // stretch: its latency over the calm one of its path prefix
   int depth = 0;
   bool in_time = false, failed = false;
 };
