The sidecar serves: GLib sockets, own HTTP parsers, phases round the unchanged module

One program for every tier. read_deployment moved from the simulator's wire to deployment/, now shared; it also reads the client timeout, the connect time-out and the idle time, which only the sidecar needs.

--- a/include/puffinvane/policy.h
+++ b/include/puffinvane/policy.h
@@ -22,6 +22,7 @@
   Group group = Group::Cell;
   double memory_span = 0;
   double target_latency = 1;
+  double client_timeout = 1;
   double credit = 1;
 };
 
@@ -46,6 +47,8 @@
   bool parallel_fetches = false;
   bool may_cancel = false;
   bool advises_wait = false;
+  double connect_timeout = 0.25;
+  double idle_time = 10;  // an endpoint closes a connection that has stood idle for longer
   bool list_on_request = false;
   bool crossing_priced = false;  // fetches into another zone cost the deployment
   std::string zone;
--- /dev/null
+++ b/sidecar/lifecycle/loop.h
@@ -0,0 +1,92 @@
+// The main loop as the rest sees it: one clock, alarms at microseconds, and work put off to the next turn.
+#pragma once
+
+#include <functional>
+#include <queue>
+#include <vector>
+
+#include "sidecar/lifecycle/glib.h"
+#include "sidecar/lifecycle/log.h"
+#include "sidecar/memory/buffers.h"
+
+namespace puffinvane {
+
+// Open sockets against the limit. Some stay free for the log, the loop itself and discovery.
+class Descriptors {
+ public:
+  explicit Descriptors(int limit) : limit_(limit - kReserve) {}
+  void opened() { ++open_; }
+  void closed() { --open_; }
+  int open() const { return open_; }
+  int left() const { return limit_ - open_; }
+  int limit() const { return limit_; }
+
+ private:
+  static constexpr int kReserve = 24;
+  int limit_, open_ = 0;
+};
+
+// What was put off by an object that is gone by then is dropped.
+class Alive {
+ public:
+  std::function<void()> guard(std::function<void()> what) const {
+    return [life = std::weak_ptr<int>(life_), what = std::move(what)] {
+      if (!life.expired()) what();
+    };
+  }
+
+ private:
+  std::shared_ptr<int> life_ = std::make_shared<int>(0);
+};
+
+class Loop {
+ public:
+  Loop(Log& log, int descriptors);
+  Loop(const Loop&) = delete;
+  Loop& operator=(const Loop&) = delete;
+  ~Loop();
+
+  void run() { g_main_loop_run(loop_); }
+  void quit() { g_main_loop_quit(loop_); }
+
+  double now() const { return double(g_get_monotonic_time()) * 1e-6; }
+  static double unix_offset();  // Unix time less this clock
+  void at(double when, std::function<void()> what);
+  void soon(std::function<void()> what);  // on the next turn: never within the caller's own call
+  // An object whose own methods may still be running is only let go on the next turn.
+  template <typename T>
+  void bury(std::unique_ptr<T> dead) {
+    if (dead) soon([kept = std::shared_ptr<T>(std::move(dead))] {});
+  }
+
+  GMainContext* context() const { return context_; }
+  Pool& pool() { return pool_; }
+  Descriptors& descriptors() { return descriptors_; }
+  Log& log() { return log_; }
+
+ private:
+  struct Alarm {
+    double when;
+    std::uint64_t turn;
+    std::function<void()> what;
+    bool operator<(const Alarm& other) const {
+      return when != other.when ? when > other.when : turn > other.turn;
+    }
+  };
+  Source own_source(void (Loop::*due)());
+  void alarms_due();
+  void soon_due();
+  void set_alarm();
+
+  Log& log_;
+  Pool pool_;
+  Descriptors descriptors_;
+  GMainContext* context_;
+  GMainLoop* loop_;
+  std::priority_queue<Alarm> alarms_;
+  std::vector<std::function<void()>> soon_;
+  std::uint64_t turns_ = 0;
+  Source alarm_, next_turn_;
+};
+
+}  // namespace puffinvane
--- /dev/null
+++ b/sidecar/lifecycle/sidecar.h
@@ -0,0 +1,44 @@
+// One sidecar from start to exit. Its phases are states; what moves it on are the rows of a table.
+#pragma once
+
+#include "sidecar/lifecycle/loop.h"
+#include "sidecar/lifecycle/start.h"
+#include "sidecar/wire/carrier.h"
+#include "sidecar/wire/door.h"
+#include "sidecar/wire/watch.h"
+
+namespace puffinvane {
+
+class Sidecar {
+ public:
+  Sidecar(Loop& loop, Assignment assignment, double clock_offset);
+
+  void start();      // throws std::runtime_error if it can't listen
+  void terminate();  // leaves once all that was taken is answered
+
+ private:
+  enum class Phase { Starting, Serving, Leaving, Finishing, Stopped };
+  enum class Event { Opened, Terminate, DoorTime, Emptied, Overdue };
+  struct Row {
+    Phase phase;
+    Event event;
+    Phase next;
+    void (Sidecar::*effect)();
+  };
+  static const Row kRows[];
+  void turn(Event event);
+  void serve();
+  void leave();
+  void finish();
+  void quit();
+  void see_if_empty();
+
+  Loop& loop_;
+  const Assignment assignment_;
+  Phase phase_ = Phase::Starting;
+  Carrier carrier_;
+  Door door_;
+  Watch watch_;
+};
+
+}  // namespace puffinvane
--- /dev/null
+++ b/sidecar/lifecycle/start.cpp
@@ -0,0 +1,56 @@
+#include "sidecar/lifecycle/start.h"
+
+#include <charconv>
+
+namespace puffinvane {
+
+using simdjson::dom::element;
+
+namespace {
+
+std::string text(element told, std::string_view key) {
+  std::string_view found;
+  if (told[key].get(found) || found.empty()) throw Malformed("no proper '" + std::string(key) + "'");
+  return std::string(found);
+}
+
+}  // namespace
+
+Assignment read_assignment(element told, double clock_offset) {
+  Assignment read;
+  simdjson::dom::object whole;
+  if (told.get(whole)) throw Malformed("not a JSON object");
+  read.name = text(told, "name");
+  read.listen = text(told, "listen");
+  read.discovery = text(told, "discovery");
+  std::string seed = text(told, "seed");
+  auto [end, error] = std::from_chars(seed.data(), seed.data() + seed.size(), read.seed, 16);
+  if (error != std::errc() || end != seed.data() + seed.size()) throw Malformed("'seed' is no hexadecimal number");
+  element settings, known, limits;
+  if (told["settings"].get(settings)) throw Malformed("no 'settings'");
+  read.deployment = read_deployment(settings);
+  // On sockets discovery is always watched, at no cost: the module has nothing to ask for.
+  read.deployment.list_on_request = false;
+  if (!told["known"].get(known)) read.known = read_list(known, clock_offset);
+  if (!told["limits"].get(limits)) {
+    double figure = 0;
+    if (!limits["sockets"].get(figure) && figure > 0) read.descriptors = int(figure);
+    if (!limits["memory_mb"].get(figure) && figure > 0) read.memory = std::size_t(figure * 1024 * 1024);
+  }
+  return read;
+}
+
+Assignment load_assignment(const char* path, double clock_offset) {
+  if (!path || !*path) throw Malformed("BALANCER_CONFIG names no file");
+  simdjson::dom::parser parser;
+  element told;
+  if (auto fault = parser.load(path).get(told))
+    throw Malformed(std::string(path) + ": " + simdjson::error_message(fault));
+  try {
+    return read_assignment(told, clock_offset);
+  } catch (const Malformed& fault) {
+    throw Malformed(std::string(path) + ": " + fault.what());
+  }
+}
+
+}  // namespace puffinvane
--- /dev/null
+++ b/sidecar/lifecycle/start.h
@@ -0,0 +1,25 @@
+// What this sidecar is told when it starts.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "deployment/deployment.h"
+#include "sidecar/wire/discovery.h"
+
+namespace puffinvane {
+
+struct Assignment {
+  std::string name, listen, discovery;
+  std::uint64_t seed = 0;
+  int descriptors = 1024;
+  std::size_t memory = 192u << 20;  // bytes
+  Deployment deployment;
+  EndpointList known;
+};
+
+// Throws Malformed with a plain message that says what is wrong.
+Assignment read_assignment(simdjson::dom::element told, double clock_offset);
+Assignment load_assignment(const char* path, double clock_offset);
+
+}  // namespace puffinvane
--- /dev/null
+++ b/sidecar/memory/buffers.cpp
@@ -0,0 +1,82 @@
+#include "sidecar/memory/buffers.h"
+
+#include <algorithm>
+#include <cstring>
+#include <utility>
+
+namespace puffinvane {
+
+namespace {
+constexpr std::size_t kMostSpare = 256;  // 4 MiB: a burst's buffers go back to the system, a usual hour's stay
+}
+
+Pool::Buffer Pool::lend() {
+  ++lent_;
+  if (spare_.empty()) return Buffer(new Block, GiveBack{this});
+  Block* block = spare_.back().release();
+  spare_.pop_back();
+  return Buffer(block, GiveBack{this});
+}
+
+void Pool::take_back(Block* block) {
+  --lent_;
+  std::unique_ptr<Block> back(block);
+  if (spare_.size() < kMostSpare) spare_.push_back(std::move(back));
+}
+
+Chain::Chain(Chain&& other) noexcept
+    : pool_(other.pool_),
+      buffers_(std::move(other.buffers_)),
+      from_(std::exchange(other.from_, 0)),
+      size_(std::exchange(other.size_, 0)) {
+  other.buffers_.clear();
+}
+
+Chain& Chain::operator=(Chain&& other) noexcept {
+  if (this == &other) return *this;
+  pool_ = other.pool_;
+  buffers_ = std::move(other.buffers_);
+  other.buffers_.clear();
+  from_ = std::exchange(other.from_, 0);
+  size_ = std::exchange(other.size_, 0);
+  return *this;
+}
+
+void Chain::add(std::string_view bytes) {
+  while (!bytes.empty()) {
+    std::size_t used = (from_ + size_) % Pool::kSize;
+    if (from_ + size_ == buffers_.size() * Pool::kSize) buffers_.push_back(pool_->lend()), used = 0;
+    std::size_t count = std::min(bytes.size(), Pool::kSize - used);
+    std::memcpy(buffers_.back()->bytes.data() + used, bytes.data(), count);
+    size_ += count;
+    bytes.remove_prefix(count);
+  }
+}
+
+void Chain::add(const Chain& other) {
+  for (std::size_t i = 0; i < other.buffers_.size(); ++i) add(other.part(i));
+}
+
+std::string_view Chain::part(std::size_t index) const {
+  std::size_t begin = index == 0 ? from_ : 0;
+  std::size_t end = std::min(Pool::kSize, from_ + size_ - index * Pool::kSize);
+  return {buffers_[index]->bytes.data() + begin, end - begin};
+}
+
+std::string_view Chain::front() const { return empty() ? std::string_view() : part(0); }
+
+void Chain::drop(std::size_t count) {
+  from_ += count, size_ -= count;
+  while (from_ >= Pool::kSize) buffers_.pop_front(), from_ -= Pool::kSize;
+  if (size_ == 0) clear();
+}
+
+void Chain::clear() { buffers_.clear(), from_ = size_ = 0; }
+
+std::string Chain::text() const {
+  std::string all;
+  for (std::size_t i = 0; i < buffers_.size(); ++i) all += part(i);
+  return all;
+}
+
+}  // namespace puffinvane
--- /dev/null
+++ b/sidecar/memory/visits.h
@@ -0,0 +1,59 @@
+// The visits in hand, with what is needed to fetch them again and to know when nothing more can come of them.
+#pragma once
+
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "puffinvane/policy.h"
+#include "sidecar/wire/http.h"
+
+namespace puffinvane {
+
+class Client;
+class Backend;
+
+struct FetchInHand {
+  std::string endpoint;
+  double sent = 0, ends = 0;
+  Backend* backend = nullptr;  // none: ended, though the module may not have been told yet
+  bool reported = false;
+};
+
+struct VisitInHand {
+  HttpMessage request;
+  double until = 0;
+  Client* client = nullptr;  // none: answered or gone
+  std::vector<FetchInHand> fetches = {};
+
+  bool concluded() const { return client == nullptr; }
+};
+
+class Visits {
+ public:
+  VisitId add(VisitInHand visit) {
+    while (in_hand_.contains(++last_)) {
+    }
+    in_hand_.emplace(last_, std::move(visit));
+    return last_;
+  }
+  VisitInHand* find(VisitId id) {
+    auto found = in_hand_.find(id);
+    return found == in_hand_.end() ? nullptr : &found->second;
+  }
+  void forget_if_over(VisitId id) {
+    auto found = in_hand_.find(id);
+    if (found == in_hand_.end() || !found->second.concluded()) return;
+    for (const FetchInHand& fetch : found->second.fetches) {
+      if (!fetch.reported) return;
+    }
+    in_hand_.erase(found);
+  }
+  std::size_t count() const { return in_hand_.size(); }
+
+ private:
+  VisitId last_ = 0;
+  std::unordered_map<VisitId, VisitInHand> in_hand_;
+};
+
+}  // namespace puffinvane
--- /dev/null
+++ b/sidecar/wire/backend.cpp
@@ -0,0 +1,90 @@
+#include "sidecar/wire/backend.h"
+
+#include <utility>
+
+#include "sidecar/wire/headers.h"
+
+namespace puffinvane {
+
+// An answer may come before the request is written whole: it counts, but what is left of the request can't
+// be taken back, so that connection carries nothing more.
+const Backend::Row Backend::kRows[] = {
+    {State::Connecting, Input::Connected, State::Sending, &Backend::write},
+    {State::Connecting, Input::Ended, State::Over, &Backend::report_unsent},
+    {State::Connecting, Input::TimedOut, State::Over, &Backend::report_unsent},
+    {State::Idle, Input::Fetch, State::Sending, &Backend::write},
+    {State::Idle, Input::Ended, State::Over, &Backend::report_idle_end},
+    {State::Idle, Input::Nonsense, State::Over, &Backend::report_idle_end},
+    {State::Sending, Input::Written, State::Awaiting, &Backend::nothing},
+    {State::Sending, Input::Answered, State::Over, &Backend::report_answer},
+    {State::Sending, Input::AnsweredLast, State::Over, &Backend::report_answer},
+    {State::Sending, Input::Nonsense, State::Over, &Backend::report_nonsense},
+    {State::Sending, Input::Ended, State::Over, &Backend::report_unsent},
+    {State::Awaiting, Input::Answered, State::Idle, &Backend::report_answer},
+    {State::Awaiting, Input::AnsweredLast, State::Over, &Backend::report_answer},
+    {State::Awaiting, Input::Nonsense, State::Over, &Backend::report_nonsense},
+    {State::Awaiting, Input::Ended, State::Over, &Backend::report_reset},
+};
+
+Backend::Backend(Loop& loop, Owner& owner, std::string endpoint)
+    : loop_(loop),
+      owner_(owner),
+      endpoint_(std::move(endpoint)),
+      stream_(loop, *this),
+      reader_(HttpReader::Side::Answer, loop.pool()) {}
+
+void Backend::turn(Input input) {
+  for (const Row& row : kRows) {
+    if (row.state == state_ && row.input == input) return state_ = row.next, (this->*row.effect)();
+  }
+}
+
+bool Backend::connect(std::string_view address, double timeout) {
+  if (!stream_.connect(address)) return false;
+  loop_.at(loop_.now() + timeout, alive_.guard([this] { turn(Input::TimedOut); }));
+  return true;
+}
+
+void Backend::carry(Carried fetch) {
+  carried_ = fetch;
+  turn(Input::Fetch);
+}
+
+void Backend::write() {
+  stream_.send(owner_.on_ready(*this));
+  if (stream_.written()) turn(Input::Written);
+}
+
+void Backend::on_received(std::string_view bytes) {
+  if (state_ == State::Idle) return turn(Input::Nonsense);  // nobody asked
+  std::size_t used = reader_.feed(bytes);
+  if (reader_.fault() != HttpReader::Fault::None) return turn(Input::Nonsense);
+  if (!reader_.whole()) return;
+  bool last = !reader_.message().keep_alive || used < bytes.size();
+  turn(last ? Input::AnsweredLast : Input::Answered);
+}
+
+void Backend::on_ended() {
+  reader_.end();
+  turn(reader_.whole() ? Input::AnsweredLast : Input::Ended);
+}
+
+void Backend::report_answer() {
+  Outcome outcome = outcome_of(reader_.message());
+  if (state_ == State::Over) stream_.close();
+  owner_.on_fetched(*this, outcome, reader_.take());
+}
+void Backend::report_nonsense() { report(Outcome::Failed); }
+void Backend::report_unsent() { report(outcome_of_break(false)); }
+void Backend::report_reset() { report(outcome_of_break(true)); }
+void Backend::report_idle_end() {
+  stream_.close();
+  owner_.on_idle_end(*this);
+}
+
+void Backend::report(Outcome outcome) {
+  stream_.close();
+  owner_.on_fetched(*this, outcome, HttpMessage(loop_.pool()));
+}
+
+}  // namespace puffinvane
--- /dev/null
+++ b/sidecar/wire/backend.h
@@ -0,0 +1,72 @@
+// A connection to an endpoint. It carries one backend fetch at a time and is used again.
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "puffinvane/policy.h"
+#include "sidecar/wire/http.h"
+#include "sidecar/wire/stream.h"
+
+namespace puffinvane {
+
+class Backend final : Stream::Owner {
+ public:
+  struct Carried {
+    VisitId visit = 0;
+    int number = 0;
+  };
+  class Owner {
+   public:
+    virtual ~Owner() = default;
+    // Called when the connection is up: what to write, with the time that is left by then.
+    virtual Chain on_ready(Backend& backend) = 0;
+    virtual void on_fetched(Backend& backend, Outcome outcome, HttpMessage answer) = 0;
+    virtual void on_idle_end(Backend& backend) = 0;
+  };
+
+  Backend(Loop& loop, Owner& owner, std::string endpoint);
+  bool connect(std::string_view address, double timeout);  // false: it can't even begin
+  void carry(Carried fetch);                                // once up, or at once on an idle connection
+  void give_up() { stream_.close(), state_ = State::Over; }
+  bool idle() const { return state_ == State::Idle; }
+  bool quiet() const { return stream_.quiet(); }
+  const Carried& carried() const { return carried_; }
+  const std::string& endpoint() const { return endpoint_; }
+
+ private:
+  enum class State { Connecting, Idle, Sending, Awaiting, Over };
+  enum class Input { Connected, Fetch, Written, Answered, AnsweredLast, Nonsense, Ended, TimedOut };
+  struct Row {
+    State state;
+    Input input;
+    State next;
+    void (Backend::*effect)();
+  };
+  static const Row kRows[];
+  void turn(Input input);
+  void nothing() {}
+  void write();
+  void report_answer();
+  void report_nonsense();
+  void report_unsent();
+  void report_reset();
+  void report_idle_end();
+  void report(Outcome outcome);
+
+  void on_connected() override { turn(Input::Connected); }
+  void on_received(std::string_view bytes) override;
+  void on_written() override { turn(Input::Written); }
+  void on_ended() override;
+
+  Loop& loop_;
+  Owner& owner_;
+  std::string endpoint_;
+  Stream stream_;
+  HttpReader reader_;
+  State state_ = State::Connecting;
+  Carried carried_;
+  Alive alive_;
+};
+
+}  // namespace puffinvane
--- /dev/null
+++ b/sidecar/wire/client.cpp
@@ -0,0 +1,115 @@
+#include "sidecar/wire/client.h"
+
+#include <utility>
+
+namespace puffinvane {
+
+namespace {
+constexpr double kLinger = 1;        // seconds that a caller may take to read its last answer
+constexpr double kStalled = 10;      // and to send the rest of a request
+constexpr std::size_t kAhead = Pool::kSize;  // of requests sent before the one in hand is answered
+}  // namespace
+
+const Client::Row Client::kRows[] = {
+    {State::Reading, Input::Request, State::Waiting, &Client::hand_over},
+    {State::Reading, Input::Fault, State::Parting, &Client::refuse},
+    {State::Reading, Input::Ended, State::Over, &Client::leave},
+    {State::Waiting, Input::Answer, State::Answering, &Client::nothing},
+    {State::Waiting, Input::LastAnswer, State::Parting, &Client::nothing},
+    {State::Waiting, Input::Ended, State::Over, &Client::leave},
+    {State::Answering, Input::Written, State::Reading, &Client::read_on},
+    {State::Answering, Input::Ended, State::Over, &Client::leave},
+    {State::Parting, Input::Written, State::Lingering, &Client::linger},
+    {State::Parting, Input::Ended, State::Over, &Client::leave},
+    {State::Lingering, Input::Ended, State::Over, &Client::leave},
+};
+
+Client::Client(Loop& loop, Owner& owner, Ref<GSocket> socket)
+    : loop_(loop),
+      owner_(owner),
+      stream_(loop, *this),
+      reader_(HttpReader::Side::Request, loop.pool()),
+      unread_(loop.pool()),
+      used_(loop.now()) {
+  stream_.adopt(std::move(socket));
+}
+
+void Client::turn(Input input) {
+  for (const Row& row : kRows) {
+    if (row.state == state_ && row.input == input) return state_ = row.next, (this->*row.effect)();
+  }
+}
+
+bool Client::stalled(double now) const {
+  return state_ == State::Reading && reader_.started() && now - used_ > kStalled;
+}
+
+void Client::on_received(std::string_view bytes) {
+  if (state_ == State::Lingering || state_ == State::Parting) return;
+  if (state_ == State::Reading) used_ = loop_.now();
+  unread_.add(bytes);
+  if (unread_.size() > kAhead && state_ != State::Reading) stream_.read(false);
+  take_in();
+}
+
+void Client::take_in() {
+  while (state_ == State::Reading && !unread_.empty()) {
+    unread_.drop(reader_.feed(unread_.front()));
+    if (reader_.fault() != HttpReader::Fault::None) return turn(Input::Fault);
+    if (reader_.whole()) return turn(Input::Request);
+    if (reader_.in_body() && reader_.message().expects_continue && !std::exchange(continued_, true)) {
+      Chain out(loop_.pool());
+      out.add("HTTP/1.1 100 Continue\r\n\r\n");
+      stream_.send(std::move(out));
+    }
+  }
+}
+
+void Client::hand_over() {
+  HttpMessage request = reader_.take();
+  keep_alive_ = request.keep_alive;
+  continued_ = false;
+  owner_.on_request(*this, std::move(request));
+}
+
+void Client::refuse() {
+  int status = reader_.fault() == HttpReader::Fault::HeadTooLarge   ? 431
+               : reader_.fault() == HttpReader::Fault::BodyTooLarge ? 413
+                                                                    : 400;
+  Chain out(loop_.pool());
+  write_answer(out, status, nullptr, "", "this request can't be read\n", true);
+  stream_.send(std::move(out));
+  if (stream_.written()) turn(Input::Written);
+}
+
+void Client::answer(int status, const HttpMessage* from, std::string_view more_headers, std::string_view text,
+                    bool last) {
+  if (state_ != State::Waiting) return;
+  last = last || !keep_alive_;
+  Chain out(loop_.pool());
+  write_answer(out, status, from, more_headers, text, last);
+  used_ = loop_.now();
+  turn(last ? Input::LastAnswer : Input::Answer);
+  stream_.send(std::move(out));
+  if (stream_.written()) turn(Input::Written);
+}
+
+void Client::read_on() {
+  stream_.read(true);
+  // Put off: each of many requests sent ahead would else be answered deeper within the call before.
+  if (!unread_.empty()) loop_.soon(alive_.guard([this] { take_in(); }));
+}
+
+void Client::linger() {
+  // Closed at once with bytes still unread, the system would reset the connection and with it the answer.
+  stream_.finish_sending();
+  stream_.read(true);
+  loop_.at(loop_.now() + kLinger, alive_.guard([this] { turn(Input::Ended); }));
+}
+
+void Client::leave() {
+  stream_.close();
+  owner_.on_left(*this);
+}
+
+}  // namespace puffinvane
--- /dev/null
+++ b/sidecar/wire/client.h
@@ -0,0 +1,68 @@
+// A caller's connection: one visit at a time, read whole, answered whole.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+
+#include "sidecar/wire/http.h"
+#include "sidecar/wire/stream.h"
+
+namespace puffinvane {
+
+class Client final : Stream::Owner {
+ public:
+  class Owner {
+   public:
+    virtual ~Owner() = default;
+    virtual void on_request(Client& client, HttpMessage request) = 0;
+    virtual void on_left(Client& client) = 0;  // its connection is over; the owner lets go of it
+  };
+
+  Client(Loop& loop, Owner& owner, Ref<GSocket> socket);
+
+  // last: nothing more is read from this connection.
+  void answer(int status, const HttpMessage* from, std::string_view more_headers, std::string_view text, bool last);
+  void part() { turn(Input::Ended); }
+  // Between visits, with none on its way: closing crosses nothing that was read.
+  bool idle() const {
+    return state_ == State::Reading && !reader_.started() && unread_.empty() && stream_.quiet();
+  }
+  bool stalled(double now) const;  // has begun a request and sends no more of it
+  double used() const { return used_; }
+  std::optional<std::uint32_t> visit;  // the one in hand, for the owner's use
+
+ private:
+  enum class State { Reading, Waiting, Answering, Parting, Lingering, Over };
+  enum class Input { Request, Fault, Answer, LastAnswer, Written, Ended };
+  struct Row {
+    State state;
+    Input input;
+    State next;
+    void (Client::*effect)();
+  };
+  static const Row kRows[];
+  void turn(Input input);
+  void nothing() {}
+  void hand_over();
+  void refuse();
+  void read_on();
+  void linger();
+  void leave();
+
+  void on_received(std::string_view bytes) override;
+  void on_written() override { turn(Input::Written); }
+  void on_ended() override { turn(Input::Ended); }
+  void take_in();
+
+  Loop& loop_;
+  Owner& owner_;
+  Stream stream_;
+  HttpReader reader_;
+  Chain unread_;
+  State state_ = State::Reading;
+  bool keep_alive_ = true, continued_ = false;
+  double used_;
+  Alive alive_;
+};
+
+}  // namespace puffinvane
--- /dev/null
+++ b/sidecar/wire/discovery.cpp
@@ -0,0 +1,63 @@
+#include "sidecar/wire/discovery.h"
+
+namespace puffinvane {
+
+using simdjson::dom::element;
+
+namespace {
+
+std::string text(element entry, std::string_view key, bool needed) {
+  std::string_view found;
+  if (entry[key].get(found) && needed) throw Malformed("a list entry lacks " + std::string(key));
+  return std::string(found);
+}
+
+double number(element entry, std::string_view key, double fallback) {
+  double found;
+  return entry[key].get(found) ? fallback : found;
+}
+
+}  // namespace
+
+EndpointList read_list(element list, double clock_offset) {
+  EndpointList read;
+  simdjson::dom::array entries;
+  if (list["index"].get(read.index)) throw Malformed("a list has no index");
+  if (list["endpoints"].get(entries)) throw Malformed("a list has no endpoints");
+  if (list["snapshot"].get(read.whole)) read.whole = false;
+  for (element one : entries) {
+    ListEntry entry;
+    entry.endpoint = text(one, "name", true);
+    entry.zone = text(one, "zone", false);
+    std::string status = text(one, "status", true);
+    if (status != "active" && status != "leaving" && status != "left")
+      throw Malformed("a list entry has the unknown status " + status);
+    entry.state = status == "active" ? Listed::Ready : status == "leaving" ? Listed::Draining : Listed::Gone;
+    if (one["group"].get(entry.cell)) entry.cell = 0;
+    entry.units = number(one, "weight", 1);
+    if (!(entry.units > 0)) entry.units = 1;
+    double since = number(one, "since_ms", 0) / 1000;
+    entry.online_since = since > 0 ? since - clock_offset : 0;
+    read.addresses.push_back(text(one, "address", entry.state != Listed::Gone));
+    read.entries.push_back(std::move(entry));
+  }
+  return read;
+}
+
+EndpointList read_list(std::string_view line, double clock_offset) {
+  simdjson::dom::parser parser;
+  element list;
+  if (auto fault = parser.parse(line.data(), line.size()).get(list))
+    throw Malformed(std::string("not JSON: ") + simdjson::error_message(fault));
+  return read_list(list, clock_offset);
+}
+
+bool Lines::next(std::string& line) {
+  std::size_t end = held_.find('\n');
+  if (end == std::string::npos) return false;
+  line = held_.substr(0, end);
+  held_.erase(0, end + 1);
+  return true;
+}
+
+}  // namespace puffinvane
--- /dev/null
+++ b/sidecar/wire/discovery.h
@@ -0,0 +1,38 @@
+// Discovery's lists, as JSON: whole, or what changed since the one before.
+#pragma once
+
+#include <simdjson.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "deployment/deployment.h"
+
+namespace puffinvane {
+
+struct EndpointList {
+  std::int64_t index = 0;
+  bool whole = false;
+  std::vector<ListEntry> entries;
+  std::vector<std::string> addresses;  // one for each entry
+};
+
+// clock_offset: what to take from Unix time to get the sidecar's clock.
+EndpointList read_list(simdjson::dom::element list, double clock_offset);
+EndpointList read_list(std::string_view line, double clock_offset);
+
+// A watch's lines as they come: it holds back what has no end yet.
+class Lines {
+ public:
+  static constexpr std::size_t kMost = 8 << 20;  // no list is longer: an endless line must not eat the memory
+  void add(std::string_view bytes) { held_ += bytes; }
+  bool next(std::string& line);
+  bool too_long() const { return held_.size() > kMost; }
+
+ private:
+  std::string held_;
+};
+
+}  // namespace puffinvane
--- /dev/null
+++ b/sidecar/wire/door.cpp
@@ -0,0 +1,79 @@
+#include "sidecar/wire/door.h"
+
+#include <stdexcept>
+#include <string>
+#include <utility>
+
+namespace puffinvane {
+
+namespace {
+constexpr int kBacklog = 4096;   // the front deals connections in bursts; what does not fit is refused
+constexpr int kAtOnce = 64;      // then the visits already in hand have their turn
+constexpr double kPause = 0.02;  // at the limit: a listening socket that stays readable would spin the loop
+}  // namespace
+
+void Door::open(std::string_view address) {
+  Ref<GSocketAddress> at = read_address(address);
+  if (!at) throw std::runtime_error("can't listen at '" + std::string(address) + "': not an address and port");
+  GError* raw = nullptr;
+  socket_.reset(g_socket_new(g_socket_address_get_family(at.get()), G_SOCKET_TYPE_STREAM,
+                             G_SOCKET_PROTOCOL_TCP, &raw));
+  if (socket_) {
+    g_socket_set_blocking(socket_.get(), FALSE);
+    g_socket_set_listen_backlog(socket_.get(), kBacklog);
+  }
+  if (!socket_ || !g_socket_bind(socket_.get(), at.get(), TRUE, &raw) || !g_socket_listen(socket_.get(), &raw)) {
+    Error error(raw);
+    throw std::runtime_error("can't listen at " + std::string(address) + ": " + error->message);
+  }
+  loop_.descriptors().opened();
+  listen();
+}
+
+void Door::listen() {
+  if (!socket_) return;
+  GSource* source = g_socket_create_source(socket_.get(), G_IO_IN, nullptr);
+  g_source_set_callback(source, G_SOURCE_FUNC(&Door::knocked), this, nullptr);
+  g_source_attach(source, loop_.context());
+  source_ = Source(source);
+}
+
+void Door::pause() {
+  source_.reset();
+  loop_.at(loop_.now() + kPause, alive_.guard([this] { listen(); }));
+}
+
+bool Door::take_one() {
+  GError* raw = nullptr;
+  Ref<GSocket> entered(g_socket_accept(socket_.get(), nullptr, &raw));
+  Error error(raw);
+  if (!entered) {
+    bool none = g_error_matches(raw, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK);
+    if (!none) loop_.log().debug() << "a connection could not be taken in: " << error->message;
+    if (!none && source_) pause();
+    return false;
+  }
+  owner_.on_entered(std::move(entered));
+  return true;
+}
+
+gboolean Door::knocked(GSocket*, GIOCondition, gpointer data) {
+  auto& self = *static_cast<Door*>(data);
+  for (int i = 0; i < kAtOnce; ++i) {
+    if (!self.owner_.on_knock()) return self.pause(), G_SOURCE_REMOVE;
+    if (!self.take_one()) break;
+  }
+  return G_SOURCE_CONTINUE;
+}
+
+void Door::close() {
+  if (!socket_) return;
+  source_.reset();
+  while (owner_.on_knock() && take_one()) {
+  }
+  g_socket_close(socket_.get(), nullptr);
+  socket_.reset();
+  loop_.descriptors().closed();
+}
+
+}  // namespace puffinvane
--- /dev/null
+++ b/sidecar/wire/door.h
@@ -0,0 +1,36 @@
+// Where callers come in: a listening socket with a deep backlog, paused while there is no room for more.
+#pragma once
+
+#include <string_view>
+
+#include "sidecar/wire/stream.h"
+
+namespace puffinvane {
+
+class Door {
+ public:
+  class Owner {
+   public:
+    virtual ~Owner() = default;
+    virtual bool on_knock() = 0;  // whether one more may come in
+    virtual void on_entered(Ref<GSocket> socket) = 0;
+  };
+
+  Door(Loop& loop, Owner& owner) : loop_(loop), owner_(owner) {}
+  void open(std::string_view address);  // throws std::runtime_error
+  void close();                         // takes in those who wait already
+
+ private:
+  static gboolean knocked(GSocket*, GIOCondition, gpointer self);
+  bool take_one();
+  void listen();
+  void pause();
+
+  Loop& loop_;
+  Owner& owner_;
+  Ref<GSocket> socket_;
+  Source source_;
+  Alive alive_;
+};
+
+}  // namespace puffinvane
--- /dev/null
+++ b/sidecar/wire/headers.cpp
@@ -0,0 +1,66 @@
+#include "sidecar/wire/headers.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <cstdint>
+
+namespace puffinvane {
+namespace {
+
+bool number(std::string_view text, double& value) {
+  auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  return error == std::errc() && end == text.data() + text.size() && std::isfinite(value);
+}
+
+}  // namespace
+
+std::string_view path_prefix_of(std::string_view target) {
+  target.remove_prefix(std::min<std::size_t>(1, target.size()));
+  return target.substr(0, target.find_first_of("/?"));
+}
+
+std::optional<double> read_time_left(std::string_view value) {
+  double units = value.ends_with('m') ? 1e-3 : value.ends_with('u') ? 1e-6 : 0, count = 0;
+  if (units == 0 || !number(value.substr(0, value.size() - 1), count) || count < 0) return {};
+  return std::min(count * units, 3600.0);  // an hour outlasts any client timeout and any clock sum
+}
+
+std::string write_time_left(double seconds) {
+  return std::to_string(std::int64_t(std::max(0.0, seconds) * 1e6)) + "u";
+}
+
+std::string write_wait(double seconds) {
+  char buffer[32];
+  auto end = std::to_chars(buffer, buffer + sizeof buffer, seconds, std::chars_format::fixed, 3).ptr;
+  return {buffer, end};
+}
+
+Load read_load(std::string_view value) {
+  Load load;
+  int best = 4;
+  while (!value.empty()) {
+    std::size_t comma = std::min(value.find(','), value.size()), equals = value.find('=');
+    double figure = 0;
+    if (equals < comma && number(value.substr(equals + 1, comma - equals - 1), figure) && figure >= 0) {
+      // What is in hand says more of depth than what waits; the settings' names and the wire's are both met.
+      static constexpr std::string_view kDepths[] = {"inflight", "busy_reqs", "queue", "pending"};
+      for (int i = 0; i < best; ++i) {
+        if (value.substr(0, equals) == kDepths[i]) load.depth = figure, best = i;
+      }
+    }
+    value.remove_prefix(std::min(comma + 1, value.size()));
+  }
+  return load;
+}
+
+Outcome outcome_of(const HttpMessage& answer) {
+  if (answer.status == 200) return Outcome::Delivered;
+  // Only the endpoint's own word proves that nothing ran: a bare 503 may come from behind it.
+  bool turned_away = (answer.status == 503 || answer.status == 504) && answer.header("X-Unprocessed") == "1";
+  return turned_away ? Outcome::Refused : Outcome::Failed;
+}
+
+Outcome outcome_of_break(bool written) { return written ? Outcome::Broken : Outcome::ConnectFailed; }
+
+}  // namespace puffinvane
--- /dev/null
+++ b/sidecar/wire/headers.h
@@ -0,0 +1,22 @@
+// The values of the headers that sidecars, their callers and endpoints understand each other by.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "puffinvane/policy.h"
+#include "sidecar/wire/http.h"
+
+namespace puffinvane {
+
+std::string_view path_prefix_of(std::string_view target);  // the first part of the path
+std::optional<double> read_time_left(std::string_view value);  // "480m" or "480000u", in seconds
+std::string write_time_left(double seconds);
+std::string write_wait(double seconds);  // of Retry-After, decimal
+Load read_load(std::string_view value);  // "inflight=7,queue=2"
+
+Outcome outcome_of(const HttpMessage& answer);
+Outcome outcome_of_break(bool written);  // written: the request's last byte
+
+}  // namespace puffinvane
--- /dev/null
+++ b/sidecar/wire/http.cpp
@@ -0,0 +1,271 @@
+#include "sidecar/wire/http.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace puffinvane {
+namespace {
+
+char lower(char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c + 32) : c; }
+
+bool token(std::string_view text) {
+  return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) {
+    return (c >= '0' && c <= '9') || (lower(c) >= 'a' && lower(c) <= 'z') ||
+           std::string_view("!#$%&'*+-.^_`|~").find(c) != std::string_view::npos;
+  });
+}
+
+bool printable(std::string_view text) {
+  return std::all_of(text.begin(), text.end(), [](char c) {
+    auto byte = static_cast<unsigned char>(c);
+    return byte == '\t' || (byte >= 0x20 && byte != 0x7f);
+  });
+}
+
+std::string_view trimmed(std::string_view text) {
+  auto blank = [](char c) { return c == ' ' || c == '\t'; };
+  while (!text.empty() && blank(text.front())) text.remove_prefix(1);
+  while (!text.empty() && blank(text.back())) text.remove_suffix(1);
+  return text;
+}
+
+template <typename Number>
+bool whole_number(std::string_view text, Number& value, int base = 10) {
+  auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value, base);
+  return !text.empty() && error == std::errc() && end == text.data() + text.size();
+}
+
+bool lists(std::string_view value, std::string_view word) {
+  while (!value.empty()) {
+    std::size_t comma = std::min(value.find(','), value.size());
+    if (same_name(trimmed(value.substr(0, comma)), word)) return true;
+    value.remove_prefix(std::min(comma + 1, value.size()));
+  }
+  return false;
+}
+
+std::string_view reason(int status) {
+  switch (status) {
+    case 200: return "OK";
+    case 400: return "Bad Request";
+    case 404: return "Not Found";
+    case 405: return "Method Not Allowed";
+    case 413: return "Content Too Large";
+    case 431: return "Request Header Fields Too Large";
+    case 502: return "Bad Gateway";
+    case 503: return "Service Unavailable";
+    default: return "Answer";
+  }
+}
+
+}  // namespace
+
+bool same_name(std::string_view one, std::string_view other) {
+  return one.size() == other.size() &&
+         std::equal(one.begin(), one.end(), other.begin(), [](char a, char b) { return lower(a) == lower(b); });
+}
+
+std::string_view HttpMessage::header(std::string_view name) const {
+  for (const Header& header : headers) {
+    if (same_name(header.name, name)) return header.value;
+  }
+  return {};
+}
+
+// What a finished line means in each state that reads lines, in the order of the states.
+const HttpReader::Step HttpReader::kLineSteps[] = {
+    &HttpReader::start_line, &HttpReader::header_line,     nullptr,
+    &HttpReader::chunk_size_line, nullptr, &HttpReader::chunk_end_line, &HttpReader::trailer_line};
+
+std::size_t HttpReader::feed(std::string_view bytes) {
+  std::size_t all = bytes.size();
+  while (!bytes.empty() && state_ != State::Whole && state_ != State::Bad) {
+    if (state_ == State::Body || state_ == State::Chunk || state_ == State::ToEnd) {
+      std::size_t count = state_ == State::ToEnd ? bytes.size() : std::min(bytes.size(), left_);
+      if (!add_body(bytes.substr(0, count))) break;
+      bytes.remove_prefix(count);
+      left_ -= state_ == State::ToEnd ? 0 : count;
+      if (left_ == 0 && state_ == State::Body) state_ = State::Whole;
+      if (left_ == 0 && state_ == State::Chunk) state_ = State::ChunkEnd;
+      continue;
+    }
+    std::size_t end = bytes.find('\n');
+    std::size_t count = end == std::string_view::npos ? bytes.size() : end + 1;
+    // Chunk lines start the count anew: a long stream of small chunks is no large head.
+    if ((head_ += count) > kMostHead) {
+      fail(Fault::HeadTooLarge);
+      break;
+    }
+    line_.append(bytes.substr(0, count));
+    bytes.remove_prefix(count);
+    if (end == std::string_view::npos) break;
+    line_.pop_back();
+    if (!line_.empty() && line_.back() == '\r') line_.pop_back();
+    if (!printable(line_)) {
+      fail(Fault::Malformed);
+      break;
+    }
+    (this->*kLineSteps[static_cast<int>(state_)])();
+    line_.clear();
+  }
+  return all - bytes.size();
+}
+
+void HttpReader::end() {
+  if (state_ == State::ToEnd) state_ = State::Whole;
+}
+
+HttpMessage HttpReader::take() {
+  HttpMessage taken = std::exchange(message_, HttpMessage(*pool_));
+  state_ = State::Start, fault_ = Fault::None, head_ = left_ = 0;
+  line_.clear();
+  return taken;
+}
+
+std::string HttpReader::take_body() {
+  std::string text = message_.body.text();
+  message_.body.clear();
+  return text;
+}
+
+void HttpReader::start_line() {
+  if (line_.empty()) return;  // a client may leave an empty line between requests
+  side_ == Side::Request ? request_line() : status_line();
+}
+
+void HttpReader::request_line() {
+  std::string_view line = line_;
+  std::size_t first = line.find(' '), last = line.rfind(' ');
+  if (first == std::string_view::npos || first == last) return fail(Fault::Malformed);
+  std::string_view method = line.substr(0, first), target = line.substr(first + 1, last - first - 1);
+  std::string_view version = line.substr(last + 1);
+  bool known = version == "HTTP/1.1" || version == "HTTP/1.0";
+  if (!token(method) || target.empty() || target.front() != '/' || !known) return fail(Fault::Malformed);
+  if (target.find_first_of(" \t") != std::string_view::npos) return fail(Fault::Malformed);
+  message_.method = method;
+  message_.target = target;
+  message_.keep_alive = version == "HTTP/1.1";
+  state_ = State::Headers;
+}
+
+void HttpReader::status_line() {
+  std::string_view line = line_;
+  bool known = line.starts_with("HTTP/1.1 ") || line.starts_with("HTTP/1.0 ");
+  if (!known || line.size() < 12 || (line.size() > 12 && line[12] != ' ')) return fail(Fault::Malformed);
+  if (!whole_number(line.substr(9, 3), message_.status) || message_.status < 100) return fail(Fault::Malformed);
+  message_.keep_alive = line[7] == '1';
+  state_ = State::Headers;
+}
+
+void HttpReader::header_line() {
+  if (line_.empty()) return head_done();
+  std::string_view line = line_;
+  std::size_t colon = line.find(':');
+  // A folded line or a blank before the colon reads differently at different hops: that is how requests
+  // are smuggled past one of them.
+  if (colon == std::string_view::npos || !token(line.substr(0, colon))) return fail(Fault::Malformed);
+  message_.headers.push_back({std::string(line.substr(0, colon)), std::string(trimmed(line.substr(colon + 1)))});
+}
+
+void HttpReader::head_done() {
+  bool chunked = false, sized = false;
+  std::size_t size = 0;
+  for (const Header& header : message_.headers) {
+    if (same_name(header.name, "Transfer-Encoding")) {
+      if (chunked || !same_name(header.value, "chunked")) return fail(Fault::Malformed);
+      chunked = true;
+    } else if (same_name(header.name, "Content-Length")) {
+      std::size_t value = 0;
+      if (!whole_number(header.value, value) || (sized && value != size)) return fail(Fault::Malformed);
+      sized = true, size = value;
+    } else if (same_name(header.name, "Connection")) {
+      if (lists(header.value, "close")) message_.keep_alive = false;
+      else if (lists(header.value, "keep-alive")) message_.keep_alive = true;
+    } else if (same_name(header.name, "Expect")) {
+      message_.expects_continue = same_name(header.value, "100-continue");
+    }
+  }
+  if (chunked && sized) return fail(Fault::Malformed);
+  if (side_ == Side::Answer && message_.status < 200) {  // an interim answer: the real one follows
+    message_ = HttpMessage(*pool_);
+    head_ = 0;
+    state_ = State::Start;
+    return;
+  }
+  bool bodiless = side_ == Side::Answer && (message_.status == 204 || message_.status == 304);
+  if (sized && size > most_body_ && !bodiless) return fail(Fault::BodyTooLarge);
+  left_ = size;
+  if (bodiless) state_ = State::Whole;
+  else if (chunked) state_ = State::ChunkSize, head_ = 0;
+  else if (side_ == Side::Answer && !sized) state_ = State::ToEnd, message_.keep_alive = false;
+  else state_ = size == 0 ? State::Whole : State::Body;
+}
+
+void HttpReader::chunk_size_line() {
+  std::string_view size = std::string_view(line_).substr(0, line_.find(';'));
+  head_ = 0;
+  if (size.size() > 8 || !whole_number(trimmed(size), left_, 16)) return fail(Fault::Malformed);
+  state_ = left_ == 0 ? State::Trailers : State::Chunk;
+}
+
+void HttpReader::chunk_end_line() {
+  if (!line_.empty()) return fail(Fault::Malformed);
+  head_ = 0;
+  state_ = State::ChunkSize;
+}
+
+void HttpReader::trailer_line() {
+  if (line_.empty()) state_ = State::Whole;
+}
+
+bool HttpReader::add_body(std::string_view bytes) {
+  if (message_.body.size() + bytes.size() > most_body_) return fail(Fault::BodyTooLarge), false;
+  message_.body.add(bytes);
+  return true;
+}
+
+bool passes_on(std::string_view header) {
+  static constexpr std::string_view kOwn[] = {
+      "Connection", "Keep-Alive", "Proxy-Connection", "TE",   "Trailer",     "Transfer-Encoding",
+      "Upgrade",    "Expect",     "Content-Length",   "Host", "X-Time-Left", "X-Backend-Load",
+      "X-Unprocessed"};
+  return std::none_of(std::begin(kOwn), std::end(kOwn),
+                      [&](std::string_view own) { return same_name(own, header); });
+}
+
+namespace {
+void add_headers(std::string& head, const HttpMessage& from) {
+  std::string_view named = from.header("Connection");
+  for (const Header& header : from.headers) {
+    if (!passes_on(header.name) || lists(named, header.name)) continue;
+    head.append(header.name).append(": ").append(header.value).append("\r\n");
+  }
+}
+}  // namespace
+
+void write_request(Chain& out, const HttpMessage& request, std::string_view host, std::string_view time_left) {
+  std::string head = request.method + " " + request.target + " HTTP/1.1\r\n";
+  std::string_view named = request.header("Host");
+  head.append("Host: ").append(named.empty() ? host : named).append("\r\n");
+  add_headers(head, request);
+  if (!time_left.empty()) head.append("X-Time-Left: ").append(time_left).append("\r\n");
+  if (!request.body.empty() || request.method == "POST" || request.method == "PUT")
+    head.append("Content-Length: ").append(std::to_string(request.body.size())).append("\r\n");
+  out.add(head.append("\r\n"));
+  out.add(request.body);
+}
+
+void write_answer(Chain& out, int status, const HttpMessage* from, std::string_view more_headers,
+                  std::string_view text, bool close) {
+  std::string head = "HTTP/1.1 " + std::to_string(status) + " ";
+  head.append(reason(status)).append("\r\n");
+  if (from) add_headers(head, *from);
+  std::size_t size = from ? from->body.size() : text.size();
+  head.append("Content-Length: ").append(std::to_string(size)).append("\r\n").append(more_headers);
+  if (close) head.append("Connection: close\r\n");
+  out.add(head.append("\r\n"));
+  from ? out.add(from->body) : out.add(text);
+}
+
+}  // namespace puffinvane
--- /dev/null
+++ b/sidecar/wire/stream.h
@@ -0,0 +1,53 @@
+// A TCP connection that never blocks. Nothing is reported from within a call to it, only from the loop.
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "sidecar/lifecycle/loop.h"
+
+namespace puffinvane {
+
+Ref<GSocketAddress> read_address(std::string_view address);  // "127.0.0.1:5000"; none if it is not one
+
+class Stream {
+ public:
+  class Owner {
+   public:
+    virtual ~Owner() = default;
+    virtual void on_connected() {}
+    virtual void on_received(std::string_view bytes) = 0;
+    virtual void on_written() {}  // what 'send' could not write at once; see 'written'
+    virtual void on_ended() = 0;    // closed, reset, or never came up
+  };
+
+  Stream(Loop& loop, Owner& owner) : loop_(loop), owner_(owner), out_(loop.pool()) {}
+  Stream(const Stream&) = delete;
+  Stream& operator=(const Stream&) = delete;
+  ~Stream() { close(); }
+
+  bool connect(std::string_view address);  // false: not even begun
+  void adopt(Ref<GSocket> socket);
+  void send(Chain bytes);
+  bool written() const { return out_.empty(); }
+  bool quiet() const;  // nothing has come that was not read, not even its end
+  void read(bool wanted);
+  void finish_sending();
+  void close();
+
+ private:
+  static gboolean readable(GSocket*, GIOCondition, gpointer self);
+  static gboolean writable(GSocket*, GIOCondition, gpointer self);
+  Source watch(GIOCondition condition, gboolean (*callback)(GSocket*, GIOCondition, gpointer));
+  void prepare();
+  void flush();
+
+  Loop& loop_;
+  Owner& owner_;
+  Ref<GSocket> socket_;
+  Source in_, out_source_;
+  Chain out_;
+  bool connecting_ = false, broken_ = false;
+};
+
+}  // namespace puffinvane
--- a/wirehost/codec.cpp
+++ b/wirehost/codec.cpp
@@ -8,48 +8,6 @@
 
 using simdjson::dom::element;
 
-namespace {
-
-template <typename T>
-T option(element object, std::string_view key, T fallback) {
-  element found;
-  if (object[key].get(found)) return fallback;
-  if constexpr (std::is_same_v<T, std::string>) {
-    std::string_view text;
-    return found.get(text) ? fallback : std::string(text);
-  } else if constexpr (std::is_same_v<T, int>) {
-    double value;
-    return found.get(value) ? fallback : static_cast<int>(value);
-  } else {
-    T value;
-    return found.get(value) ? fallback : value;
-  }
-}
-
-element child(element object, std::string_view key) {
-  element found;
-  if (object[key].get(found)) throw Malformed("the options lack " + std::string(key));
-  return found;
-}
-
-simdjson::dom::array items(element object, std::string_view key) {
-  simdjson::dom::array found;
-  if (child(object, key).get(found)) throw Malformed(std::string(key) + " is not an array");
-  return found;
-}
-
-Kind read_kind(const std::string& word) {
-  if (word == "repeatable") return Kind::ReadLike;
-  return word == "by_key" ? Kind::Tagged : Kind::Mutating;
-}
-
-Group read_group(const std::string& word) {
-  if (word == "all") return Group::All;
-  return word == "zone" ? Group::Zone : Group::Cell;
-}
-
-}  // namespace
-
 Message::Message(element line) {
   simdjson::dom::array values;
   if (line.get(values)) throw Malformed("an event is not an array");
@@ -112,53 +70,6 @@
   return value;
 }
 
-Deployment read_deployment(element options) {
-  Deployment deployment;
-  for (element prefix : items(options, "PathPrefixes")) {
-    PathPrefix read;
-    read.name = option<std::string>(prefix, "Name", "");
-    read.kind = read_kind(option<std::string>(prefix, "Idempotency", "once"));
-    read.group = read_group(option<std::string>(prefix, "Group", "cell"));
-    read.memory_span = option(prefix, "MemorySpanS", 0.0);
-    read.target_latency = option(prefix, "TargetLatencyS", 1.0);
-    read.credit = option(prefix, "Credit", 1.0);
-    deployment.path_prefixes.push_back(read);
-  }
-  if (deployment.path_prefixes.empty()) throw Malformed("the options have no PathPrefixes");
-  simdjson::dom::array customers;
-  if (!options["Customers"].get(customers)) {
-    for (element customer : customers) {
-      deployment.customers.push_back(
-          {option<std::string>(customer, "Name", ""), option(customer, "QuotaPerS", 0.0)});
-    }
-  }
-  element limits = child(options, "Limits");
-  deployment.max_fetches = option(limits, "MaxBackendFetches", 1);
-  deployment.parallel_fetches = option(limits, "ParallelTries", false);
-  deployment.may_cancel = option(limits, "MayCancel", false);
-  deployment.advises_wait = option(limits, "RetryAfter", false);
-  deployment.longest_wait_advice = option(limits, "MaxRetryAfterS", 0.0);
-  element fees;
-  if (!options["Fees"].get(fees)) deployment.crossing_priced = option(fees, "CrossZone", 0.0) > 0;
-  deployment.zone = option<std::string>(options, "Zone", "");
-  element rules = child(options, "Rules");
-  deployment.cold.share = option(rules, "ColdShare", deployment.cold.share);
-  deployment.cold.warm_after = option(rules, "ColdS", deployment.cold.warm_after);
-  deployment.ask_within = option(rules, "AskWithinS", deployment.ask_within);
-  deployment.credit_by_work = option<std::string>(options, "CreditBasis", "request") == "work";
-  element parts;
-  if (!options["ScoreParts"].get(parts)) {
-    deployment.weight_whole = option(parts, "Whole", 0.0);
-    deployment.weight_evenness = option(parts, "WorstClass", 0.0) + option(parts, "Tail", 0.0);
-  }
-  deployment.me = option(options, "Me", 0);
-  deployment.sidecars = std::max(1, option(options, "PeersTotal", 1));
-  deployment.tier = option(options, "Layer", 0);
-  deployment.round = option(options, "RoundS", 0.0);
-  deployment.list_on_request = option<std::string>(options, "RegistryMode", "pushed") == "on_request";
-  return deployment;
-}
-
 std::vector<ListEntry> read_entries(element entries) {
   simdjson::dom::array rows;
   if (entries.get(rows)) throw Malformed("event CATALOG has no proper Entries");
--- a/wirehost/codec.h
+++ b/wirehost/codec.h
@@ -3,19 +3,15 @@
 
 #include <simdjson.h>
 
-#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "deployment/deployment.h"
 #include "puffinvane/policy.h"
 
 namespace puffinvane::wire {
 
-struct Malformed : std::runtime_error {
-  using std::runtime_error::runtime_error;
-};
-
 // The values of one message, read by their place; what is missing or of the wrong sort is Malformed.
 class Message {
  public:
@@ -36,7 +32,6 @@
   std::vector<simdjson::dom::element> values_;
 };
 
-Deployment read_deployment(simdjson::dom::element options);
 std::vector<ListEntry> read_entries(simdjson::dom::element entries);
 Outcome read_outcome(std::int64_t result);
 
