--- a/include/puffinvane/policy.h
+++ b/include/puffinvane/policy.h
@@ -22,8 +22,8 @@
   Group group = Group::Cell;
   double memory_span = 0;
   double target_latency = 1;
-  double client_timeout = 1;
   double credit = 1;
+  double client_timeout = 1;
 };
 
 struct Customer {
