--- a/sidecar/lifecycle/loop.cpp
+++ b/sidecar/lifecycle/loop.cpp
@@ -38,7 +38,8 @@
     (due->loop->*due->what)();
     return G_SOURCE_CONTINUE;
   };
-  g_source_set_callback(source, call, new Due{this, due}, [](gpointer data) { delete static_cast<Due*>(data); });
+  g_source_set_callback(source, call, new Due{this, due},
+                        [](gpointer data) { delete static_cast<Due*>(data); });
   g_source_attach(source, context_);
   return Source(source);
 }
--- a/sidecar/lifecycle/start.cpp
+++ b/sidecar/lifecycle/start.cpp
@@ -25,7 +25,8 @@
   read.discovery = text(told, "discovery");
   std::string seed = text(told, "seed");
   auto [end, error] = std::from_chars(seed.data(), seed.data() + seed.size(), read.seed, 16);
-  if (error != std::errc() || end != seed.data() + seed.size()) throw Malformed("'seed' is no hexadecimal number");
+  if (error != std::errc() || end != seed.data() + seed.size())
+    throw Malformed("'seed' is no hexadecimal number");
   element settings, known, limits;
   if (told["settings"].get(settings)) throw Malformed("no 'settings'");
   read.deployment = read_deployment(settings);
--- a/sidecar/memory/buffers.cpp
+++ b/sidecar/memory/buffers.cpp
@@ -7,7 +7,8 @@
 namespace puffinvane {
 
 namespace {
-constexpr std::size_t kMostSpare = 256;  // 4 MiB: a burst's buffers go back to the system, a usual hour's stay
+constexpr std::size_t kMostSpare =
+    256;  // 4 MiB: a burst's buffers go back to the system, a usual hour's stay
 }
 
 Pool::Buffer Pool::lend() {
--- a/sidecar/memory/idle.h
+++ b/sidecar/memory/idle.h
@@ -1,4 +1,5 @@
-// Connections that stand idle, by endpoint: the last used goes out first, so that the rest grow old and close.
+// Connections that stand idle, by endpoint: the last used goes out first, so that the rest grow old and
+// close.
 #pragma once
 
 #include <algorithm>
@@ -26,7 +27,8 @@
     auto found = kept_.find(endpoint);
     if (found == kept_.end()) return {};
     auto& list = found->second;
-    auto at = std::find_if(list.begin(), list.end(), [&](const auto& kept) { return kept.second.get() == &one; });
+    auto at =
+        std::find_if(list.begin(), list.end(), [&](const auto& kept) { return kept.second.get() == &one; });
     return at == list.end() ? Owned() : take_at(found, std::size_t(at - list.begin()));
   }
   // The longest idle of all, if it has been so since 'before' or longer.
--- a/sidecar/wire/backend.h
+++ b/sidecar/wire/backend.h
@@ -27,7 +27,7 @@
 
   Backend(Loop& loop, Owner& owner, std::string endpoint);
   bool connect(std::string_view address, double timeout);  // false: it can't even begin
-  void carry(Carried fetch);                                // once up, or at once on an idle connection
+  void carry(Carried fetch);                               // once up, or at once on an idle connection
   void give_up() { stream_.close(), state_ = State::Over; }
   bool idle() const { return state_ == State::Idle; }
   bool quiet() const { return stream_.quiet(); }
--- a/sidecar/wire/carrier.cpp
+++ b/sidecar/wire/carrier.cpp
@@ -96,7 +96,8 @@
   const FetchInHand& fetch = visit.fetches[std::size_t(backend.carried().number)];
   const std::string* address = addresses_.find(fetch.endpoint);
   Chain out(loop_.pool());
-  write_request(out, visit.request, address ? *address : fetch.endpoint, write_time_left(fetch.ends - loop_.now()));
+  write_request(out, visit.request, address ? *address : fetch.endpoint,
+                write_time_left(fetch.ends - loop_.now()));
   return out;
 }
 
@@ -235,7 +236,8 @@
 void Carrier::note_entries(const EndpointList& list, ListScope scope) {
   for (std::size_t i = 0; i < list.entries.size(); ++i) {
     const ListEntry& entry = list.entries[i];
-    if (!list.addresses[i].empty() && addresses_.note(entry.endpoint, list.addresses[i])) drop_idle(entry.endpoint);
+    if (!list.addresses[i].empty() && addresses_.note(entry.endpoint, list.addresses[i]))
+      drop_idle(entry.endpoint);
     if (entry.state != Listed::Ready) drop_idle(entry.endpoint);
     if (entry.state == Listed::Gone) addresses_.forget(entry.endpoint);
   }
--- a/sidecar/wire/client.cpp
+++ b/sidecar/wire/client.cpp
@@ -5,8 +5,8 @@
 namespace puffinvane {
 
 namespace {
-constexpr double kLinger = 1;        // seconds that a caller may take to read its last answer
-constexpr double kStalled = 10;      // and to send the rest of a request
+constexpr double kLinger = 1;                // seconds that a caller may take to read its last answer
+constexpr double kStalled = 10;              // and to send the rest of a request
 constexpr std::size_t kAhead = Pool::kSize;  // of requests sent before the one in hand is answered
 }  // namespace
 
--- a/sidecar/wire/client.h
+++ b/sidecar/wire/client.h
@@ -21,7 +21,8 @@
   Client(Loop& loop, Owner& owner, Ref<GSocket> socket);
 
   // last: nothing more is read from this connection.
-  void answer(int status, const HttpMessage* from, std::string_view more_headers, std::string_view text, bool last);
+  void answer(int status, const HttpMessage* from, std::string_view more_headers, std::string_view text,
+              bool last);
   void part() { turn(Input::Ended); }
   // Between visits, with none on its way: closing crosses nothing that was read.
   bool idle() const {
--- a/sidecar/wire/door.cpp
+++ b/sidecar/wire/door.cpp
@@ -14,15 +14,17 @@
 
 void Door::open(std::string_view address) {
   Ref<GSocketAddress> at = read_address(address);
-  if (!at) throw std::runtime_error("can't listen at '" + std::string(address) + "': not an address and port");
+  if (!at)
+    throw std::runtime_error("can't listen at '" + std::string(address) + "': not an address and port");
   GError* raw = nullptr;
-  socket_.reset(g_socket_new(g_socket_address_get_family(at.get()), G_SOCKET_TYPE_STREAM,
-                             G_SOCKET_PROTOCOL_TCP, &raw));
+  socket_.reset(
+      g_socket_new(g_socket_address_get_family(at.get()), G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, &raw));
   if (socket_) {
     g_socket_set_blocking(socket_.get(), FALSE);
     g_socket_set_listen_backlog(socket_.get(), kBacklog);
   }
-  if (!socket_ || !g_socket_bind(socket_.get(), at.get(), TRUE, &raw) || !g_socket_listen(socket_.get(), &raw)) {
+  if (!socket_ || !g_socket_bind(socket_.get(), at.get(), TRUE, &raw) ||
+      !g_socket_listen(socket_.get(), &raw)) {
     Error error(raw);
     throw std::runtime_error("can't listen at " + std::string(address) + ": " + error->message);
   }
--- a/sidecar/wire/http.cpp
+++ b/sidecar/wire/http.cpp
@@ -62,8 +62,8 @@
 }  // namespace
 
 bool same_name(std::string_view one, std::string_view other) {
-  return one.size() == other.size() &&
-         std::equal(one.begin(), one.end(), other.begin(), [](char a, char b) { return lower(a) == lower(b); });
+  return one.size() == other.size() && std::equal(one.begin(), one.end(), other.begin(),
+                                                  [](char a, char b) { return lower(a) == lower(b); });
 }
 
 std::string_view HttpMessage::header(std::string_view name) const {
@@ -75,8 +75,8 @@
 
 // What a finished line means in each state that reads lines, in the order of the states.
 const HttpReader::Step HttpReader::kLineSteps[] = {
-    &HttpReader::start_line, &HttpReader::header_line,     nullptr,
-    &HttpReader::chunk_size_line, nullptr, &HttpReader::chunk_end_line, &HttpReader::trailer_line};
+    &HttpReader::start_line,     &HttpReader::header_line, nullptr, &HttpReader::chunk_size_line, nullptr,
+    &HttpReader::chunk_end_line, &HttpReader::trailer_line};
 
 std::size_t HttpReader::feed(std::string_view bytes) {
   std::size_t all = bytes.size();
@@ -153,7 +153,8 @@
   std::string_view line = line_;
   bool known = line.starts_with("HTTP/1.1 ") || line.starts_with("HTTP/1.0 ");
   if (!known || line.size() < 12 || (line.size() > 12 && line[12] != ' ')) return fail(Fault::Malformed);
-  if (!whole_number(line.substr(9, 3), message_.status) || message_.status < 100) return fail(Fault::Malformed);
+  if (!whole_number(line.substr(9, 3), message_.status) || message_.status < 100)
+    return fail(Fault::Malformed);
   message_.keep_alive = line[7] == '1';
   state_ = State::Headers;
 }
@@ -165,7 +166,8 @@
   // A folded line or a blank before the colon reads differently at different hops: that is how requests
   // are smuggled past one of them.
   if (colon == std::string_view::npos || !token(line.substr(0, colon))) return fail(Fault::Malformed);
-  message_.headers.push_back({std::string(line.substr(0, colon)), std::string(trimmed(line.substr(colon + 1)))});
+  message_.headers.push_back(
+      {std::string(line.substr(0, colon)), std::string(trimmed(line.substr(colon + 1)))});
 }
 
 void HttpReader::head_done() {
@@ -227,8 +229,8 @@
 
 bool passes_on(std::string_view header) {
   static constexpr std::string_view kOwn[] = {
-      "Connection", "Keep-Alive", "Proxy-Connection", "TE",   "Trailer",     "Transfer-Encoding",
-      "Upgrade",    "Expect",     "Content-Length",   "Host", "X-Time-Left", "X-Backend-Load",
+      "Connection",   "Keep-Alive", "Proxy-Connection", "TE",   "Trailer",     "Transfer-Encoding",
+      "Upgrade",      "Expect",     "Content-Length",   "Host", "X-Time-Left", "X-Backend-Load",
       "X-Unprocessed"};
   return std::none_of(std::begin(kOwn), std::end(kOwn),
                       [&](std::string_view own) { return same_name(own, header); });
@@ -244,7 +246,8 @@
 }
 }  // namespace
 
-void write_request(Chain& out, const HttpMessage& request, std::string_view host, std::string_view time_left) {
+void write_request(Chain& out, const HttpMessage& request, std::string_view host,
+                   std::string_view time_left) {
   std::string head = request.method + " " + request.target + " HTTP/1.1\r\n";
   std::string_view named = request.header("Host");
   head.append("Host: ").append(named.empty() ? host : named).append("\r\n");
--- a/sidecar/wire/stream.cpp
+++ b/sidecar/wire/stream.cpp
@@ -96,7 +96,8 @@
   if (self.connecting_) {
     self.connecting_ = false;
     self.out_source_.reset();
-    if (!g_socket_check_connect_result(self.socket_.get(), nullptr)) return self.owner_.on_ended(), G_SOURCE_REMOVE;
+    if (!g_socket_check_connect_result(self.socket_.get(), nullptr))
+      return self.owner_.on_ended(), G_SOURCE_REMOVE;
     self.read(true);
     return self.owner_.on_connected(), G_SOURCE_REMOVE;
   }
--- a/sidecar/wire/stream.h
+++ b/sidecar/wire/stream.h
@@ -18,7 +18,7 @@
     virtual void on_connected() {}
     virtual void on_received(std::string_view bytes) = 0;
     virtual void on_written() {}  // what 'send' could not write at once; see 'written'
-    virtual void on_ended() = 0;    // closed, reset, or never came up
+    virtual void on_ended() = 0;  // closed, reset, or never came up
   };
 
   Stream(Loop& loop, Owner& owner) : loop_(loop), owner_(owner), out_(loop.pool()) {}
--- a/tests/serving.cpp
+++ b/tests/serving.cpp
@@ -55,7 +55,9 @@
     connected = connect(descriptor_, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0;
   }
   Line(Line&& other) noexcept
-      : connected(other.connected), descriptor_(std::exchange(other.descriptor_, -1)), held_(std::move(other.held_)) {}
+      : connected(other.connected),
+        descriptor_(std::exchange(other.descriptor_, -1)),
+        held_(std::move(other.held_)) {}
   Line& operator=(Line&& other) noexcept {
     std::swap(descriptor_, other.descriptor_), std::swap(held_, other.held_);
     return *this;
@@ -99,7 +101,8 @@
     char byte;
     double until = now() + within;
     while (now() < until) {
-      if (poll(&one, 1, int((until - now()) * 1000) + 1) > 0 && recv(descriptor_, &byte, 1, 0) <= 0) return true;
+      if (poll(&one, 1, int((until - now()) * 1000) + 1) > 0 && recv(descriptor_, &byte, 1, 0) <= 0)
+        return true;
     }
     return false;
   }
@@ -120,7 +123,8 @@
 
 std::string here(int last) {
   int mine = getpid();  // an address of this run's own, so that runs side by side don't meet
-  return "127." + std::to_string(1 + mine / 250 % 250) + "." + std::to_string(mine % 250) + "." + std::to_string(last);
+  return "127." + std::to_string(1 + mine / 250 % 250) + "." + std::to_string(mine % 250) + "." +
+         std::to_string(last);
 }
 
 class Listener {
@@ -130,7 +134,8 @@
     int yes = 1;
     setsockopt(descriptor_, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
     sockaddr_in at = address_of(address);
-    assert(bind(descriptor_, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0 && listen(descriptor_, backlog) == 0);
+    assert(bind(descriptor_, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0 &&
+           listen(descriptor_, backlog) == 0);
   }
   ~Listener() { close(descriptor_); }
   Listener(const Listener&) = delete;
@@ -156,8 +161,8 @@
 };
 
 std::string entry(const std::string& name, const std::string& address, const std::string& status = "active") {
-  return R"({"name":")" + name + R"(","address":")" + address + R"(","zone":"z","group":1,"status":")" + status +
-         R"(","weight":1,"since_ms":0})";
+  return R"({"name":")" + name + R"(","address":")" + address + R"(","zone":"z","group":1,"status":")" +
+         status + R"(","weight":1,"since_ms":0})";
 }
 
 std::string program;  // its path, from the command line
@@ -166,10 +171,10 @@
  public:
   Running(const std::string& known, const std::string& limits = R"({"sockets":1024,"memory_mb":192})")
       : listen(here(1) + ":5001"), discovery(9), folder_("/tmp/puffinvane-" + std::to_string(getpid())) {
-    std::ofstream(folder_ + ".json")
-        << R"({"name":"n0","listen":")" << listen << R"(","discovery":")" << discovery.address
-        << R"(","seed":"1f","limits":)" << limits << R"(,"known":{"index":7,"snapshot":true,"endpoints":[)" << known
-        << R"(]},"settings":{"PathPrefixes":[
+    std::ofstream(folder_ + ".json") << R"({"name":"n0","listen":")" << listen << R"(","discovery":")"
+                                     << discovery.address << R"(","seed":"1f","limits":)" << limits
+                                     << R"(,"known":{"index":7,"snapshot":true,"endpoints":[)" << known
+                                     << R"(]},"settings":{"PathPrefixes":[
              {"Name":"read","Idempotency":"repeatable","ClientTimeoutS":1.0,"TargetLatencyS":0.5},
              {"Name":"write","Idempotency":"once","ClientTimeoutS":1.0,"TargetLatencyS":0.5}],
            "Limits":{"MaxBackendFetches":3,"ParallelTries":true,"MayCancel":true,"RetryAfter":true,
@@ -202,7 +207,8 @@
   int exit_code(double within) {
     int status = 0;
     for (double until = now() + within; now() < until; sleep_for(0.005)) {
-      if (waitpid(child_, &status, WNOHANG) == child_) return child_ = 0, WIFEXITED(status) ? WEXITSTATUS(status) : 256;
+      if (waitpid(child_, &status, WNOHANG) == child_)
+        return child_ = 0, WIFEXITED(status) ? WEXITSTATUS(status) : 256;
     }
     return -1;
   }
@@ -239,7 +245,8 @@
   Line caller(sidecar.listen);
   caller.say(get("X-Time-Left: 400m\r\n"));
   auto [fetch, request] = endpoint.take_request();
-  assert(request.method == "GET" && request.target == "/read/a?b" && request.header("X-Correlation-Id") == "77");
+  assert(request.method == "GET" && request.target == "/read/a?b" &&
+         request.header("X-Correlation-Id") == "77");
   std::optional<double> left = read_time_left(request.header("X-Time-Left"));
   assert(left && *left > 0.3 && *left <= 0.4);
   std::string large(65536, 'z');
@@ -277,13 +284,15 @@
     std::function<void(Line&)> act;
     bool again;
   };
-  const Row rows[] = {{[](Line& fetch) { fetch.say(kTurnedAway); }, true},
-                      {[](Line& fetch) { fetch.reset(); }, false},
-                      {[](Line& fetch) { fetch.say("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"), fetch.shut(); }, false},
-                      {[](Line& fetch) { fetch.say("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"); }, false},
-                      {[](Line& fetch) { fetch.say("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"); }, false},
-                      {[](Line& fetch) { fetch.say(ok(std::string(70000, 'x'))); }, false},
-                      {[](Line& fetch) { fetch.say("nonsense\r\n\r\n"); }, false}};
+  const Row rows[] = {
+      {[](Line& fetch) { fetch.say(kTurnedAway); }, true},
+      {[](Line& fetch) { fetch.reset(); }, false},
+      {[](Line& fetch) { fetch.say("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"), fetch.shut(); },
+       false},
+      {[](Line& fetch) { fetch.say("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"); }, false},
+      {[](Line& fetch) { fetch.say("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"); }, false},
+      {[](Line& fetch) { fetch.say(ok(std::string(70000, 'x'))); }, false},
+      {[](Line& fetch) { fetch.say("nonsense\r\n\r\n"); }, false}};
   for (const Row& row : rows) {
     Listener one(2), other(3);
     Running sidecar(entry("a", one.address) + "," + entry("b", other.address));
@@ -306,7 +315,8 @@
 void an_endpoint_that_refuses_or_never_comes_up_costs_no_visit() {
   Listener silent(2, 0), good(3);
   Line filler1(silent.address);  // its backlog is full now: further connections never come up
-  Running sidecar(entry("down", here(4) + ":1") + "," + entry("silent", silent.address) + "," + entry("c", good.address));
+  Running sidecar(entry("down", here(4) + ":1") + "," + entry("silent", silent.address) + "," +
+                  entry("c", good.address));
   std::thread fill([&] { Line filler2(silent.address); });
   for (int i = 0; i < 6; ++i) {
     Line caller(sidecar.listen);
@@ -372,11 +382,12 @@
     int status;
     bool closed;
   };
-  for (const Row& row : {Row{"nonsense\r\n\r\n", 400, true}, Row{"GET /read HTTP/1.1\r\nX-Time-Left: soon\r\n\r\n", 400, true},
-                         Row{"GET /read HTTP/1.1\r\nX: " + std::string(40000, 'x') + "\r\n\r\n", 431, true},
-                         Row{"POST /write HTTP/1.1\r\nContent-Length: 70000\r\n\r\n" + std::string(70000, 'x'), 413, true},
-                         Row{"HEAD /read HTTP/1.1\r\n\r\n", 405, true}, Row{"GET /other HTTP/1.1\r\n\r\n", 404, false},
-                         Row{"GET / HTTP/1.1\r\nConnection: close\r\n\r\n", 404, true}}) {
+  for (const Row& row :
+       {Row{"nonsense\r\n\r\n", 400, true}, Row{"GET /read HTTP/1.1\r\nX-Time-Left: soon\r\n\r\n", 400, true},
+        Row{"GET /read HTTP/1.1\r\nX: " + std::string(40000, 'x') + "\r\n\r\n", 431, true},
+        Row{"POST /write HTTP/1.1\r\nContent-Length: 70000\r\n\r\n" + std::string(70000, 'x'), 413, true},
+        Row{"HEAD /read HTTP/1.1\r\n\r\n", 405, true}, Row{"GET /other HTTP/1.1\r\n\r\n", 404, false},
+        Row{"GET / HTTP/1.1\r\nConnection: close\r\n\r\n", 404, true}}) {
     Line caller(sidecar.listen);
     caller.say(row.request);
     assert(caller.answer_status() == row.status && caller.ended(0.3) == row.closed);
@@ -411,8 +422,8 @@
     return std::move(watch);
   };
   Line watch = open("7");
-  std::string change = R"({"index":9,"snapshot":false,"endpoints":[)" + entry("a", old.address, "leaving") + "," +
-                       entry("b", fresh.address) + "]}\n";
+  std::string change = R"({"index":9,"snapshot":false,"endpoints":[)" + entry("a", old.address, "leaving") +
+                       "," + entry("b", fresh.address) + "]}\n";
   watch.say(chunk(change.substr(0, 50)) + chunk(change.substr(50)) + chunk("\n"));
   sleep_for(0.1);
   Line caller(sidecar.listen);
--- a/tests/wire.cpp
+++ b/tests/wire.cpp
@@ -48,7 +48,8 @@
 
 void a_chunked_answer_reads_the_same_wherever_it_is_cut() {
   std::string answer =
-      "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n"
+      "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nConnection: "
+      "close\r\n\r\n"
       "4;x=y\r\nabcd\r\nA\r\n0123456789\r\n0\r\nTrailer: t\r\n\r\n";
   at_every_cut(Side::Answer, answer, [&](HttpReader& reader, std::size_t used) {
     assert(reader.whole() && used == answer.size());
@@ -76,10 +77,10 @@
 
 void what_can_be_read_in_two_ways_is_refused() {
   for (const char* bad :
-       {"nonsense\r\n\r\n", "GET  HTTP/1.1\r\n", "GET /a b HTTP/1.1\r\n", "GET /a HTTP/2.0\r\n", "GET a HTTP/1.1\r\n",
-        "GET /a HTTP/1.1\r\nNo colon\r\n", "GET /a HTTP/1.1\r\nSpaced : x\r\n", "GET /a HTTP/1.1\r\nA: b\r\n folded\r\n",
-        "GET /a HTTP/1.1\r\nA: b\rc\r\n", "POST /a HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
-        "POST /a HTTP/1.1\r\nContent-Length: 5x\r\n\r\n",
+       {"nonsense\r\n\r\n", "GET  HTTP/1.1\r\n", "GET /a b HTTP/1.1\r\n", "GET /a HTTP/2.0\r\n",
+        "GET a HTTP/1.1\r\n", "GET /a HTTP/1.1\r\nNo colon\r\n", "GET /a HTTP/1.1\r\nSpaced : x\r\n",
+        "GET /a HTTP/1.1\r\nA: b\r\n folded\r\n", "GET /a HTTP/1.1\r\nA: b\rc\r\n",
+        "POST /a HTTP/1.1\r\nContent-Length: -1\r\n\r\n", "POST /a HTTP/1.1\r\nContent-Length: 5x\r\n\r\n",
         "POST /a HTTP/1.1\r\nContent-Length: 99999999999999999999999\r\n\r\n",
         "POST /a HTTP/1.1\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\n",
         "POST /a HTTP/1.1\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n",
@@ -90,7 +91,8 @@
       assert(reader.fault() == Fault::Malformed && !reader.whole());
     });
   }
-  for (const char* bad : {"HTTP/1.1 20 OK\r\n", "HTTP/1.1 2000 OK\r\n", "ICY 200 OK\r\n", "HTTP/1.1 abc\r\n"}) {
+  for (const char* bad :
+       {"HTTP/1.1 20 OK\r\n", "HTTP/1.1 2000 OK\r\n", "ICY 200 OK\r\n", "HTTP/1.1 abc\r\n"}) {
     at_every_cut(Side::Answer, bad,
                  [](HttpReader& reader, std::size_t) { assert(reader.fault() == Fault::Malformed); });
   }
@@ -100,7 +102,8 @@
   Pool pool;
   HttpReader head(Side::Request, pool);
   head.feed("GET /a HTTP/1.1\r\n");
-  for (int i = 0; i < 100 && head.fault() == Fault::None; ++i) head.feed("H: " + std::string(1000, 'x') + "\r\n");
+  for (int i = 0; i < 100 && head.fault() == Fault::None; ++i)
+    head.feed("H: " + std::string(1000, 'x') + "\r\n");
   assert(head.fault() == Fault::HeadTooLarge);
   HttpReader line(Side::Request, pool);
   line.feed("GET /" + std::string(20000, 'x'));
@@ -129,7 +132,8 @@
   Pool pool;
   HttpReader reader(Side::Request, pool);
   reader.feed(
-      "POST /a/b?c HTTP/1.1\r\nHost: origin.svc\r\nX-Correlation-Id: 77\r\nIdempotency-Key: k\r\nX-Time-Left: 9m\r\n"
+      "POST /a/b?c HTTP/1.1\r\nHost: origin.svc\r\nX-Correlation-Id: 77\r\nIdempotency-Key: "
+      "k\r\nX-Time-Left: 9m\r\n"
       "Connection: keep-alive, X-Hop\r\nX-Hop: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n");
   Chain out(pool);
   write_request(out, reader.message(), "10.0.0.1:80", write_time_left(0.25));
@@ -142,7 +146,9 @@
   Pool pool;
   std::string body(40000, 'z');
   HttpReader reader(Side::Answer, pool);
-  reader.feed("HTTP/1.1 200 OK\r\nContent-Type: t\r\nX-Backend-Load: inflight=1\r\nContent-Length: 40000\r\n\r\n" + body);
+  reader.feed(
+      "HTTP/1.1 200 OK\r\nContent-Type: t\r\nX-Backend-Load: inflight=1\r\nContent-Length: 40000\r\n\r\n" +
+      body);
   Chain out(pool);
   write_answer(out, 200, &reader.message(), "", "", true);
   HttpReader again(Side::Answer, pool);
@@ -153,7 +159,8 @@
 
 void header_values_are_read_with_their_units_or_not_at_all() {
   assert(read_time_left("480m") == 0.48 && read_time_left("1500u") == 0.0015 && read_time_left("0m") == 0.0);
-  for (const char* bad : {"", "m", "480", "-1m", "1s", "nanm", "infu", "4 m", "1e999m"}) assert(!read_time_left(bad));
+  for (const char* bad : {"", "m", "480", "-1m", "1s", "nanm", "infu", "4 m", "1e999m"})
+    assert(!read_time_left(bad));
   assert(read_time_left("99999999999m") == 3600.0);
   assert(path_prefix_of("/status/a") == "status" && path_prefix_of("/status?x") == "status");
   assert(path_prefix_of("/").empty() && path_prefix_of("").empty());
@@ -185,9 +192,12 @@
         {"name":"s-2","address":"10.1.0.19:5000","zone":"b","group":4,"status":"active","weight":0,"since_ms":0},
         {"name":"s-3","status":"left","new":{"field":1}}]})",
       2);
-  assert(list.index == 43 && !list.whole && list.entries.size() == 3 && list.addresses[1] == "10.1.0.19:5000");
-  assert(list.entries[0].state == Listed::Draining && list.entries[0].online_since == 3 && list.entries[0].cell == 3);
-  assert(list.entries[1].state == Listed::Ready && list.entries[1].units == 1 && list.entries[1].online_since == 0);
+  assert(list.index == 43 && !list.whole && list.entries.size() == 3 &&
+         list.addresses[1] == "10.1.0.19:5000");
+  assert(list.entries[0].state == Listed::Draining && list.entries[0].online_since == 3 &&
+         list.entries[0].cell == 3);
+  assert(list.entries[1].state == Listed::Ready && list.entries[1].units == 1 &&
+         list.entries[1].online_since == 0);
   assert(list.entries[2].state == Listed::Gone && list.addresses[2].empty());
 }
 
@@ -202,9 +212,10 @@
 }
 
 void a_bad_list_or_assignment_is_one_plain_message() {
-  for (const char* bad : {"", "{", "[]", "{}", R"({"index":1})", R"({"index":1,"endpoints":[{"status":"active"}]})",
-                          R"({"index":1,"endpoints":[{"name":"a","status":"asleep","address":"b"}]})",
-                          R"({"index":1,"endpoints":[{"name":"a","status":"active"}]})"})
+  for (const char* bad :
+       {"", "{", "[]", "{}", R"({"index":1})", R"({"index":1,"endpoints":[{"status":"active"}]})",
+        R"({"index":1,"endpoints":[{"name":"a","status":"asleep","address":"b"}]})",
+        R"({"index":1,"endpoints":[{"name":"a","status":"active"}]})"})
     assert(!complaint([&] { read_list(bad, 0); }).empty());
   simdjson::dom::parser parser;
   auto assign = [&](std::string text) { return read_assignment(parser.parse(text), 0); };
@@ -212,12 +223,14 @@
       R"({"PathPrefixes":[{"Name":"read","ClientTimeoutS":2.5}],"Limits":{"ConnectTimeoutS":0.12,"ConnIdleS":10.0},)"
       R"("Rules":{},"RegistryMode":"on_request"})";
   std::string rest = R"("name":"n3","listen":"127.0.0.1:1","discovery":"127.0.0.1:2")";
-  Assignment good = assign("{" + rest + R"(,"seed":"8c1f30d27a5be964","limits":{"sockets":64},"settings":)" + settings + "}");
+  Assignment good = assign("{" + rest + R"(,"seed":"8c1f30d27a5be964","limits":{"sockets":64},"settings":)" +
+                           settings + "}");
   assert(good.seed == 0x8c1f30d27a5be964 && good.descriptors == 64 && good.deployment.idle_time == 10);
   assert(good.deployment.connect_timeout == 0.12 && good.deployment.path_prefixes[0].client_timeout == 2.5);
   assert(!good.deployment.list_on_request);
-  for (std::string bad : {std::string("[]"), "{" + rest + "}", "{" + rest + R"(,"seed":"xyz","settings":)" + settings + "}",
-                          "{" + rest + R"(,"seed":"1","settings":{}})", "{" + rest + R"(,"seed":"1"})"})
+  for (std::string bad :
+       {std::string("[]"), "{" + rest + "}", "{" + rest + R"(,"seed":"xyz","settings":)" + settings + "}",
+        "{" + rest + R"(,"seed":"1","settings":{}})", "{" + rest + R"(,"seed":"1"})"})
     assert(!complaint([&] { assign(bad); }).empty());
   assert(complaint([] { load_assignment("/nowhere", 0); }).find("/nowhere") == 0);
   assert(complaint([] { load_assignment(nullptr, 0); }).find("BALANCER_CONFIG") != std::string::npos);
@@ -297,7 +310,8 @@
   Log log(out, Level::Warning);
   log.info() << "a " << 1;
   log.warning() << "b " << 2;
-  assert(out.str() == "warning: b 2\n" && read_level("debug") == Level::Debug && read_level("?") == Level::Info);
+  assert(out.str() == "warning: b 2\n" && read_level("debug") == Level::Debug &&
+         read_level("?") == Level::Info);
 }
 
 }  // namespace
