--- a/sidecar/wire/http.cpp
+++ b/sidecar/wire/http.cpp
@@ -106,7 +106,8 @@
       fail(Fault::Malformed);
       break;
     }
-    (this->*kLineSteps[static_cast<int>(state_)])();
+    Step step = kLineSteps[static_cast<int>(state_)];
+    (this->*step)();
     line_.clear();
   }
   return all - bytes.size();
