--- a/sidecar/lifecycle/sidecar.cpp
+++ b/sidecar/lifecycle/sidecar.cpp
@@ -14,7 +14,7 @@
 constexpr std::size_t kBufferShare = 2;  // of the memory: the rest is for the module, GLib and the heap
 }  // namespace
 
-const Sidecar::Row Sidecar::kRows[] = {
+const Row<Sidecar, Sidecar::Phase, Sidecar::Event> Sidecar::kRows[] = {
     {Phase::Starting, Event::Opened, Phase::Serving, &Sidecar::serve},
     {Phase::Starting, Event::Terminate, Phase::Stopped, &Sidecar::quit},
     {Phase::Serving, Event::Terminate, Phase::Leaving, &Sidecar::leave},
@@ -30,11 +30,7 @@
       door_(loop, carrier_),
       watch_(loop, carrier_, assignment_.discovery, clock_offset, assignment_.known.index) {}
 
-void Sidecar::turn(Event event) {
-  for (const Row& row : kRows) {
-    if (row.phase == phase_ && row.event == event) return phase_ = row.next, (this->*row.effect)();
-  }
-}
+void Sidecar::turn(Event event) { step(kRows, *this, phase_, event); }
 
 void Sidecar::start() {
   carrier_.know(assignment_.known);
--- a/sidecar/lifecycle/sidecar.h
+++ b/sidecar/lifecycle/sidecar.h
@@ -3,6 +3,7 @@
 
 #include "sidecar/lifecycle/loop.h"
 #include "sidecar/lifecycle/start.h"
+#include "sidecar/lifecycle/table.h"
 #include "sidecar/wire/carrier.h"
 #include "sidecar/wire/door.h"
 #include "sidecar/wire/watch.h"
@@ -19,13 +20,7 @@
  private:
   enum class Phase { Starting, Serving, Leaving, Finishing, Stopped };
   enum class Event { Opened, Terminate, DoorTime, Emptied, Overdue };
-  struct Row {
-    Phase phase;
-    Event event;
-    Phase next;
-    void (Sidecar::*effect)();
-  };
-  static const Row kRows[];
+  static const Row<Sidecar, Phase, Event> kRows[];
   void turn(Event event);
   void serve();
   void leave();
--- a/sidecar/wire/backend.cpp
+++ b/sidecar/wire/backend.cpp
@@ -8,7 +8,7 @@
 
 // An answer may come before the request is written whole: it counts, but what is left of the request can't
 // be taken back, so that connection carries nothing more.
-const Backend::Row Backend::kRows[] = {
+const Row<Backend, Backend::State, Backend::Input> Backend::kRows[] = {
     {State::Connecting, Input::Connected, State::Sending, &Backend::write},
     {State::Connecting, Input::Ended, State::Over, &Backend::report_unsent},
     {State::Connecting, Input::TimedOut, State::Over, &Backend::report_unsent},
@@ -33,11 +33,7 @@
       stream_(loop, *this),
       reader_(HttpReader::Side::Answer, loop.pool()) {}
 
-void Backend::turn(Input input) {
-  for (const Row& row : kRows) {
-    if (row.state == state_ && row.input == input) return state_ = row.next, (this->*row.effect)();
-  }
-}
+void Backend::turn(Input input) { step(kRows, *this, state_, input); }
 
 bool Backend::connect(std::string_view address, double timeout) {
   if (!stream_.connect(address)) return false;
--- a/sidecar/wire/backend.h
+++ b/sidecar/wire/backend.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "puffinvane/policy.h"
+#include "sidecar/lifecycle/table.h"
 #include "sidecar/wire/http.h"
 #include "sidecar/wire/stream.h"
 
@@ -37,13 +38,7 @@
  private:
   enum class State { Connecting, Idle, Sending, Awaiting, Over };
   enum class Input { Connected, Fetch, Written, Answered, AnsweredLast, Nonsense, Ended, TimedOut };
-  struct Row {
-    State state;
-    Input input;
-    State next;
-    void (Backend::*effect)();
-  };
-  static const Row kRows[];
+  static const Row<Backend, State, Input> kRows[];
   void turn(Input input);
   void nothing() {}
   void write();
--- a/sidecar/wire/client.cpp
+++ b/sidecar/wire/client.cpp
@@ -11,7 +11,7 @@
 constexpr std::size_t kAhead = Pool::kSize;  // of requests sent before the one in hand is answered
 }  // namespace
 
-const Client::Row Client::kRows[] = {
+const Row<Client, Client::State, Client::Input> Client::kRows[] = {
     {State::Reading, Input::Request, State::Waiting, &Client::hand_over},
     {State::Reading, Input::Fault, State::Parting, &Client::refuse},
     {State::Reading, Input::Ended, State::Over, &Client::leave},
@@ -35,11 +35,7 @@
   stream_.adopt(std::move(socket));
 }
 
-void Client::turn(Input input) {
-  for (const Row& row : kRows) {
-    if (row.state == state_ && row.input == input) return state_ = row.next, (this->*row.effect)();
-  }
-}
+void Client::turn(Input input) { step(kRows, *this, state_, input); }
 
 bool Client::stalled(double now, double patience) const {
   if (state_ == State::Waiting) return false;
--- a/sidecar/wire/client.h
+++ b/sidecar/wire/client.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 
+#include "sidecar/lifecycle/table.h"
 #include "sidecar/wire/http.h"
 #include "sidecar/wire/stream.h"
 
@@ -36,13 +37,7 @@
  private:
   enum class State { Reading, Waiting, Answering, Parting, Lingering, Over };
   enum class Input { Request, Fault, Answer, LastAnswer, Written, Ended };
-  struct Row {
-    State state;
-    Input input;
-    State next;
-    void (Client::*effect)();
-  };
-  static const Row kRows[];
+  static const Row<Client, State, Input> kRows[];
   void turn(Input input);
   void nothing() {}
   void hand_over();
--- a/sidecar/wire/watch.cpp
+++ b/sidecar/wire/watch.cpp
@@ -11,7 +11,7 @@
 constexpr std::size_t kMostAtOnce = 8 << 20;
 }  // namespace
 
-const Watch::Row Watch::kRows[] = {
+const Row<Watch, Watch::State, Watch::Input> Watch::kRows[] = {
     {State::Resting, Input::Rested, State::Connecting, &Watch::open},
     {State::Connecting, Input::Connected, State::Listening, &Watch::ask},
     {State::Connecting, Input::Silent, State::Resting, &Watch::rest},
@@ -32,11 +32,7 @@
   check_silence();
 }
 
-void Watch::turn(Input input) {
-  for (const Row& row : kRows) {
-    if (row.state == state_ && row.input == input) return state_ = row.next, (this->*row.effect)();
-  }
-}
+void Watch::turn(Input input) { step(kRows, *this, state_, input); }
 
 void Watch::open() {
   state_ = State::Connecting;
--- a/sidecar/wire/watch.h
+++ b/sidecar/wire/watch.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <string>
 
+#include "sidecar/lifecycle/table.h"
 #include "sidecar/wire/discovery.h"
 #include "sidecar/wire/http.h"
 #include "sidecar/wire/stream.h"
@@ -25,13 +26,7 @@
  private:
   enum class State { Resting, Connecting, Listening, Over };
   enum class Input { Rested, Connected, Silent, Ended, Nonsense };
-  struct Row {
-    State state;
-    Input input;
-    State next;
-    void (Watch::*effect)();
-  };
-  static const Row kRows[];
+  static const Row<Watch, State, Input> kRows[];
   void turn(Input input);
   void ask();
   void rest();
