After a stall the sidecar hears what has come in before it acts on what is due

Seen by a probe that is now a story: a sidecar stopped for 0.7 s, its endpoint answering meanwhile, sent a copy to the other endpoint when it went on. Ruled out: the endpoint (its answer lay in the socket) and the module (it was told of the overdue threshold first). At fault: Loop::alarms_due, whose source comes before the sockets' in every turn of the loop. Alarms more than 5 ms late now wait one turn, once, so that they can't be held back for long.

--- a/sidecar/lifecycle/loop.cpp
+++ b/sidecar/lifecycle/loop.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+constexpr double kLate = 0.005;  // a loop that only has much to do is not that far behind
+
 gboolean dispatch(GSource*, GSourceFunc callback, gpointer data) { return callback(data); }
 
 struct Due {
@@ -57,17 +59,22 @@
 }
 
 void Loop::alarms_due() {
+  // Late means that this process had no core for a while. What has come in meanwhile is heard first, this
+  // once: else answers that lie ready are taken for silence, and endpoints that were well set aside.
+  bool late = !alarms_.empty() && now() - alarms_.top().when > kLate;
+  put_off_ = late && !put_off_;
+  if (put_off_) return g_source_set_ready_time(alarm_.get(), 0);
   // Alarms set by these are left to the next turn, or one that always asks for 'now' would hold the loop.
   std::uint64_t last = turns_;
   double until = now();
-  std::vector<Alarm> late;
+  std::vector<Alarm> next;
   while (!alarms_.empty() && alarms_.top().when <= until) {
     Alarm due = alarms_.top();
     alarms_.pop();
-    if (due.turn > last) late.push_back(std::move(due));
+    if (due.turn > last) next.push_back(std::move(due));
     else due.what();
   }
-  for (Alarm& alarm : late) alarms_.push(std::move(alarm));
+  for (Alarm& alarm : next) alarms_.push(std::move(alarm));
   set_alarm();
 }
 
--- a/sidecar/lifecycle/loop.h
+++ b/sidecar/lifecycle/loop.h
@@ -87,6 +87,7 @@
   std::priority_queue<Alarm> alarms_;
   std::vector<std::function<void()>> soon_;
   std::uint64_t turns_ = 0;
+  bool put_off_ = false;
   Source alarm_, next_turn_;
 };
 
--- a/tests/serving.cpp
+++ b/tests/serving.cpp
@@ -214,6 +214,12 @@
     return line.answer_status();
   }
   void terminate() { kill(child_, SIGTERM); }
+  template <typename Act>
+  void stall(Act act) {
+    kill(child_, SIGSTOP);
+    act();
+    kill(child_, SIGCONT);
+  }
   // Its exit code, once it has left; -1 if it does not within that time.
   int exit_code(double within) {
     int status = 0;
@@ -379,6 +385,24 @@
   assert(fetch.ended(0.1));
 }
 
+// A sidecar that had no core for a while finds answers and overdue timers at once. Timers first, it took its
+// endpoints for silent, though they had answered in time.
+void after_a_stall_what_has_come_in_is_heard_before_what_is_due() {
+  Listener one(2), other(3);
+  Running sidecar(entry("a", one.address) + "," + entry("b", other.address));
+  Line caller(sidecar.listen);
+  caller.say(get());
+  while (!one.knocked(0) && !other.knocked(0)) sleep_for(0.001);
+  Listener& first = one.knocked(0) ? one : other;
+  Listener& second = &first == &one ? other : one;
+  auto [fetch, request] = first.take_request();
+  sidecar.stall([&] {
+    fetch.say(ok("in time"));
+    sleep_for(0.7);  // two thresholds of half the target latency each, after which a copy would go out
+  });
+  assert(caller.answer_status() == 200 && !second.knocked(0.05));
+}
+
 void a_caller_that_leaves_withdraws_its_visit() {
   Listener endpoint(2);
   Running sidecar(entry("a", endpoint.address));
@@ -533,6 +557,7 @@
   an_idle_connection_that_its_endpoint_closed_carries_no_mutating_visit();
   idle_connections_are_closed_well_before_their_endpoint_does();
   a_silent_endpoint_costs_the_visit_but_not_its_answer();
+  after_a_stall_what_has_come_in_is_heard_before_what_is_due();
   a_caller_that_leaves_withdraws_its_visit();
   what_can_not_be_read_is_answered_and_closed();
   a_caller_that_asks_first_is_told_to_send_its_body();
