A visit that lay unread during a stall gets only what is left of its time

Seen by a story: a sidecar stopped for 0.1 to 0.31 s while a visit with 0.5 s left came in errored it up to 0.3 s after its caller had gone, as it counted from when it read it. At fault: Carrier::take_visit.

--- a/sidecar/lifecycle/loop.cpp
+++ b/sidecar/lifecycle/loop.cpp
@@ -6,7 +6,9 @@
 
 namespace {
 
-constexpr double kLate = 0.005;  // a loop that only has much to do is not that far behind
+constexpr double kBeat = 0.02;    // a stall is known to within this: less than the slack of any rule
+constexpr double kHeeded = 0.02;  // after a stall: new connections are let in first and read some turns later
+constexpr double kLate = 0.005;   // a loop that only has much to do is not that far behind
 
 gboolean dispatch(GSource*, GSourceFunc callback, gpointer data) { return callback(data); }
 
@@ -23,7 +25,9 @@
       context_(g_main_context_new()),
       loop_(g_main_loop_new(context_, FALSE)),
       alarm_(own_source(&Loop::alarms_due)),
-      next_turn_(own_source(&Loop::soon_due)) {}
+      next_turn_(own_source(&Loop::soon_due)) {
+  beat();
+}
 
 Loop::~Loop() {
   while (!soon_.empty()) std::exchange(soon_, {});
@@ -53,17 +57,22 @@
   if (alarms_.top().turn == turns_) set_alarm();
 }
 
+void Loop::beat() {
+  at(now() + kBeat, [this] { beat(); });
+}
+
 void Loop::set_alarm() {
-  gint64 due = alarms_.empty() ? -1 : std::max<gint64>(0, gint64(std::ceil(alarms_.top().when * 1e6)));
-  g_source_set_ready_time(alarm_.get(), due);
+  g_source_set_ready_time(alarm_.get(), std::max<gint64>(0, gint64(std::ceil(alarms_.top().when * 1e6))));
 }
 
 void Loop::alarms_due() {
   // Late means that this process had no core for a while. What has come in meanwhile is heard first, this
   // once: else answers that lie ready are taken for silence, and endpoints that were well set aside.
-  bool late = !alarms_.empty() && now() - alarms_.top().when > kLate;
-  put_off_ = late && !put_off_;
-  if (put_off_) return g_source_set_ready_time(alarm_.get(), 0);
+  put_off_ = !put_off_ && late() > kLate;
+  if (put_off_) {
+    stall_ = late(), stall_heeded_until_ = now() + kHeeded;
+    return g_source_set_ready_time(alarm_.get(), 0);
+  }
   // Alarms set by these are left to the next turn, or one that always asks for 'now' would hold the loop.
   std::uint64_t last = turns_;
   double until = now();
--- a/sidecar/lifecycle/loop.h
+++ b/sidecar/lifecycle/loop.h
@@ -52,6 +52,9 @@
 
   double now() const { return double(g_get_monotonic_time()) * 1e-6; }
   static double unix_offset();  // Unix time less this clock
+  // For how long this process had no core just now, but for one beat: what is read may have come that long
+  // ago.
+  double stalled() const { return std::max(late(), now() < stall_heeded_until_ ? stall_ : 0); }
   void at(double when, std::function<void()> what);
   void soon(std::function<void()> what);  // on the next turn: never within the caller's own call
   // An object whose own methods may still be running is only let go on the next turn.
@@ -76,6 +79,8 @@
   };
   Source own_source(void (Loop::*due)());
   void alarms_due();
+  void beat();
+  double late() const { return std::max(0.0, now() - alarms_.top().when); }
   void soon_due();
   void set_alarm();
 
@@ -88,6 +93,7 @@
   std::vector<std::function<void()>> soon_;
   std::uint64_t turns_ = 0;
   bool put_off_ = false;
+  double stall_ = 0, stall_heeded_until_ = 0;
   Source alarm_, next_turn_;
 };
 
--- a/sidecar/wire/carrier.cpp
+++ b/sidecar/wire/carrier.cpp
@@ -190,6 +190,8 @@
     if (!read) return client.answer(400, nullptr, "", "X-Time-Left is no number with m or u\n", true);
     time_left = *read;
   }
+  // It may have lain here unread for all of a stall; its caller has counted on meanwhile.
+  time_left = std::max(0.0, time_left - loop_.stalled());
   double now = loop_.now();
   VisitId id = visits_.add({std::move(request), now + time_left, &client});
   client.visit = id;
