--- a/include/puffinvane/policy.h
+++ b/include/puffinvane/policy.h
@@ -1,5 +1,5 @@
-// The types and the interface of puffinvane's decision module. Whoever carries its visits (the
-// sidecar, or the adapter of the simulator's wire) tells a Policy what happens and does what it asks through a Host.
+// The types and the interface of puffinvane's decision module. Whoever carries its visits (the sidecar, or
+// the adapter of the simulator's wire) tells a Policy what happens and does what it asks through a Host.
 #pragma once
 
 #include <cstdint>
