A connection still coming up is given up once its endpoint leaves

At fault: Carrier::note_entries, which closed idle connections only. The fetch now ends as never connected and the visit goes to the next endpoint.

--- a/sidecar/wire/backend.h
+++ b/sidecar/wire/backend.h
@@ -31,6 +31,7 @@
   void carry(Carried fetch);                               // once up, or at once on an idle connection
   void give_up() { stream_.close(), state_ = State::Over; }
   bool idle() const { return state_ == State::Idle; }
+  bool connecting() const { return state_ == State::Connecting; }
   bool quiet() const { return stream_.quiet(); }
   const Carried& carried() const { return carried_; }
   const std::string& endpoint() const { return endpoint_; }
--- a/sidecar/wire/carrier.cpp
+++ b/sidecar/wire/carrier.cpp
@@ -61,10 +61,9 @@
 void Carrier::cancel(VisitId id, int number) {
   VisitInHand* visit = visits_.find(id);
   if (!visit || number >= int(visit->fetches.size())) return;
-  Backend* backend = std::exchange(visit->fetches[std::size_t(number)].backend, nullptr);
+  Backend* backend = visit->fetches[std::size_t(number)].backend;
   if (!backend) return;
-  backend->give_up();
-  loop_.bury(std::move(busy_.extract(backend).mapped()));
+  let_go(*backend);
   end_soon(id, number, Outcome::Cancelled);
 }
 
@@ -116,10 +115,9 @@
 void Carrier::out_of_time(VisitId id, int number) {
   VisitInHand* visit = visits_.find(id);
   if (!visit) return;
-  Backend* backend = std::exchange(visit->fetches[std::size_t(number)].backend, nullptr);
+  Backend* backend = visit->fetches[std::size_t(number)].backend;
   if (!backend) return;
-  backend->give_up();
-  loop_.bury(std::move(busy_.extract(backend).mapped()));
+  let_go(*backend);
   ended(id, number, Outcome::TimedOut, nullptr);
 }
 
@@ -233,6 +231,26 @@
   while (std::unique_ptr<Backend> kept = idle_.take(endpoint)) kept->give_up(), loop_.bury(std::move(kept));
 }
 
+void Carrier::drop_coming_up(const std::string& endpoint) {
+  // Rule 3: a connect time-out may be longer than the grace, and the request is written at its end.
+  std::vector<Backend*> coming_up;
+  for (auto& [key, backend] : busy_) {
+    if (backend->connecting() && backend->endpoint() == endpoint) coming_up.push_back(backend.get());
+  }
+  for (Backend* backend : coming_up) {
+    auto [id, number] = let_go(*backend);
+    end_soon(id, number, Outcome::ConnectFailed);
+  }
+}
+
+Backend::Carried Carrier::let_go(Backend& backend) {
+  Backend::Carried carried = backend.carried();
+  visits_.find(carried.visit)->fetches[std::size_t(carried.number)].backend = nullptr;
+  backend.give_up();
+  loop_.bury(std::move(busy_.extract(&backend).mapped()));
+  return carried;
+}
+
 void Carrier::know(const EndpointList& known) { note_entries(known, ListScope::Cached); }
 
 void Carrier::on_list(const EndpointList& list) {
@@ -244,7 +262,7 @@
     const ListEntry& entry = list.entries[i];
     if (!list.addresses[i].empty() && addresses_.note(entry.endpoint, list.addresses[i]))
       drop_idle(entry.endpoint);
-    if (entry.state != Listed::Ready) drop_idle(entry.endpoint);
+    if (entry.state != Listed::Ready) drop_idle(entry.endpoint), drop_coming_up(entry.endpoint);
     if (entry.state == Listed::Gone) addresses_.forget(entry.endpoint);
   }
   policy_->list(loop_.now(), scope, list.entries);
--- a/tests/serving.cpp
+++ b/tests/serving.cpp
@@ -178,7 +178,8 @@
 
 class Running {
  public:
-  Running(const std::string& known, const std::string& limits = R"({"sockets":1024,"memory_mb":192})")
+  Running(const std::string& known, const std::string& limits = R"({"sockets":1024,"memory_mb":192})",
+          const std::string& connect_timeout = "0.1")
       : listen(here(1) + ":5001"), discovery(9), folder_("/tmp/puffinvane-" + std::to_string(getpid())) {
     std::ofstream(folder_ + ".json") << R"({"name":"n0","listen":")" << listen << R"(","discovery":")"
                                      << discovery.address << R"(","seed":"1f","limits":)" << limits
@@ -187,7 +188,8 @@
              {"Name":"read","Idempotency":"repeatable","ClientTimeoutS":1.0,"TargetLatencyS":0.5},
              {"Name":"write","Idempotency":"once","ClientTimeoutS":1.0,"TargetLatencyS":0.5}],
            "Limits":{"MaxBackendFetches":3,"ParallelTries":true,"MayCancel":true,"RetryAfter":true,
-             "MaxRetryAfterS":1.5,"ConnectTimeoutS":0.1,"ConnIdleS":2.0},
+             "MaxRetryAfterS":1.5,"ConnIdleS":2.0,"ConnectTimeoutS":)"
+                                     << connect_timeout << R"(},
            "Rules":{},"RoundS":0.005,"Zone":"z"}})";
     child_ = fork();
     if (child_ == 0) {
@@ -500,6 +502,21 @@
   watch = open("12");
 }
 
+void a_connection_still_coming_up_is_given_up_once_its_endpoint_leaves() {
+  Listener silent(2, 0), good(3);
+  Line filler(silent.address);
+  Running sidecar(entry("a", silent.address), R"({"sockets":1024})", "5");
+  Line watch = sidecar.discovery.take_request().first;
+  watch.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+  Line caller(sidecar.listen);
+  caller.say(post("x"));
+  sleep_for(0.1);
+  watch.say(chunk(R"({"index":8,"snapshot":false,"endpoints":[)" + entry("a", silent.address, "leaving") +
+                  "," + entry("b", good.address) + "]}\n"));
+  good.take_request().first.say(ok("x"));
+  assert(caller.answer_status() == 200);
+}
+
 void at_sigterm_what_was_taken_is_answered_and_latecomers_too() {
   Listener endpoint(2);
   Running sidecar(entry("a", endpoint.address));
@@ -579,6 +596,7 @@
   what_can_not_be_read_is_answered_and_closed();
   a_caller_that_asks_first_is_told_to_send_its_body();
   the_list_is_followed_through_bad_lines_and_silence();
+  a_connection_still_coming_up_is_given_up_once_its_endpoint_leaves();
   at_sigterm_what_was_taken_is_answered_and_latecomers_too();
   at_sigterm_a_caller_that_never_finishes_does_not_hold_the_exit();
   at_the_limit_of_descriptors_callers_wait_and_nothing_spins();
