--- a/sidecar/lifecycle/main.cpp
+++ b/sidecar/lifecycle/main.cpp
@@ -12,22 +12,35 @@
 namespace puffinvane {
 namespace {
 
+struct Heeded {
+  int signal;
+  void (Sidecar::*act)();
+};
+constexpr Heeded kHeeded[] = {
+    {SIGTERM, &Sidecar::terminate}, {SIGINT, &Sidecar::terminate}, {SIGHUP, &Sidecar::reload}};
+
+// Held back from the very start: one that comes while the program still reads its file would end it.
+sigset_t hold_back() {
+  sigset_t heeded;
+  sigemptyset(&heeded);
+  for (const Heeded& one : kHeeded) sigaddset(&heeded, one.signal);
+  sigprocmask(SIG_BLOCK, &heeded, nullptr);
+  return heeded;
+}
+
 // Signals as something to read: a handler could interrupt anything, and GLib's own way starts a thread.
 class Signals {
  public:
-  Signals(Loop& loop, Sidecar& sidecar) : sidecar_(sidecar) {
-    sigset_t asked;
-    sigemptyset(&asked);
-    sigaddset(&asked, SIGTERM);
-    sigaddset(&asked, SIGINT);
-    sigprocmask(SIG_BLOCK, &asked, nullptr);
-    descriptor_ = signalfd(-1, &asked, SFD_NONBLOCK | SFD_CLOEXEC);
+  Signals(Loop& loop, Sidecar& sidecar, const sigset_t& heeded) : sidecar_(sidecar) {
+    descriptor_ = signalfd(-1, &heeded, SFD_NONBLOCK | SFD_CLOEXEC);
     GSource* source = g_unix_fd_source_new(descriptor_, G_IO_IN);
     auto came = [](gint descriptor, GIOCondition, gpointer self) -> gboolean {
       signalfd_siginfo told;
       while (read(descriptor, &told, sizeof told) > 0) {
+        for (const Heeded& one : kHeeded) {
+          if (one.signal == int(told.ssi_signo)) (static_cast<Signals*>(self)->sidecar_.*one.act)();
+        }
       }
-      static_cast<Signals*>(self)->sidecar_.terminate();
       return G_SOURCE_CONTINUE;
     };
     g_source_set_callback(source, G_SOURCE_FUNC(+came), this, nullptr);
@@ -48,14 +61,16 @@
 };
 
 int run() {
+  const sigset_t heeded = hold_back();
   const char* level = std::getenv("PUFFINVANE_LOG");
   Log log(std::cout, read_level(level ? level : "info"));
   try {
     double offset = Loop::unix_offset();
-    Assignment assignment = load_assignment(std::getenv("BALANCER_CONFIG"), offset);
+    const char* file = std::getenv("BALANCER_CONFIG");
+    Assignment assignment = load_assignment(file, offset);
     Loop loop(log, assignment.descriptors);
-    Sidecar sidecar(loop, std::move(assignment), offset);
-    Signals signals(loop, sidecar);
+    Sidecar sidecar(loop, std::move(assignment), offset, file);
+    Signals signals(loop, sidecar, heeded);
     sidecar.start();
     loop.run();
     return 0;
--- a/sidecar/lifecycle/sidecar.cpp
+++ b/sidecar/lifecycle/sidecar.cpp
@@ -1,6 +1,7 @@
 #include "sidecar/lifecycle/sidecar.h"
 
 #include <algorithm>
+#include <exception>
 #include <utility>
 
 namespace puffinvane {
@@ -17,15 +18,20 @@
 const Row<Sidecar, Sidecar::Phase, Sidecar::Event> Sidecar::kRows[] = {
     {Phase::Starting, Event::Opened, Phase::Serving, &Sidecar::serve},
     {Phase::Starting, Event::Terminate, Phase::Stopped, &Sidecar::quit},
+    {Phase::Serving, Event::Reload, Phase::Serving, &Sidecar::read_anew},
     {Phase::Serving, Event::Terminate, Phase::Leaving, &Sidecar::leave},
+    {Phase::Leaving, Event::Reload, Phase::Leaving, &Sidecar::read_anew},
     {Phase::Leaving, Event::DoorTime, Phase::Finishing, &Sidecar::finish},
+    {Phase::Finishing, Event::Reload, Phase::Finishing, &Sidecar::read_anew},
     {Phase::Finishing, Event::Emptied, Phase::Stopped, &Sidecar::quit},
     {Phase::Finishing, Event::Overdue, Phase::Stopped, &Sidecar::quit},
 };
 
-Sidecar::Sidecar(Loop& loop, Assignment assignment, double clock_offset)
+Sidecar::Sidecar(Loop& loop, Assignment assignment, double clock_offset, std::string assigned_in)
     : loop_(loop),
       assignment_(std::move(assignment)),
+      clock_offset_(clock_offset),
+      assigned_in_(std::move(assigned_in)),
       carrier_(loop, assignment_.deployment, assignment_.seed, assignment_.memory / kBufferShare),
       door_(loop, carrier_),
       watch_(loop, carrier_, assignment_.discovery, clock_offset, assignment_.known.index) {}
@@ -39,6 +45,7 @@
   turn(Event::Opened);
 }
 
+void Sidecar::reload() { turn(Event::Reload); }
 void Sidecar::terminate() { turn(Event::Terminate); }
 
 void Sidecar::serve() {
@@ -46,6 +53,18 @@
                      << assignment_.listen << ", " << assignment_.known.entries.size() << " endpoints known";
 }
 
+void Sidecar::read_anew() {
+  try {
+    std::string discovery = load_assignment(assigned_in_.c_str(), clock_offset_).discovery;
+    loop_.log().info() << assignment_.name << " reads its file anew, discovery at " << discovery;
+    assignment_.discovery = discovery;
+    watch_.move(discovery);
+  } catch (const std::exception& fault) {
+    // Whoever wrote it can't see that it was no use but here; the visits in hand must not pay for it.
+    loop_.log().warning() << assignment_.name << " keeps what it had: " << fault.what();
+  }
+}
+
 void Sidecar::leave() {
   loop_.log().info() << assignment_.name << " leaves";
   carrier_.leave();
--- a/sidecar/lifecycle/sidecar.h
+++ b/sidecar/lifecycle/sidecar.h
@@ -1,6 +1,8 @@
 // One sidecar from start to exit. Its phases are states; what moves it on are the rows of a table.
 #pragma once
 
+#include <string>
+
 #include "sidecar/lifecycle/loop.h"
 #include "sidecar/lifecycle/start.h"
 #include "sidecar/lifecycle/table.h"
@@ -12,24 +14,28 @@
 
 class Sidecar {
  public:
-  Sidecar(Loop& loop, Assignment assignment, double clock_offset);
+  Sidecar(Loop& loop, Assignment assignment, double clock_offset, std::string assigned_in);
 
   void start();      // throws std::runtime_error if it can't listen
   void terminate();  // leaves once all that was taken is answered
+  void reload();     // reads its file anew; one that can't be used changes nothing
 
  private:
   enum class Phase { Starting, Serving, Leaving, Finishing, Stopped };
-  enum class Event { Opened, Terminate, DoorTime, Emptied, Overdue };
+  enum class Event { Opened, Reload, Terminate, DoorTime, Emptied, Overdue };
   static const Row<Sidecar, Phase, Event> kRows[];
   void turn(Event event);
   void serve();
+  void read_anew();
   void leave();
   void finish();
   void quit();
   void see_if_empty();
 
   Loop& loop_;
-  const Assignment assignment_;
+  Assignment assignment_;
+  const double clock_offset_;
+  const std::string assigned_in_;
   Phase phase_ = Phase::Starting;
   Carrier carrier_;
   Door door_;
--- a/sidecar/wire/watch.cpp
+++ b/sidecar/wire/watch.cpp
@@ -13,6 +13,9 @@
 
 const Row<Watch, Watch::State, Watch::Input> Watch::kRows[] = {
     {State::Resting, Input::Rested, State::Connecting, &Watch::open},
+    {State::Resting, Input::Moved, State::Connecting, &Watch::open},
+    {State::Connecting, Input::Moved, State::Connecting, &Watch::open},
+    {State::Listening, Input::Moved, State::Connecting, &Watch::open},
     {State::Connecting, Input::Connected, State::Listening, &Watch::ask},
     {State::Connecting, Input::Silent, State::Resting, &Watch::rest},
     {State::Connecting, Input::Ended, State::Resting, &Watch::rest},
@@ -37,10 +40,17 @@
 void Watch::open() {
   state_ = State::Connecting;
   heard();
+  stream_.close();
   reader_.take(), lines_ = Lines();
   if (!stream_.connect(address_)) turn(Input::Ended);
 }
 
+void Watch::move(const std::string& address) {
+  if (address == address_) return;
+  address_ = address;
+  turn(Input::Moved);
+}
+
 void Watch::ask() {
   heard();
   Chain out(loop_.pool());
--- a/sidecar/wire/watch.h
+++ b/sidecar/wire/watch.h
@@ -21,11 +21,13 @@
 
   Watch(Loop& loop, Owner& owner, std::string address, double clock_offset, std::int64_t known);
   void open();
+  // Discovery has moved: what was heard of it holds, and what came since is asked for at the new address.
+  void move(const std::string& address);
   void close() { state_ = State::Over, stream_.close(); }
 
  private:
   enum class State { Resting, Connecting, Listening, Over };
-  enum class Input { Rested, Connected, Silent, Ended, Nonsense };
+  enum class Input { Rested, Connected, Silent, Ended, Nonsense, Moved };
   static const Row<Watch, State, Input> kRows[];
   void turn(Input input);
   void ask();
--- a/tests/serving.cpp
+++ b/tests/serving.cpp
@@ -181,16 +181,14 @@
   Running(const std::string& known, const std::string& limits = R"({"sockets":1024,"memory_mb":192})",
           const std::string& connect_timeout = "0.1")
       : listen(here(1) + ":5001"), discovery(9), folder_("/tmp/puffinvane-" + std::to_string(getpid())) {
-    std::ofstream(folder_ + ".json") << R"({"name":"n0","listen":")" << listen << R"(","discovery":")"
-                                     << discovery.address << R"(","seed":"1f","limits":)" << limits
-                                     << R"(,"known":{"index":7,"snapshot":true,"endpoints":[)" << known
-                                     << R"(]},"settings":{"PathPrefixes":[
+    told_ = R"(,"seed":"1f","limits":)" + limits + R"(,"known":{"index":7,"snapshot":true,"endpoints":[)" +
+            known + R"(]},"settings":{"PathPrefixes":[
              {"Name":"read","Idempotency":"repeatable","ClientTimeoutS":1.0,"TargetLatencyS":0.5},
              {"Name":"write","Idempotency":"once","ClientTimeoutS":1.0,"TargetLatencyS":0.5}],
            "Limits":{"MaxBackendFetches":3,"ParallelTries":true,"MayCancel":true,"RetryAfter":true,
-             "MaxRetryAfterS":1.5,"ConnIdleS":2.0,"ConnectTimeoutS":)"
-                                     << connect_timeout << R"(},
-           "Rules":{},"RoundS":0.005,"Zone":"z"}})";
+             "MaxRetryAfterS":1.5,"ConnIdleS":2.0,"ConnectTimeoutS":)" +
+            connect_timeout + R"(},"Rules":{},"RoundS":0.005,"Zone":"z"}})";
+    assign(discovery.address);
     child_ = fork();
     if (child_ == 0) {
       prctl(PR_SET_PDEATHSIG, SIGKILL);  // a story that does not hold must not leave it running
@@ -209,6 +207,11 @@
     std::remove((folder_ + ".json").c_str());
   }
 
+  void assign(const std::string& discovery_at) {
+    std::ofstream(folder_ + ".json") << R"({"name":"n0","listen":")" << listen << R"(","discovery":")"
+                                     << discovery_at << '"' << told_;
+  }
+  void reload() { kill(child_, SIGHUP); }
   int status_of(const std::string& request) {
     Line line(listen);
     if (!line.connected) return 0;
@@ -242,7 +245,7 @@
   Listener discovery;
 
  private:
-  std::string folder_;
+  std::string folder_, told_;
   pid_t child_ = 0;
 };
 
@@ -468,15 +471,17 @@
   return std::string(size) + "\r\n" + line + "\r\n";
 }
 
+Line open_watch(Listener& discovery, const std::string& after) {
+  auto [watch, request] = discovery.take_request();
+  assert(request.target == "/v1/servers?watch=1&after=" + after);
+  watch.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+  return std::move(watch);
+}
+
 void the_list_is_followed_through_bad_lines_and_silence() {
   Listener old(2), fresh(3);
   Running sidecar(entry("a", old.address));
-  auto open = [&](const std::string& after) {
-    auto [watch, request] = sidecar.discovery.take_request();
-    assert(request.target == "/v1/servers?watch=1&after=" + after);
-    watch.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-    return std::move(watch);
-  };
+  auto open = [&](const std::string& after) { return open_watch(sidecar.discovery, after); };
   Line watch = open("7");
   std::string change = R"({"index":9,"snapshot":false,"endpoints":[)" + entry("a", old.address, "leaving") +
                        "," + entry("b", fresh.address) + "]}\n";
@@ -502,6 +507,38 @@
   watch = open("12");
 }
 
+// SIGHUP ended the program, and with it all visits in hand.
+void a_new_configuration_is_read_while_visits_go_on() {
+  Listener endpoint(2), fresh(3), second(4), third(5);
+  Running sidecar(entry("a", endpoint.address));
+  Line first = open_watch(sidecar.discovery, "7");
+  first.say(chunk(R"({"index":9,"snapshot":false,"endpoints":[]})"
+                  "\n"));
+  Line caller(sidecar.listen);
+  caller.say(get());
+  auto [fetch, request] = endpoint.take_request();
+  sidecar.assign("no JSON \"");
+  sidecar.reload();
+  assert(!first.ended(0.2));  // of no use: nothing changes
+  sidecar.assign(second.address);
+  sidecar.reload();
+  Line moved = open_watch(second, "9");  // what was heard at the old address is not asked for again
+  assert(first.ended(0.5));
+  moved.say(chunk(R"({"index":10,"snapshot":false,"endpoints":[)" + entry("a", endpoint.address, "leaving") +
+                  "," + entry("b", fresh.address) + "]}\n"));
+  fetch.say(ok("through it all"));
+  assert(caller.answer_status() == 200);
+  caller.say(post("x"));
+  fresh.take_request().first.say(ok("x"));
+  assert(caller.answer_status() == 200);
+  sidecar.terminate();
+  sidecar.assign(third.address);
+  sidecar.reload();
+  open_watch(third, "10");
+  caller.shut();
+  assert(sidecar.exit_code(2) == 0);
+}
+
 void a_connection_still_coming_up_is_given_up_once_its_endpoint_leaves() {
   Listener silent(2, 0), good(3);
   Line filler(silent.address);
@@ -596,6 +633,7 @@
   what_can_not_be_read_is_answered_and_closed();
   a_caller_that_asks_first_is_told_to_send_its_body();
   the_list_is_followed_through_bad_lines_and_silence();
+  a_new_configuration_is_read_while_visits_go_on();
   a_connection_still_coming_up_is_given_up_once_its_endpoint_leaves();
   at_sigterm_what_was_taken_is_answered_and_latecomers_too();
   at_sigterm_a_caller_that_never_finishes_does_not_hold_the_exit();
