A tagged visit may go back to its endpoint; endpoints that are gone leave their places

Probe: every spoilt answer ended its fetch at once; so not the reader. To blame: after_loss and choose_among in policy.cpp skip every endpoint already met, and with five endpoints over four zones a group mostly has no second. Also: endpoints_ and by_name_ grew with every id ever listed; a place is free once the endpoint is gone and nothing is out there, and a fetch keeps its own zone and cell, as the place may be another's. A restart under the same name forgets what was learned of it.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -33,6 +33,7 @@
 constexpr double kSlowEndpoint = 1.5;                        // times calm: lateness may be the endpoint's own
 constexpr double kUnsuspected = 2;  // thresholds that an endpoint with nothing against it is given
 constexpr double kCrossing = 0.3;   // visits of depth that crossing zones counts for, where it has a price
+constexpr double kBack = 100;       // and going back to the same endpoint: for want of any other
 constexpr double kTick = 0.1, kFirstOfAll = -1e9;
 constexpr double kFirstHold = 1, kLongestHold = 8;  // seconds set aside, doubling
 constexpr int kTrickleDone = 8;  // fetches at a time that a trickle has to bear before it is over
@@ -103,6 +104,8 @@
   int endpoint = 0, depth = 0;
   double sent = 0;
   bool out = true, may_have_run = true;
+  std::string zone;  // and cell: kept here, as the endpoint's place may be another's by then
+  std::int64_t cell = 0;
 };
 
 struct Held {
@@ -141,6 +144,8 @@
     for (const ListEntry& entry : entries) seen.insert(entry.endpoint), note_listed(entry);
     for (Endpoint& endpoint : endpoints_) {
       if (scope != ListScope::Changes && !seen.contains(endpoint.name)) turn_health(endpoint, Sign::Unlisted);
+      // Names are ever new on long days: what is gone leaves its place to the next once nothing is out there.
+      if (endpoint.health == Health::Gone && endpoint.out.empty()) endpoint = Endpoint();
     }
     shuffle(), deal(), pump();
   }
@@ -202,12 +207,10 @@
     auto found = visits_.find(static_cast<VisitId>(token));
     if (found == visits_.end()) return;
     Taken& visit = found->second;
-    if (token & kUntilToken) {
-      if (visit.state != State::Done) turn(visit, gave_up(visit));
-      forget_if_over(found);
-      return pump();
-    }
-    if (visit.state == State::Out) consider_copy(visit);
+    if (!(token & kUntilToken)) return visit.state == State::Out ? consider_copy(visit) : void();
+    turn(visit, gave_up(visit));
+    forget_if_over(found);
+    pump();
   }
 
  private:
@@ -250,8 +253,7 @@
   void finish(Taken& visit) {
     leave_count(visit);
     held_.erase(visit.place);
-    if (!deployment_.may_cancel) return;
-    for (std::size_t n = 0; n < visit.fetches.size(); ++n) {
+    for (std::size_t n = 0; deployment_.may_cancel && n < visit.fetches.size(); ++n) {
       if (visit.fetches[n].out) host_.cancel(visit.id, int(n));
     }
   }
@@ -291,10 +293,9 @@
       if (!fetch.out && !fetch.may_have_run) continue;
       if (kind.kind == Kind::Mutating) return false;
       if (kind.kind == Kind::ReadLike) continue;
-      const Endpoint& earlier = endpoints_[fetch.endpoint];
       if (now_ > fetch.sent + kind.memory_span - 2 * deployment_.round) return false;
-      if (kind.group == Group::Zone && earlier.zone != endpoint.zone) return false;
-      if (kind.group == Group::Cell && earlier.cell != endpoint.cell) return false;
+      if (kind.group == Group::Zone && fetch.zone != endpoint.zone) return false;
+      if (kind.group == Group::Cell && fetch.cell != endpoint.cell) return false;
     }
     return true;
   }
@@ -302,6 +303,10 @@
     return std::any_of(visit.fetches.begin(), visit.fetches.end(),
                        [&](const Fetch& fetch) { return fetch.endpoint == endpoint; });
   }
+  // A group may have no other endpoint, and what spoils one answer need not spoil the next.
+  bool may_go_back(const Taken& visit) const {
+    return prefix(visit).kind == Kind::Tagged && !all_known_not_run(visit);
+  }
   bool may_bounce(const Taken& visit) const {
     const PathPrefix& kind = prefix(visit);
     return kind.kind == Kind::ReadLike || all_known_not_run(visit) ||
@@ -309,11 +314,11 @@
   }
   Input after_loss(const Taken& visit) const {
     if (visit.state == State::Paired) return Input::OneLost;
-    // A tier that turns away or fails a good part of all would be sent each visit as often as is allowed,
-    // from every tier above times the same.
+    // A tier that loses most would else be sent each visit as often as is allowed, by every tier above times
+    // that.
     if (share_of(lost_) > kMostLost && lost_.size() >= kFewLatencies) return gave_up(visit);
     for (int i = 0; i < int(endpoints_.size()) && now_ < visit.until - 2 * deployment_.round; ++i) {
-      bool usable = endpoints_[i].health == Health::Steady && !tried(visit, i);
+      bool usable = endpoints_[i].health == Health::Steady && (!tried(visit, i) || may_go_back(visit));
       if (usable && may_fetch(visit, endpoints_[i])) return Input::Again;
     }
     return gave_up(visit);
@@ -327,8 +332,8 @@
     if (samples.size() < kFewLatencies) return deployment_.path_prefixes[prefix].target_latency / 2;
     return percentile(samples, kHedgePercentile);
   }
-  // The mean latency before it swelled: the lowest of the last while's means, as Little's law wants means.
-  // A room measured against a figure that moves with the jam would let the jam in.
+  // The lowest mean of the last while, as Little's law wants means: one that moves with a jam would let it
+  // in.
   double calm(int prefix) const {
     const auto& means = means_[prefix];
     if (!means.empty()) return *std::min_element(means.begin(), means.end());
@@ -343,8 +348,7 @@
   double depth(const Endpoint& endpoint) const {
     return endpoint.reported >= 0 ? endpoint.reported + endpoint.since_report : double(endpoint.out.size());
   }
-  // Against calm, not against a usual that moves with a jam and makes those in it look no worse than those
-  // left out of use: a depth of our own fetches shows nothing of what other sidecars have there.
+  // Against calm: a usual that moves with a jam makes those in it look no worse than those left out of use.
   double slowness(const Endpoint& endpoint) const {
     double sum = 3, count = 3;
     for (const Answer& answer : endpoint.answers) {
@@ -382,9 +386,9 @@
     return !cold(endpoint) || endpoint.cold_credit >= 1;
   }
   // Many sidecars with few visits each: with the whole list for all, connections are opened everywhere, no
-  // endpoint answers one often enough to be known, and what each happens to use makes some endpoints
-  // everyone's and others nobody's. So a ring of the list, shuffled alike at all, is cut evenly among as many
-  // sidecars as it gives parts, by their own numbers; the next ones cut a ring shuffled in another way.
+  // endpoint is known, and some become everyone's and others nobody's. So a ring of the list, shuffled alike
+  // at all, is cut evenly among as many sidecars as it gives parts; the next cut a ring shuffled in another
+  // way.
   int rings() const { return deployment_.sidecars / parts_; }
   void shuffle() {
     // Cut anew only for a list that is clearly another: each new cut is a round of new connections for all.
@@ -427,13 +431,14 @@
     std::vector<std::pair<double, int>> ready;
     for (int i : among) {
       const Endpoint& endpoint = endpoints_[i];
-      if (tried(visit, i) || !open_to(endpoint) || !may_fetch(visit, endpoint)) continue;
+      bool again = tried(visit, i);
+      if ((again && !may_go_back(visit)) || !open_to(endpoint) || !may_fetch(visit, endpoint)) continue;
       // A trickle is a test: a mutating visit, which could not be sent again, is no stake for it.
       if (endpoint.health == Health::Trickle && prefix(visit).kind == Kind::Mutating) continue;
       // A crossing is priced: zones are crossed for shorter queues, not by chance.
       double crossing = endpoint.zone == deployment_.zone || !deployment_.crossing_priced ? 0 : kCrossing;
       double size = endpoint.dealt > 0 ? endpoint.dealt : endpoint.units;
-      double ahead = (depth(endpoint) + 1 + crossing) * slowness(endpoint) / size;
+      double ahead = (depth(endpoint) + 1 + crossing + (again ? kBack : 0)) * slowness(endpoint) / size;
       ready.emplace_back(at_random ? 0 : ahead, i);
     }
     if (ready.empty()) return -1;
@@ -443,7 +448,7 @@
   }
   void send(Taken& visit, int to) {
     Endpoint& endpoint = endpoints_[to];
-    Fetch fetch{to, int(endpoint.out.size()) + 1, now_};
+    Fetch fetch{to, int(endpoint.out.size()) + 1, now_, true, true, endpoint.zone, endpoint.cell};
     int number = int(visit.fetches.size());
     if (cold(endpoint)) endpoint.cold_credit -= 1;
     ++endpoint.since_report;
@@ -465,9 +470,8 @@
     const Fetch& first = visit.fetches.back();
     double due = threshold(visit.prefix), waited = now_ - first.sent;
     if (waited < due - deployment_.round) return;
-    // The source takes lateness for the endpoint's. A heavy visit is late anywhere, and its copy doubles the
-    // heaviest work on every tier behind: so an endpoint that answers what came later is believed, and one
-    // with nothing against it gets as long again.
+    // A heavy visit is late anywhere, and its copy doubles the heaviest work on every tier behind: an
+    // endpoint that answers what came later is believed, and one with nothing against it gets as long again.
     const Endpoint& at = endpoints_[first.endpoint];
     if (slowness(at) < kSlowEndpoint && (at.last_answer > first.sent || waited < kUnsuspected * due)) {
       ++counts_[Weight];
@@ -514,20 +518,16 @@
     for (auto next = held_.begin(); next != held_.end();) {
       Taken& visit = visits_.at(next->second);
       if (!room(visit)) break;
-      if (choose(visit, false) < 0) {
-        ++next;
-        continue;
-      }
-      next = held_.erase(next);
-      turn(visit, Input::Room);
+      bool goes = choose(visit, false) >= 0;
+      next = goes ? held_.erase(next) : std::next(next);
+      if (goes) turn(visit, Input::Room);
     }
   }
   // Who waits longest when there is no room: first those over their customer's share, then low credit for
   // the work, unless the deployment is judged by its worst-served path prefix more than by the whole.
   double rank(const Taken& visit) const {
     double work = deployment_.credit_by_work ? 1 : calm(visit.prefix);
-    bool even = deployment_.weight_evenness >= deployment_.weight_whole;
-    double credit = even ? 0 : prefix(visit).credit / work;
+    double credit = deployment_.weight_evenness >= deployment_.weight_whole ? 0 : prefix(visit).credit / work;
     return visit.over_share ? 1 / (1 + credit) : -credit;
   }
   void leave_count(Taken& visit) {
@@ -590,8 +590,7 @@
   }
   void note_failing(Endpoint& endpoint) {
     // With most of them failing the trouble is shared or behind them, and the rest would be pushed over.
-    int aside = count(Health::Aside);
-    if (endpoint.health == Health::Trickle || 2 * (aside + 1) <= listed())
+    if (endpoint.health == Health::Trickle || 2 * (count(Health::Aside) + 1) <= listed())
       turn_health(endpoint, Sign::Failing);
   }
   bool silent(const Endpoint& endpoint) const {
@@ -608,20 +607,23 @@
 
   // ---- the list
   void note_listed(const ListEntry& entry) {
-    auto found = by_name_.find(entry.endpoint);
-    if (found == by_name_.end()) {
-      found = by_name_.emplace(entry.endpoint, int(endpoints_.size())).first;
-      endpoints_.emplace_back().name = entry.endpoint;
-    }
-    Endpoint& endpoint = endpoints_[found->second];
+    auto named = [&](std::string_view name) {
+      return std::find_if(endpoints_.begin(), endpoints_.end(), [&](auto& one) { return one.name == name; });
+    };
+    auto found = named(entry.endpoint);
+    if (found == endpoints_.end()) found = named("");
+    if (found == endpoints_.end()) found = endpoints_.insert(found, Endpoint());
+    Endpoint& endpoint = *found;
+    endpoint.name = entry.endpoint;
     if (entry.state != Listed::Ready) return turn_health(endpoint, Sign::Unlisted);
     endpoint.zone = entry.zone;
     endpoint.cell = entry.cell;
     endpoint.units = entry.units;
     if (entry.online_since != endpoint.online_since) {
-      // Restarted. Rule 4: each sidecar starts its budget at another part of one fetch, by its own number,
-      // so that their first fetches come one after another and not all at the news.
+      // Restarted: what was learned was another's. Rule 4: by their own numbers sidecars start their budgets
+      // at other parts of one fetch, so that their first fetches come one after another.
       endpoint.online_since = entry.online_since;
+      endpoint.reported = -1, endpoint.answers.clear();
       endpoint.cold_credit = double(deployment_.me % deployment_.sidecars) / deployment_.sidecars;
       turn_health(endpoint, Sign::Unlisted);
     }
@@ -642,8 +644,8 @@
       host_.follow_list(true);
     }
     if (asked_until_ > 0 && now_ > asked_until_) ask_again_later();
-    // Kept for each endpoint in use as well: a drained fleet must not be held to what the larger one did, and
-    // an enlarged one does no more for it until seen to, as the tier behind may be the narrow one.
+    // For each endpoint in use too: a drained fleet is not held to what it did, an enlarged one does no more
+    // until seen to, as the tier behind may be the narrow one.
     double ready = std::max(1, count(Health::Steady));
     keep(rates_, answers_, std::size_t(kCalmSeconds / kTick));
     keep(rates_each_, std::exchange(answers_, 0.0) / ready, std::size_t(kCalmSeconds / kTick));
@@ -679,9 +681,8 @@
       }
       if (endpoint.health == Health::Aside && now_ >= endpoint.hold_until)
         turn_health(endpoint, Sign::HoldOver);
-      if ((endpoint.health == Health::Steady || endpoint.health == Health::Trickle) && silent(endpoint)) {
-        note_failing(endpoint);
-      }
+      bool used = endpoint.health == Health::Steady || endpoint.health == Health::Trickle;
+      if (used && silent(endpoint)) note_failing(endpoint);
     }
     std::vector<VisitId> over;
     for (const auto& [place, id] : held_) {
@@ -708,7 +709,6 @@
   const double started_;
   std::vector<Endpoint> endpoints_;
   std::vector<int> ring_, dealt_;  // the listed endpoints in this sidecar's order, and its part of them
-  std::map<std::string, int> by_name_;
   std::map<VisitId, Taken> visits_;
   std::map<Held, VisitId> held_;
   std::vector<std::deque<double>> latencies_, means_, customer_arrivals_;
