Connections and addresses of endpoints that went without a word are dropped

Cause: Carrier::note_entries acted on entries only. What a whole list leaves out kept its address and its idle connections for good, and so did an endpoint whose address a new id had taken over.

--- a/sidecar/memory/addresses.h
+++ b/sidecar/memory/addresses.h
@@ -2,18 +2,35 @@
 #pragma once
 
 #include <map>
+#include <set>
 #include <string>
+#include <vector>
 
 namespace puffinvane {
 
 class Addresses {
  public:
-  // True if the endpoint was known at another address: what is connected there is of no more use.
-  bool note(const std::string& endpoint, const std::string& address) {
+  // Returns the endpoints whose connections are of no more use: this one if it was known at another address,
+  // and whoever had this address before. Two can't listen there, so that one is gone, told or not.
+  std::vector<std::string> note(const std::string& endpoint, const std::string& address) {
+    std::vector<std::string> stale;
     auto [found, is_new] = by_name_.try_emplace(endpoint, address);
-    if (is_new || found->second == address) return false;
+    if (!is_new && found->second == address) return stale;
+    for (auto& [name, at] : by_name_) {
+      if ((name == endpoint) != (at == address)) stale.push_back(name);
+    }
     found->second = address;
-    return true;
+    for (const std::string& name : stale) {
+      if (name != endpoint) by_name_.erase(name);
+    }
+    return stale;
+  }
+  std::vector<std::string> missing_from(const std::set<std::string>& listed) const {
+    std::vector<std::string> missing;
+    for (const auto& [name, address] : by_name_) {
+      if (!listed.contains(name)) missing.push_back(name);
+    }
+    return missing;
   }
   const std::string* find(const std::string& endpoint) const {
     auto found = by_name_.find(endpoint);
--- a/sidecar/wire/carrier.cpp
+++ b/sidecar/wire/carrier.cpp
@@ -1,6 +1,7 @@
 #include "sidecar/wire/carrier.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "sidecar/wire/headers.h"
@@ -238,11 +239,8 @@
   return true;
 }
 
-void Carrier::drop_idle(const std::string& endpoint) {
+void Carrier::drop_connections(const std::string& endpoint) {
   while (std::unique_ptr<Backend> kept = idle_.take(endpoint)) kept->give_up(), loop_.bury(std::move(kept));
-}
-
-void Carrier::drop_coming_up(const std::string& endpoint) {
   // Rule 3: a connect time-out may be longer than the grace, and the request is written at its end.
   std::vector<Backend*> coming_up;
   for (auto& [key, backend] : busy_) {
@@ -269,12 +267,20 @@
 }
 
 void Carrier::note_entries(const EndpointList& list, ListScope scope) {
+  std::set<std::string> listed;
   for (std::size_t i = 0; i < list.entries.size(); ++i) {
     const ListEntry& entry = list.entries[i];
-    if (!list.addresses[i].empty() && addresses_.note(entry.endpoint, list.addresses[i]))
-      drop_idle(entry.endpoint);
-    if (entry.state != Listed::Ready) drop_idle(entry.endpoint), drop_coming_up(entry.endpoint);
+    listed.insert(entry.endpoint);
+    if (entry.state != Listed::Ready) drop_connections(entry.endpoint);
     if (entry.state == Listed::Gone) addresses_.forget(entry.endpoint);
+    else if (!list.addresses[i].empty()) {
+      for (const std::string& stale : addresses_.note(entry.endpoint, list.addresses[i]))
+        drop_connections(stale);
+    }
+  }
+  if (list.whole) {  // what a whole list leaves out is gone without a word
+    for (const std::string& gone : addresses_.missing_from(listed))
+      drop_connections(gone), addresses_.forget(gone);
   }
   policy_->list(loop_.now(), scope, list.entries);
 }
--- a/sidecar/wire/carrier.h
+++ b/sidecar/wire/carrier.h
@@ -60,8 +60,7 @@
   bool start(Backend::Carried fetch, const std::string& endpoint);
   bool room_for_connection();
   bool drop_one_client();
-  void drop_idle(const std::string& endpoint);
-  void drop_coming_up(const std::string& endpoint);
+  void drop_connections(const std::string& endpoint);
   Backend::Carried let_go(Backend& backend);
   void note_entries(const EndpointList& list, ListScope scope);
   void sweep();
--- a/tests/serving.cpp
+++ b/tests/serving.cpp
@@ -570,6 +570,21 @@
   assert(sidecar.exit_code(2) == 0);
 }
 
+// What a whole list leaves out was kept, with its connections, for good; so was what had lost its address.
+void endpoints_that_go_without_a_word_keep_no_connection() {
+  Listener moved(2), left_out(3);
+  Running sidecar(entry("a", moved.address) + "," + entry("b", left_out.address));
+  Line watch = open_watch(sidecar.discovery, "7"), caller(sidecar.listen), other(sidecar.listen);
+  caller.say(get("", "1")), other.say(get("", "2"));
+  Line to_a = moved.take_request().first, to_b = left_out.take_request().first;
+  to_a.say(ok("a")), to_b.say(ok("b"));
+  assert(caller.answer_status() == 200 && other.answer_status() == 200);
+  watch.say(chunk(R"({"index":8,"snapshot":false,"endpoints":[)" + entry("c", moved.address) + "]}\n"));
+  assert(to_a.ended(0.5) && !to_b.ended(0.1));
+  watch.say(chunk(R"({"index":9,"snapshot":true,"endpoints":[)" + entry("c", moved.address) + "]}\n"));
+  assert(to_b.ended(0.5));
+}
+
 void a_connection_still_coming_up_is_given_up_once_its_endpoint_leaves() {
   Listener silent(2, 0), good(3);
   Line filler(silent.address);
@@ -666,6 +681,7 @@
   a_caller_that_asks_first_is_told_to_send_its_body();
   the_list_is_followed_through_bad_lines_and_silence();
   a_new_configuration_is_read_while_visits_go_on();
+  endpoints_that_go_without_a_word_keep_no_connection();
   a_connection_still_coming_up_is_given_up_once_its_endpoint_leaves();
   at_sigterm_what_was_taken_is_answered_and_latecomers_too();
   at_sigterm_a_caller_that_never_finishes_does_not_hold_the_exit();
--- a/tests/wire.cpp
+++ b/tests/wire.cpp
@@ -305,10 +305,13 @@
 
 void an_endpoint_that_moved_is_noticed() {
   Addresses addresses;
-  assert(!addresses.note("a", "1:1") && !addresses.note("a", "1:1") && addresses.note("a", "2:2"));
-  assert(*addresses.find("a") == "2:2" && !addresses.find("b"));
-  addresses.forget("a");
-  assert(!addresses.find("a"));
+  using Names = std::vector<std::string>;
+  assert(addresses.note("a", "1:1").empty() && addresses.note("a", "1:1").empty());
+  assert(addresses.note("a", "2:2") == Names{"a"} && *addresses.find("a") == "2:2" && !addresses.find("b"));
+  assert(addresses.note("b", "2:2") == Names{"a"} && !addresses.find("a"));  // taken over by a new id
+  assert(addresses.note("c", "3:3").empty() && addresses.missing_from({"c", "d"}) == Names{"b"});
+  addresses.forget("b");
+  assert(!addresses.find("b") && addresses.missing_from({}) == Names{"c"});
 }
 
 void the_loop_keeps_the_order_of_alarms_and_puts_off_what_is_asked_for_soon() {
