Room: three visits an endpoint need none, eight in a sidecar's first seconds

Excluded: sockets (the first fetch leaves 0.15 ms after a visit comes, median), endpoints (no full, no connect failure).

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -27,7 +27,7 @@
 constexpr int kDealt = 4;  // endpoints a sidecar, and sidecars an endpoint, that a part must leave at least
 constexpr std::uint64_t kMixer = 0xff51afd7ed558ccdULL;  // odd and well spread: parts names that look alike
 constexpr double kCrowdedAt = 1.3, kCrowdSeconds = 1, kHeavy = 4;  // kHeavy: one visit must not make a crowd
-constexpr double kFloor = 2, kFirstSeconds = 3;  // visits an endpoint, of all sidecars, that need no room
+constexpr double kFloor = 3, kFirstSeconds = 3;  // visits an endpoint, of all sidecars, that need no room
 constexpr std::size_t kCalmSeconds = 40, kRateTicks = 80, kLeastTicks = 20, kCrowdTicks = 20;
 constexpr double kLeastPatience = 0.2, kMostPatience = 0.8;  // of the target latency that a visit may be held
 constexpr double kSlowEndpoint = 1.5;                        // times calm: lateness may be the endpoint's own
@@ -507,8 +507,9 @@
   bool room(const Taken& visit) const {
     // The floor is shared: many sidecars' own small allowances would add up to a crowd on every endpoint.
     if (deployment_.tier > 0 || visit.place.rank == kFirstOfAll) return true;
-    // Before any rate is known C's first value stands in: else the first seconds bounce half of all.
-    double each = now_ < started_ + kFirstSeconds ? kFirstCapacity : kFloor;
+    // Before any rate is known twice C's first value stands in: with C itself the first seconds bounced a
+    // tenth.
+    double each = now_ < started_ + kFirstSeconds ? 2 * kFirstCapacity : kFloor;
     if (in_flight_ < std::max(1.0, each * count(Health::Steady) / deployment_.sidecars)) return true;
     // Calm goes by the best rate of a long while: a recent one is lowered by the very limit that it sets.
     double stretch = kTightStretch + (kLooseStretch - kTightStretch) * (1 - share_of(crowded_));
