A leaving sidecar serves who is connected until an answer in time can't be hoped for

Logs: n0 leaves at 13.45 s, is gone at 13.88 and back at 17.85; n1 leaves at 16.45 and is gone at 17.11: for a second nobody served. Excluded: the restart is not sooner for leaving sooner (4.4 s for both), and the killed tiers behind were up. To blame: Sidecar::finish closed every caller 0.42 s after SIGTERM, though SIGKILL comes 0.7 s after the longest client timeout at the earliest.

--- a/sidecar/lifecycle/sidecar.cpp
+++ b/sidecar/lifecycle/sidecar.cpp
@@ -21,7 +21,10 @@
     {Phase::Serving, Event::Reload, Phase::Serving, &Sidecar::read_anew},
     {Phase::Serving, Event::Terminate, Phase::Leaving, &Sidecar::leave},
     {Phase::Leaving, Event::Reload, Phase::Leaving, &Sidecar::read_anew},
-    {Phase::Leaving, Event::DoorTime, Phase::Finishing, &Sidecar::finish},
+    {Phase::Leaving, Event::DoorTime, Phase::Staying, &Sidecar::stay},
+    {Phase::Staying, Event::Reload, Phase::Staying, &Sidecar::read_anew},
+    {Phase::Staying, Event::Emptied, Phase::Stopped, &Sidecar::quit},
+    {Phase::Staying, Event::LastCall, Phase::Finishing, &Sidecar::finish},
     {Phase::Finishing, Event::Reload, Phase::Finishing, &Sidecar::read_anew},
     {Phase::Finishing, Event::Emptied, Phase::Stopped, &Sidecar::quit},
     {Phase::Finishing, Event::Overdue, Phase::Stopped, &Sidecar::quit},
@@ -67,21 +70,28 @@
 
 void Sidecar::leave() {
   loop_.log().info() << assignment_.name << " leaves";
-  carrier_.leave();
-  double longest = 0;
-  for (const PathPrefix& prefix : assignment_.deployment.path_prefixes)
+  double longest = 0, target = 0;
+  for (const PathPrefix& prefix : assignment_.deployment.path_prefixes) {
     longest = std::max(longest, prefix.client_timeout);
+    target = std::max(target, prefix.target_latency);
+  }
+  double gone = loop_.now() + longest + kGoneBy;
+  carrier_.leave(gone - kLook);
   loop_.at(loop_.now() + kDoorTime, [this] { turn(Event::DoorTime); });
-  loop_.at(loop_.now() + longest + kGoneBy, [this] { turn(Event::Overdue); });
+  // The others may be away as well: who is connected here is served while an answer in time can be hoped for.
+  loop_.at(gone - target, [this] { turn(Event::LastCall); });
+  loop_.at(gone, [this] { turn(Event::Overdue); });
 }
 
-void Sidecar::finish() {
+void Sidecar::stay() {
   door_.close();
   see_if_empty();
 }
 
+void Sidecar::finish() { carrier_.last_call(); }
+
 void Sidecar::see_if_empty() {
-  carrier_.close_idle_clients();
+  if (phase_ == Phase::Finishing) carrier_.close_idle_clients();
   if (carrier_.empty()) return turn(Event::Emptied);
   loop_.at(loop_.now() + kLook, [this] { see_if_empty(); });
 }
--- a/sidecar/lifecycle/sidecar.h
+++ b/sidecar/lifecycle/sidecar.h
@@ -21,13 +21,14 @@
   void reload();     // reads its file anew; one that can't be used changes nothing
 
  private:
-  enum class Phase { Starting, Serving, Leaving, Finishing, Stopped };
-  enum class Event { Opened, Reload, Terminate, DoorTime, Emptied, Overdue };
+  enum class Phase { Starting, Serving, Leaving, Staying, Finishing, Stopped };
+  enum class Event { Opened, Reload, Terminate, DoorTime, LastCall, Emptied, Overdue };
   static const Row<Sidecar, Phase, Event> kRows[];
   void turn(Event event);
   void serve();
   void read_anew();
   void leave();
+  void stay();
   void finish();
   void quit();
   void see_if_empty();
--- a/sidecar/wire/carrier.cpp
+++ b/sidecar/wire/carrier.cpp
@@ -85,7 +85,7 @@
   if (!visit || visit->concluded()) return;
   Client& client = *std::exchange(visit->client, nullptr);
   client.visit.reset();
-  client.answer(status, from, more_headers, text, leaving_);
+  client.answer(status, from, more_headers, text, last_call_);
   // Not forgotten here: the module may be in the middle of it, and ask for more cancels.
   loop_.soon([this, id] { visits_.forget_if_over(id); });
 }
@@ -173,7 +173,7 @@
 
 void Carrier::on_request(Client& client, HttpMessage request) {
   if (request.target == "/healthz" && request.method == "GET")
-    return client.answer(leaving_ ? 503 : 200, nullptr, "", leaving_ ? "leaving\n" : "ready\n", leaving_);
+    return client.answer(gone_ ? 503 : 200, nullptr, "", gone_ ? "leaving\n" : "ready\n", last_call_);
   if (request.method == "HEAD" || request.method == "CONNECT")
     return client.answer(405, nullptr, "Allow: GET, POST\r\n", "", true);
   if (!find_prefix(path_prefix_of(request.target)))
@@ -197,6 +197,7 @@
   // It may have lain here unread for all of a stall; its caller has counted on meanwhile.
   time_left = std::max(0.0, time_left - loop_.stalled());
   double now = loop_.now();
+  if (gone_) time_left = std::clamp(*gone_ - now, 0.0, time_left);
   VisitId id = visits_.add({std::move(request), now + time_left, &client});
   client.visit = id;
   policy_->arrive(now, {id, prefix, customer, time_left});
--- a/sidecar/wire/carrier.h
+++ b/sidecar/wire/carrier.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -26,8 +27,9 @@
   Carrier(Loop& loop, Deployment deployment, std::uint64_t seed, std::size_t most_bytes);
   ~Carrier() override;
 
-  void know(const EndpointList& known);  // the list as it was had last
-  void leave() { leaving_ = true; }      // answers are the last on their connections from here on
+  void know(const EndpointList& known);      // the list as it was had last
+  void leave(double gone) { gone_ = gone; }  // no visit is given time beyond that
+  void last_call() { last_call_ = true; }    // answers are the last on their connections from here on
   void close_idle_clients();
   bool empty() const { return clients_.empty(); }
 
@@ -68,7 +70,8 @@
   Loop& loop_;
   const Deployment deployment_;
   const std::size_t most_bytes_;
-  bool leaving_ = false;
+  std::optional<double> gone_;
+  bool last_call_ = false;
   Addresses addresses_;
   Visits visits_;
   Idle<Backend> idle_;
