--- a/sidecar/wire/backend.cpp
+++ b/sidecar/wire/backend.cpp
@@ -6,6 +6,12 @@
 
 namespace puffinvane {
 
+namespace {
+// Seconds without a byte in the middle of an answer: an endpoint writes it when its work is done, so what has
+// begun and stops is lost, and the visit has better uses for its time than to wait for its client timeout.
+constexpr double kStopped = 0.3;
+}  // namespace
+
 // An answer may come before the request is written whole: it counts, but what is left of the request can't
 // be taken back, so that connection carries nothing more.
 const Row<Backend, Backend::State, Backend::Input> Backend::kRows[] = {
@@ -23,6 +29,7 @@
     {State::Awaiting, Input::Answered, State::Idle, &Backend::report_answer},
     {State::Awaiting, Input::AnsweredLast, State::Over, &Backend::report_answer},
     {State::Awaiting, Input::Nonsense, State::Over, &Backend::report_nonsense},
+    {State::Awaiting, Input::Stopped, State::Over, &Backend::report_nonsense},
     {State::Awaiting, Input::Ended, State::Over, &Backend::report_reset},
 };
 
@@ -56,7 +63,8 @@
 
 void Backend::on_received(std::string_view bytes) {
   if (state_ == State::Idle) return turn(Input::Nonsense);  // nobody asked
-  answering_ = true;
+  heard_ = loop_.now();
+  if (!std::exchange(answering_, true)) watch_answer(sent_);
   std::size_t used = reader_.feed(bytes);
   if (reader_.fault() != HttpReader::Fault::None) return turn(Input::Nonsense);
   if (!reader_.whole()) return;
@@ -64,6 +72,13 @@
   turn(last ? Input::AnsweredLast : Input::Answered);
 }
 
+void Backend::watch_answer(double of) {
+  loop_.at(heard_ + kStopped, alive_.guard([this, of] {
+    if (state_ == State::Idle || sent_ != of) return;  // that one came whole
+    loop_.now() - heard_ >= kStopped ? turn(Input::Stopped) : watch_answer(of);
+  }));
+}
+
 void Backend::on_ended() {
   reader_.end();
   turn(reader_.whole() ? Input::AnsweredLast : Input::Ended);
--- a/sidecar/wire/backend.h
+++ b/sidecar/wire/backend.h
@@ -39,7 +39,7 @@
 
  private:
   enum class State { Connecting, Idle, Sending, Awaiting, Over };
-  enum class Input { Connected, Fetch, Written, Answered, AnsweredLast, Nonsense, Ended, TimedOut };
+  enum class Input { Connected, Fetch, Written, Answered, AnsweredLast, Nonsense, Stopped, Ended, TimedOut };
   static const Row<Backend, State, Input> kRows[];
   void turn(Input input);
   void nothing() {}
@@ -50,6 +50,7 @@
   void report_reset();
   void report_idle_end();
   void report(Outcome outcome);
+  void watch_answer(double of);
 
   void on_connected() override { turn(Input::Connected); }
   void on_received(std::string_view bytes) override;
@@ -63,7 +64,7 @@
   HttpReader reader_;
   State state_ = State::Connecting;
   Carried carried_;
-  double timeout_ = 0, sent_ = 0, idle_since_ = 0;
+  double timeout_ = 0, sent_ = 0, heard_ = 0, idle_since_ = 0;
   bool kept_ = false, answering_ = false;  // kept: it has carried a fetch before this one
   Alive alive_;
 };
--- a/tests/serving.cpp
+++ b/tests/serving.cpp
@@ -416,6 +416,23 @@
   assert(fetch.ended(1));
 }
 
+// An answer that stopped short held its visit until the client timeout, though it could be fetched again.
+void an_answer_that_stops_short_is_given_up_and_one_that_comes_slowly_is_not() {
+  Listener endpoint(2);
+  Running sidecar(entry("a", endpoint.address));
+  Line caller(sidecar.listen);
+  caller.say(post("x"));
+  auto [fetch, request] = endpoint.take_request();
+  for (char byte : std::string("HTTP/1.1 200 OK\r\n")) fetch.say({byte}), sleep_for(0.03);
+  fetch.say("Content-Length: 1\r\n\r\nx");
+  assert(caller.answer_status() == 200);
+  double start = now();
+  caller.say(post("y"));
+  assert(fetch.hear(HttpReader::Side::Request));
+  fetch.say("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf");
+  assert(caller.answer_status() == 502 && now() - start > 0.2 && now() - start < 0.6 && fetch.ended(0.2));
+}
+
 // A sidecar that had no core for a while finds answers and overdue timers at once. Timers first, it took its
 // endpoints for silent, though they had answered in time.
 void after_a_stall_what_has_come_in_is_heard_before_what_is_due() {
@@ -710,6 +727,7 @@
   where_kept_connections_are_dropped_mutating_visits_take_new_ones();
   idle_connections_are_closed_well_before_their_endpoint_does();
   a_silent_endpoint_costs_the_visit_but_not_its_answer();
+  an_answer_that_stops_short_is_given_up_and_one_that_comes_slowly_is_not();
   after_a_stall_what_has_come_in_is_heard_before_what_is_due();
   a_visit_that_came_during_a_stall_is_answered_in_what_is_left_of_its_time();
   a_caller_that_leaves_withdraws_its_visit();
