--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -653,7 +653,8 @@
     auto best = [&](std::size_t ticks) {
       return std::min(best_rate(rates_, ticks), best_rate(rates_each_, ticks) * ready);
     };
-    recent_rate_ = best(kRateTicks), calm_rate_ = best(rates_.size());
+    double crowd = share_of(crowded_), whole = best_rate(rates_, kRateTicks);
+    recent_rate_ = crowd * best(kRateTicks) + (1 - crowd) * whole, calm_rate_ = best(rates_.size());
     // A crowd of a moment passes; one that lasts turns servers slow. More visits out at calm latencies are no
     // crowd but more traffic. So the longer answers have been stretched, the less of the loose bound is left.
     while (!stretches_.empty() && now_ - stretches_.front().first > kCrowdSeconds) stretches_.pop_front();
