--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -31,9 +31,9 @@
 constexpr std::size_t kCalmSeconds = 40, kRateTicks = 80, kLeastTicks = 20, kCrowdTicks = 20;
 constexpr double kLeastPatience = 0.2, kMostPatience = 0.8;  // of the target latency that a visit may be held
 constexpr double kSlowEndpoint = 1.5;                        // times calm: lateness may be the endpoint's own
-constexpr double kUnsuspected = 2;  // thresholds that an endpoint with nothing against it is given
-constexpr double kCrossing = 0.3;   // visits of depth that crossing zones counts for, where it has a price
-constexpr double kBack = 100;       // and going back to the same endpoint: for want of any other
+constexpr double kUnsuspected = 2, kHopeless = 3;  // thresholds: with nothing against the endpoint; for any
+constexpr double kCrossing = 0.3;  // visits of depth that crossing zones counts for, where it has a price
+constexpr double kBack = 100;      // and going back to the same endpoint: for want of any other
 constexpr double kTick = 0.1, kFirstOfAll = -1e9;
 constexpr double kFirstHold = 1, kLongestHold = 8;  // seconds set aside, doubling
 constexpr int kTrickleDone = 8;  // fetches at a time that a trickle has to bear before it is over
@@ -314,8 +314,7 @@
   }
   Input after_loss(const Taken& visit) const {
     if (visit.state == State::Paired) return Input::OneLost;
-    // A tier that loses most would else be sent each visit as often as is allowed, by every tier above times
-    // that.
+    // A tier that loses most would be sent each visit as often as is allowed, by every tier above times that.
     if (share_of(lost_) > kMostLost && lost_.size() >= kFewLatencies) return gave_up(visit);
     for (int i = 0; i < int(endpoints_.size()) && now_ < visit.until - 2 * deployment_.round; ++i) {
       bool usable = endpoints_[i].health == Health::Steady && (!tried(visit, i) || may_go_back(visit));
@@ -568,8 +567,7 @@
           keep(late_, whole > threshold(visit.prefix), std::size_t{40});
           keep(latencies_[visit.prefix], whole, kLatencies);
         }
-        ++answers_;
-        turn_health(endpoint, Sign::Good);
+        ++answers_, turn_health(endpoint, Sign::Good);
         if (endpoint.allowance >= kTrickleDone) turn_health(endpoint, Sign::Restored);
         return;
       case Outcome::Failed:
@@ -621,8 +619,7 @@
     endpoint.cell = entry.cell;
     endpoint.units = entry.units;
     if (entry.online_since != endpoint.online_since) {
-      // Restarted: what was learned was another's. Rule 4: by their own numbers sidecars start their budgets
-      // at other parts of one fetch, so that their first fetches come one after another.
+      // Restarted: nothing learned holds. Rule 4: by their numbers sidecars' first fetches come in turn.
       endpoint.online_since = entry.online_since;
       endpoint.reported = -1, endpoint.answers.clear();
       endpoint.cold_credit = double(deployment_.me % deployment_.sidecars) / deployment_.sidecars;
@@ -645,8 +642,7 @@
       host_.follow_list(true);
     }
     if (asked_until_ > 0 && now_ > asked_until_) ask_again_later();
-    // For each endpoint in use too: a drained fleet is not held to what it did, an enlarged one does no more
-    // until seen to, as the tier behind may be the narrow one.
+    // In a crowd a drained fleet is held to what each endpoint did, an enlarged one to no more until seen to.
     double ready = std::max(1, count(Health::Steady));
     keep(rates_, answers_, std::size_t(kCalmSeconds / kTick));
     keep(rates_each_, std::exchange(answers_, 0.0) / ready, std::size_t(kCalmSeconds / kTick));
@@ -655,8 +651,7 @@
     };
     double crowd = share_of(crowded_), whole = best_rate(rates_, kRateTicks);
     recent_rate_ = crowd * best(kRateTicks) + (1 - crowd) * whole, calm_rate_ = best(rates_.size());
-    // A crowd of a moment passes; one that lasts turns servers slow. More visits out at calm latencies are no
-    // crowd but more traffic. So the longer answers have been stretched, the less of the loose bound is left.
+    // A moment's crowd passes, one that lasts turns servers slow: the loose bound goes while it lasts.
     while (!stretches_.empty() && now_ - stretches_.front().first > kCrowdSeconds) stretches_.pop_front();
     double sum = 0;
     for (const auto& [at, stretch] : stretches_) sum += std::min(stretch, kHeavy);
@@ -672,8 +667,7 @@
     for (int i : dealt_) {
       if (endpoints_[i].health == Health::Steady && !cold(endpoints_[i])) warm += endpoints_[i].dealt;
     }
-    // A fresh endpoint may get the cold share, growing evenly to the whole, of what a warm one gets from us,
-    // size for size. With none warm it is a fetch a second from all that it is dealt to.
+    // A fresh one gets the cold share, growing evenly, of a warm one's; with none warm, a fetch a second.
     double pace = std::max(warm > 0 ? recent_rate_ * kTick / warm : 0, kTick / rings());
     for (Endpoint& endpoint : endpoints_) {
       if (cold(endpoint)) {
@@ -683,6 +677,12 @@
       }
       if (endpoint.health == Health::Aside && now_ >= endpoint.hold_until)
         turn_health(endpoint, Sign::HoldOver);
+      // Lost with its connection rather than late, it would fill the room until its client timeout.
+      for (const auto& [sent, what] : endpoint.out) {
+        Taken& visit = visits_.at(VisitId(what >> 8));
+        bool lost = now_ - sent > kHopeless * threshold(visit.prefix);
+        if (lost && share_of(late_) <= kSharedLate / 2) leave_count(visit);
+      }
       bool used = endpoint.health == Health::Steady || endpoint.health == Health::Trickle;
       if (used && silent(endpoint)) note_failing(endpoint);
     }
--- a/tests/stories.cpp
+++ b/tests/stories.cpp
@@ -492,6 +492,21 @@
 }
 
 // Incident i6ac521: the first tier was enlarged, and the tier behind it was overrun by the new room.
+// Silent connections: a few visits that were never answered filled the room of the rest for seconds.
+void a_visit_out_for_very_long_fills_no_room_unless_others_are_late_too() {
+  auto let_out = [](bool hang) {
+    FakeHost host(deployment());
+    host.ready(2);
+    host.calm(150, 0.05);
+    for (int i = 0; i < 6 && hang; ++i) host.visit("mutating", 4);
+    host.calm(40, 0.05);
+    std::size_t before = host.sent.size();
+    for (int i = 0; i < 300; ++i) host.visit();
+    return host.sent.size() - before;
+  };
+  assert(let_out(false) >= 6 && let_out(true) >= let_out(false));
+}
+
 void an_enlarged_fleet_gets_no_more_room_until_its_rate_is_seen_to_rise() {
   FakeHost host(deployment());
   host.ready(2);
@@ -662,6 +677,7 @@
   a_sidecar_that_has_just_started_lets_out_twice_its_first_capacity();
   an_over_share_customer_waits_behind_and_high_credit_goes_first();
   what_is_lost_at_an_endpoint_set_aside_does_not_fill_the_room();
+  a_visit_out_for_very_long_fills_no_room_unless_others_are_late_too();
   an_enlarged_fleet_gets_no_more_room_until_its_rate_is_seen_to_rise();
   risen_traffic_at_calm_latencies_is_let_in_and_a_crowd_is_not();
   a_small_endpoint_gets_less_than_a_large_one();
