--- /dev/null
+++ b/rehearsal/auditor/auditor.cpp
@@ -0,0 +1,345 @@
+#include "rehearsal/auditor/auditor.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <utility>
+
+namespace rehearsal {
+
+namespace {
+
+constexpr double kDoubt = 0.25;    // until a sidecar's waits for a core are known
+constexpr double kKept = 8;        // a visit's story is kept that long after its end: a second answer may come
+constexpr double kRemembered = 12;  // a sidecar's waits
+constexpr std::size_t kMostBreaches = 50;  // each with its history; a thousandth says nothing new
+
+std::string seconds(double span) {
+  char text[32];
+  std::snprintf(text, sizeof text, "%.3f s", span);
+  return text;
+}
+
+const char* name_of(Event::Kind kind) {
+  static constexpr const char* kNames[] = {
+      "offered to",     "crossed a close of", "answered by",    "broken off by",  "could not reach",
+      "withdrawn from", "first byte at",      "begun at",       "ran at",         "turned away by",
+      "answered at",    "connection ended at", "told",          "started",        "fell over",
+      "sidecar up",     "sidecar down",       "sidecar leaves", "sidecar crashed", "sidecar paused",
+      "sidecar resumed", "sidecar starved"};
+  return kNames[int(kind)];
+}
+
+std::string line_of(const Event& event, double began) {
+  char head[64];
+  std::snprintf(head, sizeof head, "%9.4f  ", event.at - began);
+  std::string line = std::string(head) + name_of(event.kind);
+  if (event.endpoint >= 0)
+    line += " endpoint " + std::to_string(event.endpoint) + " (group " + std::to_string(event.group) + ")";
+  if (event.sidecar >= 0) line += (event.endpoint >= 0 ? " from sidecar " : " sidecar ") +
+                                  std::to_string(event.sidecar);
+  if (event.kind == Event::Kind::Offered)
+    line += ", " + event.prefix + ", its caller waits " + seconds(event.figure);
+  if (event.status) line += ", " + std::to_string(event.status);
+  if (event.kind == Event::Kind::Answered && event.status == 200 && !event.genuine)
+    line += ", not made for it";
+  return line;
+}
+
+}  // namespace
+
+const char* name_of(Rule rule) {
+  static constexpr const char* kNames[] = {
+      "none",
+      "rule 1, one final answer in time",
+      "rule 2, no effect twice",
+      "rule 3, drains kept",
+      "rule 4, a cold endpoint is not pushed over",
+      "a sidecar crashed"};
+  return kNames[int(rule)];
+}
+
+const Auditor::Row Auditor::kRows[] = {
+    {Event::Kind::Offered, &Auditor::offered},
+    {Event::Kind::Crossed, &Auditor::crossed},
+    {Event::Kind::Answered, &Auditor::answered},
+    {Event::Kind::Broken, &Auditor::broken},
+    {Event::Kind::Unreachable, &Auditor::unreachable},
+    {Event::Kind::Withdrawn, &Auditor::withdrawn},
+    {Event::Kind::FirstByte, &Auditor::first_byte},
+    {Event::Kind::Begun, &Auditor::begun},
+    {Event::Kind::Ran, &Auditor::ran},
+    {Event::Kind::TurnedAway, &Auditor::turned_away},
+    {Event::Kind::FetchAnswered, &Auditor::noted},
+    {Event::Kind::FetchEnded, &Auditor::noted},
+};
+
+void Auditor::observe(const Event& event) {
+  for (const Row& row : kRows) {
+    if (row.kind != event.kind) continue;
+    Visit& visit = visits_[event.visit];
+    visit.history.push_back(event);
+    (this->*row.act)(event, visit);
+    return;
+  }
+  event.kind == Event::Kind::Told ? told(event) : of_sidecar(event);
+}
+
+const AuditedPrefix& Auditor::prefix_of(const Visit& visit) const {
+  static const AuditedPrefix kUnknown;
+  auto found = bounds_.prefixes.find(visit.prefix);
+  return found == bounds_.prefixes.end() ? kUnknown : found->second;
+}
+
+// ---- rule 1
+
+void Auditor::offered(const Event& event, Visit& visit) {
+  visit.offered = event.at;
+  visit.prefix = event.prefix, visit.key = event.key, visit.sidecar = event.sidecar;
+  visit.waits = event.figure;
+  visit.excused = visit.overdue = false;
+  waiting_.emplace(event.at + event.figure + bounds_.slack, event.visit);
+}
+
+void Auditor::crossed(const Event& event, Visit& visit) {
+  // A close that crosses a visit is no loss as long as the sidecar has not read it. One that was fetched was.
+  if (!visit.fetches.empty()) return broken(event, visit);
+  visit.offered.reset();
+  visit.excused = true;
+}
+
+void Auditor::answered(const Event& event, Visit& visit) {
+  if (!visit.offered) return;
+  if (visit.answered) return breach(Rule::OneAnswer, event.at, event.visit, "a second answer");
+  visit.answered = true;
+  close(event.visit, visit, event.at);
+  if (event.status == 200 && !event.genuine)
+    return breach(Rule::OneAnswer, event.at, event.visit, "delivered with what no endpoint made for it");
+  double late = event.since - *visit.offered - visit.waits - bounds_.slack;
+  if (late > 0 && !visit.overdue) {
+    visit.overdue = true;
+    suspect(Rule::OneAnswer, *visit.offered, event.at, late, visit.sidecar, event.visit,
+            "answered " + seconds(late + bounds_.slack) + " after its client timeout");
+  }
+  if (event.status == 429 || event.status == 503) {
+    visit.bounced = true;
+    bounce_after_run(event, visit);
+  }
+}
+
+void Auditor::broken(const Event& event, Visit& visit) {
+  if (!visit.offered || visit.answered || visit.excused) return;
+  visit.excused = true;
+  close(event.visit, visit, event.at);
+  if (sidecars_[visit.sidecar].down) return;
+  breach(Rule::OneAnswer, event.at, event.visit, "its connection ended with no whole answer");
+}
+
+void Auditor::unreachable(const Event& event, Visit& visit) {
+  visit.excused = true;
+  close(event.visit, visit, event.at);
+}
+
+void Auditor::withdrawn(const Event& event, Visit& visit) { unreachable(event, visit); }
+
+// ---- rule 2
+
+void Auditor::first_byte(const Event& event, Visit&) {
+  auto& told = sidecars_[event.sidecar].told;
+  auto found = told.find(event.endpoint);
+  if (found == told.end()) return;
+  double over = event.since - found->second - bounds_.grace - bounds_.slack;
+  if (over <= 0) return;
+  suspect(Rule::DrainsKept, found->second, event.at, over, event.sidecar, event.visit,
+          "sent to endpoint " + std::to_string(event.endpoint) + " " +
+              seconds(over + bounds_.grace + bounds_.slack) + " after sidecar " +
+              std::to_string(event.sidecar) + " was told that it drains or is gone");
+}
+
+void Auditor::begun(const Event& event, Visit& visit) {
+  if (visit.prefix.empty()) visit.prefix = event.prefix, visit.key = event.key;
+  const AuditedPrefix& prefix = prefix_of(visit);
+  for (const Fetch& earlier : visit.fetches) {
+    if (earlier.turned_away) continue;
+    std::string before = "fetched again at endpoint " + std::to_string(event.endpoint) + " though the one at " +
+                         std::to_string(earlier.endpoint);
+    if (prefix.repeat == Repeat::Mutating) {
+      breach(Rule::NoEffectTwice, event.at, event.visit, before + " may have run");
+      break;
+    }
+    if (prefix.repeat != Repeat::Tagged) break;
+    double age = event.since - earlier.begun;
+    if (prefix.grouped && earlier.group != event.group) {
+      breach(Rule::NoEffectTwice, event.at, event.visit,
+             before + " may have run in group " + std::to_string(earlier.group));
+      break;
+    }
+    if (age > prefix.memory + bounds_.slack) {
+      breach(Rule::NoEffectTwice, event.at, event.visit,
+             before + " may have run " + seconds(age) + " earlier, longer than is remembered");
+      break;
+    }
+  }
+  visit.fetches.push_back({event.endpoint, event.group, event.at});
+  cold_work(event);
+}
+
+void Auditor::ran(const Event& event, Visit& visit) {
+  for (Fetch& fetch : visit.fetches) {
+    if (fetch.endpoint == event.endpoint) fetch.ran = true;
+  }
+  // A copy still queued when its visit was bounced: the bounce was wrong, though it was not yet to be seen.
+  if (visit.bounced) bounce_after_run(event, visit);
+}
+
+void Auditor::turned_away(const Event& event, Visit& visit) {
+  for (Fetch& fetch : visit.fetches) {
+    if (fetch.endpoint == event.endpoint && !fetch.ran) fetch.turned_away = true;
+  }
+}
+
+void Auditor::bounce_after_run(const Event& event, Visit& visit) {
+  const AuditedPrefix& prefix = prefix_of(visit);
+  if (prefix.repeat == Repeat::ReadLike) return;
+  // Where repeats are dropped everywhere, its caller's retry comes to no harm within their memory.
+  if (prefix.repeat == Repeat::Tagged && !prefix.grouped) return;
+  for (const Fetch& fetch : visit.fetches) {
+    if (fetch.turned_away) continue;
+    return breach(Rule::NoEffectTwice, event.at, event.visit,
+                  std::string("bounced though the fetch at endpoint ") + std::to_string(fetch.endpoint) +
+                      (fetch.ran ? " has run" : " may have run"));
+  }
+}
+
+// ---- rules 3 and 4, and who is up
+
+void Auditor::told(const Event& event) {
+  auto& told = sidecars_[event.sidecar].told;
+  if (event.state == Event::State::Ready) told.erase(event.endpoint);
+  else told.try_emplace(event.endpoint, event.at);
+}
+
+void Auditor::cold_work(const Event& event) {
+  auto found = cold_.find(event.endpoint);
+  if (found == cold_.end() || found->second.broken) return;
+  Cold& cold = found->second;
+  double age = event.at - cold.started;
+  if (age > bounds_.warm_after) return void(cold_.erase(found));
+  cold.sent.emplace_back(event.at, event.figure);
+  while (cold.sent.front().first < event.at - bounds_.cold_window) cold.sent.pop_front();
+  double sum = 0, largest = 0;
+  for (const auto& [when, work] : cold.sent) sum += work, largest = std::max(largest, work);
+  double share = bounds_.cold_share + (1 - bounds_.cold_share) * age / bounds_.warm_after;
+  double most = bounds_.cold_multiple * cold.capacity * share * bounds_.cold_window;
+  // The last one may be large, and which is large nobody can know: chance breaks nothing.
+  if (sum <= most + 2 * largest) return;
+  cold.broken = true;
+  breach(Rule::ColdNotPushed, event.at, event.visit,
+         "endpoint " + std::to_string(event.endpoint) + ", up for " + seconds(age) + ", was sent " +
+             seconds(sum) + " of work within " + seconds(bounds_.cold_window) + ", " + seconds(most) +
+             " at most");
+}
+
+void Auditor::of_sidecar(const Event& event) {
+  using Kind = Event::Kind;
+  if (event.kind == Kind::Started) {
+    cold_[event.endpoint] = {event.at, event.figure, {}, false};
+    return;
+  }
+  if (event.sidecar < 0) return;
+  Sidecar& sidecar = sidecars_[event.sidecar];
+  switch (event.kind) {
+    case Kind::SidecarUp: sidecar.down = false; return;
+    case Kind::SidecarDown:
+      sidecar.down = true, sidecar.paused.reset(), sidecar.told.clear();
+      // What a sidecar held when it was killed is its callers' to retry.
+      for (auto& [id, visit] : visits_) {
+        if (visit.sidecar == event.sidecar && visit.offered && !visit.answered && !visit.excused)
+          visit.excused = true, close(id, visit, event.at);
+      }
+      return;
+    case Kind::SidecarCrashed:
+      return breach(Rule::Crash, event.at, "", "sidecar " + std::to_string(event.sidecar) +
+                                                   " ended by itself, status " + std::to_string(event.status));
+    case Kind::SidecarPaused: sidecar.paused = event.at; return;
+    case Kind::SidecarResumed:
+      if (sidecar.paused) sidecar.away.emplace_back(event.at, event.at - *sidecar.paused);
+      sidecar.paused.reset();
+      return;
+    case Kind::SidecarStarved: sidecar.away.emplace_back(event.at, event.figure); return;
+    default: return;
+  }
+}
+
+double Auditor::away(const Sidecar& sidecar, double from, double to) const {
+  double sum = 0;
+  for (const auto& [until, span] : sidecar.away) {
+    // What is known only to within a sample counts in full: nobody is blamed for it.
+    if (until >= from && until - span <= to + kDoubt) sum += span;
+  }
+  if (sidecar.paused) sum += std::max(0.0, to - std::max(*sidecar.paused, from));
+  return sum;
+}
+
+// ---- judging
+
+void Auditor::suspect(Rule rule, double from, double to, double over_by, int sidecar, const std::string& visit,
+                      std::string text) {
+  suspicions_.push_back({to + kDoubt, from, to, over_by, sidecar, rule, visit, std::move(text)});
+}
+
+void Auditor::breach(Rule rule, double at, const std::string& visit, std::string text) {
+  if (breaches_.size() >= kMostBreaches) return;
+  Breach made{rule, at - began_, visit, std::move(text), {}};
+  auto found = visits_.find(visit);
+  if (found != visits_.end()) {
+    for (const Event& event : found->second.history) made.history.push_back(line_of(event, began_));
+  }
+  breaches_.push_back(std::move(made));
+}
+
+void Auditor::advance(double now) {
+  while (!waiting_.empty() && waiting_.begin()->first < now - kDoubt) {
+    auto [due, id] = *waiting_.begin();
+    waiting_.erase(waiting_.begin());
+    auto found = visits_.find(id);
+    if (found == visits_.end()) continue;
+    Visit& visit = found->second;
+    if (!visit.offered || visit.answered || visit.excused || visit.overdue) continue;
+    if (*visit.offered + visit.waits + bounds_.slack > due + 1e-9) continue;  // offered anew since
+    visit.overdue = true;
+    close(id, visit, now);
+    suspect(Rule::OneAnswer, *visit.offered, now, now - due, visit.sidecar, id,
+            "no answer within its client timeout");
+  }
+  while (!suspicions_.empty() && suspicions_.front().judged_at <= now) {
+    Suspicion one = std::move(suspicions_.front());
+    suspicions_.pop_front();
+    auto found = visits_.find(one.visit);
+    if (one.rule == Rule::OneAnswer && found != visits_.end() && found->second.excused) continue;
+    if (away(sidecars_[one.sidecar], one.from, one.to) >= one.over_by) continue;
+    breach(one.rule, one.to, one.visit, std::move(one.text));
+  }
+  forget(now);
+}
+
+void Auditor::close(const std::string& id, Visit& visit, double at) {
+  if (std::exchange(visit.over, at)) return;
+  over_.emplace_back(at, id);
+}
+
+void Auditor::forget(double now) {
+  while (!over_.empty() && over_.front().first < now - kKept) {
+    visits_.erase(over_.front().second);
+    over_.pop_front();
+  }
+  for (auto& [number, sidecar] : sidecars_) {
+    while (!sidecar.away.empty() && sidecar.away.front().first < now - kRemembered) sidecar.away.pop_front();
+  }
+}
+
+void Auditor::finish(double now) {
+  advance(now + 1000);
+  advance(now + 2000);
+}
+
+}  // namespace rehearsal
--- /dev/null
+++ b/rehearsal/auditor/auditor.h
@@ -0,0 +1,135 @@
+// Judges the four rules by what was seen from outside. It does no I/O, has no clock of its own, and knows
+// nothing of what the sidecar thinks. What only lateness could explain (of the rehearsal, of a sidecar that
+// had no core or was stopped by the script) breaks nothing.
+#pragma once
+
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "rehearsal/auditor/event.h"
+
+namespace rehearsal {
+
+enum class Repeat { ReadLike, Tagged, Mutating };
+
+struct AuditedPrefix {
+  Repeat repeat = Repeat::Mutating;
+  double memory = 0;    // seconds that a group drops repeats of a tagged visit for
+  bool grouped = true;  // repeats only within the first one's group
+};
+
+struct Bounds {
+  std::map<std::string, AuditedPrefix> prefixes;
+  double slack = 0.05;  // seconds that each time limit is longer on sockets
+  double grace = 0.5;   // seconds from being told that an endpoint drains or is gone
+  double cold_share = 0.3, warm_after = 5;  // seconds
+  double cold_multiple = 3, cold_window = 1;
+};
+
+enum class Rule { None, OneAnswer, NoEffectTwice, DrainsKept, ColdNotPushed, Crash };
+const char* name_of(Rule rule);
+
+struct Breach {
+  Rule rule = Rule::None;
+  double at = 0;
+  std::string visit, text;
+  std::vector<std::string> history;  // a line an event
+};
+
+class Auditor final : public Observer {
+ public:
+  explicit Auditor(Bounds bounds) : bounds_(std::move(bounds)) {}
+
+  void begin(double at) { began_ = at; }  // what histories count from
+  void observe(const Event& event) override;
+  void advance(double now);  // judges what has waited long enough
+  void finish(double now);   // the run is over: what has no answer by now never gets one
+  const std::vector<Breach>& breaches() const { return breaches_; }
+  std::size_t held() const { return visits_.size(); }
+
+ private:
+  struct Fetch {
+    int endpoint = -1, group = 0;
+    double begun = 0;
+    bool turned_away = false, ran = false;
+  };
+  struct Visit {
+    std::string prefix, key;
+    int sidecar = -1;
+    std::optional<double> offered, over;
+    double waits = 0;
+    bool answered = false, excused = false, overdue = false, bounced = false;
+    std::vector<Fetch> fetches;
+    std::vector<Event> history;
+  };
+  struct Sidecar {
+    bool down = false;
+    std::optional<double> paused;
+    std::deque<std::pair<double, double>> away;  // until, for how long
+    std::map<int, double> told;                  // endpoints that drain or are gone, since when
+  };
+  struct Cold {
+    double started = 0, capacity = 0;
+    std::deque<std::pair<double, double>> sent;  // when, work
+    bool broken = false;
+  };
+  struct Suspicion {  // may yet be explained by a sidecar that was away
+    double judged_at, from, to, over_by;
+    int sidecar;
+    Rule rule;
+    std::string visit, text;
+  };
+  // A tagged visit's first fetch that may have run, by its key: callers' retries come under new ids.
+  struct Mark {
+    double at = 0;
+    int group = 0;
+  };
+
+  using Act = void (Auditor::*)(const Event& event, Visit& visit);
+  struct Row {
+    Event::Kind kind;
+    Act act;
+  };
+  static const Row kRows[];
+  void offered(const Event& event, Visit& visit);
+  void crossed(const Event& event, Visit& visit);
+  void answered(const Event& event, Visit& visit);
+  void broken(const Event& event, Visit& visit);
+  void unreachable(const Event& event, Visit& visit);
+  void withdrawn(const Event& event, Visit& visit);
+  void first_byte(const Event& event, Visit& visit);
+  void begun(const Event& event, Visit& visit);
+  void ran(const Event& event, Visit& visit);
+  void turned_away(const Event& event, Visit& visit);
+  void noted(const Event&, Visit&) {}
+
+  void of_sidecar(const Event& event);
+  void told(const Event& event);
+  void cold_work(const Event& event);
+  void bounce_after_run(const Event& event, Visit& visit);
+  const AuditedPrefix& prefix_of(const Visit& visit) const;
+  double away(const Sidecar& sidecar, double from, double to) const;
+  void suspect(Rule rule, double from, double to, double over_by, int sidecar, const std::string& visit,
+               std::string text);
+  void breach(Rule rule, double at, const std::string& visit, std::string text);
+  void close(const std::string& id, Visit& visit, double at);
+  void forget(double now);
+
+  Bounds bounds_;
+  double began_ = 0;
+  std::unordered_map<std::string, Visit> visits_;
+  std::deque<std::pair<double, std::string>> over_;
+  std::set<std::pair<double, std::string>> waiting_;  // by the end of their client timeouts
+  std::map<int, Sidecar> sidecars_;
+  std::map<int, Cold> cold_;
+  std::deque<Suspicion> suspicions_;
+  std::vector<Breach> breaches_;
+};
+
+}  // namespace rehearsal
--- /dev/null
+++ b/rehearsal/cost/cost.h
@@ -0,0 +1,20 @@
+// What a sidecar costs: visits a second on one core, CPU a visit, latency added against the same load sent
+// directly, memory a connection, and how each grows.
+#pragma once
+
+#include <ostream>
+#include <string>
+#include <vector>
+
+namespace rehearsal {
+
+struct CostPlan {
+  std::string command, json_to;
+  double seconds = 1.5;
+  int pairs = 1;
+  std::vector<int> connections{1, 10, 64, 200, 1000, 2000}, endpoints{4, 16, 64, 256}, in_hand{10, 100, 1000};
+};
+
+void measure_cost(const CostPlan& plan, std::ostream& out);
+
+}  // namespace rehearsal
--- /dev/null
+++ b/rehearsal/report/figures.cpp
@@ -0,0 +1,105 @@
+#include "rehearsal/report/figures.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace rehearsal {
+
+double percentile(std::vector<double>& values, double share) {
+  if (values.empty()) return 0;
+  auto at = values.begin() + std::ptrdiff_t(std::min(double(values.size() - 1), share * double(values.size())));
+  std::nth_element(values.begin(), at, values.end());
+  return *at;
+}
+
+void Figures::observe(const Event& event) {
+  using Kind = Event::Kind;
+  switch (event.kind) {
+    case Kind::Offered: taken_ += first_tier(event); return;
+    case Kind::Begun: {
+      loads_[event.endpoint][int((event.at - began_) / script_.window)] += event.figure;
+      if (!first_tier(event)) return;
+      ++fetches_;
+      copies_ += out_[event.visit]++ > 0;
+      return;
+    }
+    case Kind::TurnedAway:
+      if (first_tier(event)) ++fetches_, ++turned_away_;
+      return;
+    case Kind::FetchAnswered:
+    case Kind::FetchEnded: {
+      auto found = out_.find(event.visit);
+      if (found != out_.end() && --found->second <= 0) out_.erase(found);
+      return;
+    }
+    case Kind::Ran: ++effects_; return;
+    default: return;
+  }
+}
+
+void Figures::note(const Fate& fate) {
+  const PrefixPlan& prefix = script_.prefixes[std::size_t(fate.prefix)];
+  ++ends_[int(fate.end)];
+  ++visits_, tries_ += fate.tries;
+  if (fate.end == Fate::End::Left) return;  // nobody waits for it
+  double earned = 0;
+  if (fate.end == Fate::End::Delivered) {
+    latencies_[fate.prefix].push_back(fate.took);
+    if (fate.took <= prefix.target_latency) earned = prefix.credit;
+    else if (fate.took <= prefix.client_timeout) earned = prefix.credit * prefix.late_credit;
+  }
+  for (Served* one : {&all_, &by_prefix_[fate.prefix], &by_customer_[fate.customer],
+                      &by_window_[int(fate.at / script_.window)]})
+    one->asked += prefix.credit, one->earned += earned;
+}
+
+nlohmann::json Figures::json() const {
+  auto count = [&](Fate::End end) {
+    auto found = ends_.find(int(end));
+    return found == ends_.end() ? 0 : found->second;
+  };
+  auto latency = [](std::vector<double> values) {
+    return nlohmann::json{{"p50", percentile(values, 0.5)},
+                          {"p90", percentile(values, 0.9)},
+                          {"p99", percentile(values, 0.99)},
+                          {"p99.9", percentile(values, 0.999)}};
+  };
+  nlohmann::json json = {{"visits", visits_},
+                         {"service", all_.share()},
+                         {"delivered", count(Fate::End::Delivered)},
+                         {"bounced", count(Fate::End::Bounced)},
+                         {"errored", count(Fate::End::Errored)},
+                         {"unanswered", count(Fate::End::Unanswered)},
+                         {"left", count(Fate::End::Left)},
+                         {"tries", tries_},
+                         {"fetches", fetches_},
+                         {"fetches_a_visit", taken_ ? double(fetches_) / taken_ : 0},
+                         {"copies", copies_},
+                         {"turned_away", turned_away_},
+                         {"effects", effects_}};
+  std::vector<double> all;
+  for (const auto& [prefix, values] : latencies_) {
+    const std::string& name = script_.prefixes[std::size_t(prefix)].name;
+    json["latency_by_prefix"][name] = latency(values);
+    all.insert(all.end(), values.begin(), values.end());
+  }
+  json["latency"] = latency(all);
+  for (const auto& [prefix, served] : by_prefix_)
+    json["service_by_prefix"][script_.prefixes[std::size_t(prefix)].name] = served.share();
+  for (const auto& [customer, served] : by_customer_)
+    json["service_by_customer"][script_.customers[std::size_t(customer)].name] = served.share();
+  json["windows"] = nlohmann::json::array();
+  double worst = 1;
+  for (const auto& [window, served] : by_window_) {
+    json["windows"].push_back({{"at", window * script_.window}, {"asked", served.asked}, {"service", served.share()}});
+    worst = std::min(worst, served.share());
+  }
+  json["worst_window"] = worst;
+  for (const auto& [endpoint, windows] : loads_) {
+    for (const auto& [window, work] : windows)
+      json["loads"][std::to_string(endpoint)].push_back({window * script_.window, work / script_.window});
+  }
+  return json;
+}
+
+}  // namespace rehearsal
--- /dev/null
+++ b/rehearsal/script/script.cpp
@@ -0,0 +1,356 @@
+#include "rehearsal/script/script.h"
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <set>
+#include <sstream>
+#include <toml++/toml.h>
+
+namespace rehearsal {
+
+const std::vector<TroubleName>& trouble_names() {
+  static const std::vector<TroubleName> kNames = {
+      {Trouble::Slow, "slow", "works 'factor' times slower"},
+      {Trouble::Hang, "hang", "takes visits and answers none"},
+      {Trouble::Errors, "errors", "fails 'share' of its visits at once"},
+      {Trouble::Crash, "crash", "dies, is back cold at the end of 'for' under the same name"},
+      {Trouble::Freeze, "freeze", "stands still: neither reads, works nor writes"},
+      {Trouble::ResetIn, "reset-in", "resets 'share' of connections after 'bytes' read"},
+      {Trouble::ResetOut, "reset-out", "resets 'share' of connections after 'bytes' written"},
+      {Trouble::Refuse, "refuse", "refuses new connections"},
+      {Trouble::Unreachable, "unreachable", "new connections never come up"},
+      {Trouble::Drop, "drop", "open connections go silent, new ones work"},
+      {Trouble::Spoil, "spoil", "spoils 'share' of its answers"},
+      {Trouble::Burst, "burst", "visits come 'factor' times as often"},
+      {Trouble::SharedSlow, "shared-slow", "a whole tier works 'factor' times slower"},
+      {Trouble::Drain, "drain", "is listed as leaving, is gone after 'for'"},
+      {Trouble::Release, "release", "each in turn drains and is replaced, cold, under a new name; 'for' in all"},
+      {Trouble::ColdTogether, "cold-together", "all restart at once, cold"},
+      {Trouble::ListSilent, "list-silent", "discovery says nothing"},
+      {Trouble::ListLate, "list-late", "discovery's changes come 'for' later"},
+      {Trouble::ListOld, "list-old", "who asks anew is given the list as it was at the start"},
+      {Trouble::SidecarTerm, "sidecar-term", "SIGTERM, started again once it has left"},
+      {Trouble::SidecarKill, "sidecar-kill", "SIGKILL, started again after 'for'"},
+      {Trouble::SidecarStop, "sidecar-stop", "SIGSTOP, SIGCONT after 'for'"},
+      {Trouble::SidecarHup, "sidecar-hup", "discovery moves and its file says so, SIGHUP"}};
+  return kNames;
+}
+
+const char* name_of(Trouble kind) { return trouble_names()[std::size_t(kind)].name; }
+
+Script default_script() {
+  Script made;
+  made.name = "default";
+  TierPlan front, dossier, bron;
+  front.name = "front", front.work_share = 0.35;
+  dossier.name = "dossier", dossier.work_share = 0.34;
+  bron.name = "bron", bron.work_share = 0.31, bron.calls = 0;
+  made.tiers = {front, dossier, bron};
+  PrefixPlan status, consent, upload;
+  status.name = "status", status.share = 0.4, status.work = {0.02, 0.04}, status.credit = 2;
+  consent.name = "consent", consent.share = 0.31, consent.work = {0.02, 0.04}, consent.credit = 8;
+  consent.repeat = Repeat::Mutating;
+  upload.name = "upload", upload.share = 0.29, upload.work = {0.03, 0.06}, upload.credit = 3;
+  upload.repeat = Repeat::Tagged, upload.target_latency = 0.4, upload.client_timeout = 1.2;
+  made.prefixes = {status, consent, upload};
+  made.customers = {{"kotwijzer", 0.64}, {"immo-dijle", 0.23}, {"woonpunt-zuid", 0.13}};
+  return made;
+}
+
+Bounds Script::bounds() const {
+  Bounds made;
+  for (const PrefixPlan& prefix : prefixes)
+    made.prefixes[prefix.name] = {prefix.repeat, prefix.memory, prefix.grouped};
+  made.grace = grace, made.cold_share = cold_share, made.warm_after = warm_after;
+  made.cold_multiple = cold_multiple, made.cold_window = cold_window;
+  return made;
+}
+
+namespace {
+
+// One table of the file: what is read is known, and what is left over is a name that nobody reads.
+class Table {
+ public:
+  Table(const toml::table& table, std::string path, std::string what)
+      : table_(table), path_(std::move(path)), what_(std::move(what)) {}
+
+  [[noreturn]] static void fail(const std::string& path, const toml::source_region& where,
+                                const std::string& text) {
+    throw Unusable(path + ":" + std::to_string(where.begin.line) + ":" + std::to_string(where.begin.column) +
+                   ": " + text);
+  }
+  [[noreturn]] void fail(const toml::node& at, const std::string& text) const {
+    fail(path_, at.source(), text);
+  }
+
+  void read(const char* key, double& into, double low = 0, double high = 1e6) {
+    if (const toml::node* found = find(key)) into = figure(key, *found, low, high);
+  }
+  void read(const char* key, int& into, int low = 0, int high = 1'000'000) {
+    const toml::node* found = find(key);
+    if (!found) return;
+    auto value = found->value_exact<std::int64_t>();
+    if (!value || *value < low || *value > high)
+      fail(*found, std::string("'") + key + "' is a whole number from " + std::to_string(low) + " to " +
+                       std::to_string(high));
+    into = int(*value);
+  }
+  void read(const char* key, bool& into) {
+    const toml::node* found = find(key);
+    if (!found) return;
+    auto value = found->value_exact<bool>();
+    if (!value) fail(*found, std::string("'") + key + "' is true or false");
+    into = *value;
+  }
+  void read(const char* key, std::string& into) {
+    const toml::node* found = find(key);
+    if (!found) return;
+    auto value = found->value_exact<std::string>();
+    if (!value) fail(*found, std::string("'") + key + "' is a text in quotes");
+    into = *value;
+  }
+  void read(const char* key, Span& into) {
+    const toml::node* found = find(key);
+    if (!found) return;
+    if (const toml::array* pair = found->as_array()) {
+      if (pair->size() != 2) fail(*found, std::string("'") + key + "' is a number or a pair [low, high]");
+      into = {figure(key, *pair->get(0), 0, 1e6), figure(key, *pair->get(1), 0, 1e6)};
+      if (into.low > into.high) fail(*found, std::string("'") + key + "' has its low end above its high end");
+    } else {
+      into.low = into.high = figure(key, *found, 0, 1e6);
+    }
+  }
+  template <typename Choice>
+  void choose(const char* key, Choice& into, const std::vector<std::pair<std::string, Choice>>& of) {
+    std::string word;
+    read(key, word);
+    if (word.empty()) return;
+    std::string names;
+    for (const auto& [name, value] : of) {
+      if (name == word) return void(into = value);
+      names += (names.empty() ? "" : ", ") + name;
+    }
+    fail(*table_.get(key), "'" + word + "' is no " + key + "; expected one of " + names);
+  }
+  void each(const char* key, const std::function<void(Table&)>& of) {
+    const toml::node* found = find(key);
+    if (!found) return;
+    const toml::array* list = found->as_array();
+    if (!list) fail(*found, std::string("'") + key + "' is a list of tables, [[" + key + "]]");
+    for (const toml::node& node : *list) {
+      const toml::table* table = node.as_table();
+      if (!table) fail(node, std::string("'") + key + "' is a list of tables, [[" + key + "]]");
+      Table inner(*table, path_, std::string("[[") + key + "]]");
+      of(inner), inner.all_read();
+    }
+  }
+  void inner(const char* key, const std::function<void(Table&)>& of) {
+    const toml::node* found = find(key);
+    if (!found) return;
+    const toml::table* table = found->as_table();
+    if (!table) fail(*found, std::string("'") + key + "' is a table, [" + key + "]");
+    Table inner(*table, path_, std::string("[") + key + "]");
+    of(inner), inner.all_read();
+  }
+  void all_read() const {
+    for (const auto& [key, node] : table_) {
+      std::string name(key.str());
+      if (known_.contains(name)) continue;
+      std::string names;
+      for (const std::string& one : known_) names += (names.empty() ? "" : ", ") + one;
+      fail(node, "nothing reads '" + name + "' in " + what_ + "; expected one of " + names);
+    }
+  }
+  const toml::table& table() const { return table_; }
+
+ private:
+  const toml::node* find(const char* key) {
+    known_.insert(key);
+    return table_.get(key);
+  }
+  double figure(const char* key, const toml::node& node, double low, double high) const {
+    auto value = node.value<double>();
+    if (!value || node.is_boolean() || *value < low || *value > high) {
+      std::ostringstream text;
+      text << "'" << key << "' is a number from " << low << " to " << high;
+      fail(node, text.str());
+    }
+    return *value;
+  }
+
+  const toml::table& table_;
+  std::string path_, what_;
+  std::set<std::string> known_;
+};
+
+void read_tier(Table& table, TierPlan& tier) {
+  table.read("name", tier.name);
+  table.read("endpoints", tier.endpoints, 1, 256), table.read("cores", tier.cores, 1, 64);
+  table.read("speed", tier.speed), table.read("queue", tier.queue, 0, 100000);
+  table.read("connections", tier.connections, 1, 100000);
+  table.read("connection_work", tier.connection_work), table.read("groups", tier.groups, 1, 256);
+  table.read("calls", tier.calls, 0, 10), table.read("work_share", tier.work_share, 0, 1);
+  table.read("crowd", tier.crowd), table.read("crowd_after", tier.crowd_after);
+  table.read("crowd_factor", tier.crowd_factor, 1, 100), table.read("crowd_span", tier.crowd_span);
+  table.read("cancel_stops", tier.cancel_stops), table.read("reports", tier.reports);
+}
+
+void read_prefix(Table& table, PrefixPlan& prefix) {
+  table.read("name", prefix.name);
+  table.choose<Repeat>("kind", prefix.repeat, {{"read-like", Repeat::ReadLike},
+                                               {"tagged", Repeat::Tagged},
+                                               {"mutating", Repeat::Mutating}});
+  table.read("share", prefix.share, 0, 1), table.read("work", prefix.work);
+  table.read("target_latency", prefix.target_latency), table.read("client_timeout", prefix.client_timeout);
+  table.read("credit", prefix.credit), table.read("late_credit", prefix.late_credit, 0, 1);
+  table.read("memory", prefix.memory), table.read("grouped", prefix.grouped);
+}
+
+void read_clients(Table& table, ClientPlan& clients) {
+  table.read("rate", clients.rate, 0, 100000), table.read("retries", clients.retries, 0, 10);
+  table.read("pause", clients.pause), table.read("obeys", clients.obeys);
+  table.read("leaves", clients.leaves, 0, 1), table.read("heavy", clients.heavy, 0, 1);
+  table.read("bad_rate", clients.bad_rate, 0, 10000), table.read("tells_time", clients.tells_time);
+}
+
+void read_fault(Table& table, Fault& fault) {
+  std::vector<std::pair<std::string, Trouble>> kinds;
+  for (const TroubleName& one : trouble_names()) kinds.emplace_back(one.name, one.kind);
+  table.choose<Trouble>("kind", fault.kind, kinds);
+  table.read("at", fault.at), table.read("for", fault.span), table.read("on", fault.on);
+  table.read("factor", fault.factor, 1, 1000), table.read("share", fault.share, 0, 1);
+  table.read("bytes", fault.bytes, 0, 1 << 20), table.read("every", fault.every);
+  table.read("times", fault.times, 1, 1000);
+}
+
+}  // namespace
+
+Script read_script(const std::string& text, const std::string& path) {
+  Script script = default_script();
+  script.name = std::filesystem::path(path).stem().string();
+  toml::table parsed;
+  try {
+    parsed = toml::parse(text, path);
+  } catch (const toml::parse_error& fault) {
+    Table::fail(path, fault.source(), std::string(fault.description()));
+  }
+  Table table(parsed, path, "a script");
+  table.read("title", script.title), table.read("length", script.length, 0.5, 3600);
+  table.read("sidecars", script.sidecars, 1, 32), table.read("max_fetches", script.max_fetches, 1, 10);
+  table.read("descriptors", script.descriptors, 32, 65536), table.read("memory_mb", script.memory_mb, 16, 4096);
+  table.read("list_delay", script.list_delay), table.read("grace", script.grace);
+  table.read("cold_share", script.cold_share, 0.01, 1), table.read("warm_after", script.warm_after);
+  table.read("cold_multiple", script.cold_multiple, 1, 100);
+  table.read("cold_window", script.cold_window, 0.1, 60);
+  table.read("connect_timeout", script.connect_timeout), table.read("idle_time", script.idle_time);
+  table.read("longest_wait_advice", script.longest_wait_advice), table.read("window", script.window, 0.1, 60);
+  bool fresh_tiers = true, fresh_prefixes = true, fresh_customers = true;
+  table.each("tier", [&](Table& inner) {
+    if (std::exchange(fresh_tiers, false)) script.tiers.clear();
+    read_tier(inner, script.tiers.emplace_back());
+    if (script.tiers.back().name.empty()) inner.fail(inner.table(), "a tier needs a 'name'");
+  });
+  table.each("prefix", [&](Table& inner) {
+    if (std::exchange(fresh_prefixes, false)) script.prefixes.clear();
+    read_prefix(inner, script.prefixes.emplace_back());
+    if (script.prefixes.back().name.empty()) inner.fail(inner.table(), "a prefix needs a 'name'");
+  });
+  table.each("customer", [&](Table& inner) {
+    if (std::exchange(fresh_customers, false)) script.customers.clear();
+    CustomerPlan& customer = script.customers.emplace_back();
+    inner.read("name", customer.name), inner.read("share", customer.share, 0, 1);
+  });
+  table.inner("clients", [&](Table& inner) { read_clients(inner, script.clients); });
+  table.each("fault", [&](Table& inner) {
+    read_fault(inner, script.faults.emplace_back());
+    if (!inner.table().contains("kind")) inner.fail(inner.table(), "a fault needs a 'kind'");
+  });
+  table.all_read();
+  if (!script.tiers.empty()) script.tiers.back().calls = 0;
+  try {
+    check_script(script);
+  } catch (const Unusable& fault) {
+    throw Unusable(path + ":1: " + fault.what());
+  }
+  return script;
+}
+
+Script read_script(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) throw Unusable(path + ":1: can't be opened; expected a script (TOML), 'random', or a name from 'list'");
+  std::ostringstream text;
+  text << file.rdbuf();
+  return read_script(text.str(), path);
+}
+
+void check_script(const Script& script) {
+  for (const PrefixPlan& prefix : script.prefixes) {
+    if (prefix.client_timeout < prefix.target_latency)
+      throw Unusable("the client timeout of '" + prefix.name + "' is under its target latency");
+  }
+  auto sidecar_trouble = [](Trouble kind) { return kind >= Trouble::ListSilent; };
+  for (const Fault& fault : script.faults) {
+    if (fault.kind == Trouble::Burst) continue;
+    std::string tier = fault.on.substr(0, fault.on.find('/'));
+    std::string which = fault.on.find('/') == std::string::npos ? "" : fault.on.substr(fault.on.find('/') + 1);
+    bool number = !which.empty() && which.find_first_not_of("0123456789") == std::string::npos;
+    if (sidecar_trouble(fault.kind)) {
+      if (fault.on == "*" || (!fault.on.empty() && fault.on.find_first_not_of("0123456789") == std::string::npos &&
+                              std::stoi(fault.on) < script.sidecars))
+        continue;
+      throw Unusable(std::string("fault '") + name_of(fault.kind) + "': 'on' is a sidecar of the first tier (0 to " +
+                     std::to_string(script.sidecars - 1) + ") or \"*\"");
+    }
+    auto found = std::find_if(script.tiers.begin(), script.tiers.end(),
+                              [&](const TierPlan& plan) { return plan.name == tier; });
+    bool whole = fault.kind == Trouble::SharedSlow || fault.kind == Trouble::Release ||
+                 fault.kind == Trouble::ColdTogether;
+    if (found == script.tiers.end() || (!(whole && which.empty()) && which != "*" &&
+                                        !(number && std::stoi(which) < found->endpoints)))
+      throw Unusable(std::string("fault '") + name_of(fault.kind) + "': 'on' is \"" + fault.on +
+                     "\"; expected a tier and an endpoint's number, as \"" + script.tiers.front().name +
+                     "/0\", or \"" + script.tiers.front().name + "/*\"");
+  }
+}
+
+void stretch(Script& script, double scale) {
+  auto by = [scale](Span& span) { span.low *= scale, span.high *= scale; };
+  for (double* time : {&script.length, &script.grace, &script.warm_after, &script.cold_window,
+                       &script.connect_timeout, &script.idle_time, &script.longest_wait_advice, &script.window})
+    *time *= scale;
+  by(script.list_delay);
+  for (TierPlan& tier : script.tiers)
+    tier.connection_work *= scale, tier.crowd_after *= scale, tier.crowd_span *= scale;
+  for (PrefixPlan& prefix : script.prefixes) {
+    by(prefix.work);
+    prefix.target_latency *= scale, prefix.client_timeout *= scale, prefix.memory *= scale;
+  }
+  script.clients.rate /= scale, script.clients.bad_rate /= scale, script.clients.pause *= scale;
+  for (Fault& fault : script.faults) fault.at *= scale, fault.span *= scale, fault.every *= scale;
+}
+
+std::string write_script(const Script& script) {
+  std::ostringstream out;
+  out << "title = \"" << script.title << "\"\nlength = " << script.length << "\nsidecars = " << script.sidecars
+      << "\n\n[clients]\nrate = " << script.clients.rate << "\nretries = " << script.clients.retries
+      << "\nheavy = " << script.clients.heavy << "\nleaves = " << script.clients.leaves
+      << "\nobeys = " << (script.clients.obeys ? "true" : "false") << "\n";
+  for (const TierPlan& tier : script.tiers) {
+    out << "\n[[tier]]\nname = \"" << tier.name << "\"\nendpoints = " << tier.endpoints
+        << "\ncores = " << tier.cores << "\nspeed = [" << tier.speed.low << ", " << tier.speed.high
+        << "]\nwork_share = " << tier.work_share << "\ncalls = " << tier.calls << "\ncrowd = " << tier.crowd
+        << "\ncancel_stops = " << (tier.cancel_stops ? "true" : "false")
+        << "\nreports = " << (tier.reports ? "true" : "false") << "\n";
+  }
+  for (const Fault& fault : script.faults) {
+    out << "\n[[fault]]\nkind = \"" << name_of(fault.kind) << "\"\nat = " << fault.at << "\nfor = " << fault.span
+        << "\n";
+    if (!fault.on.empty()) out << "on = \"" << fault.on << "\"\n";
+    out << "factor = " << fault.factor << "\nshare = " << fault.share << "\nbytes = " << fault.bytes << "\n";
+  }
+  return out.str();
+}
+
+}  // namespace rehearsal
--- /dev/null
+++ b/rehearsal/world/clients.cpp
@@ -0,0 +1,237 @@
+#include "rehearsal/world/clients.h"
+
+#include <algorithm>
+#include <cstdlib>
+
+namespace rehearsal {
+
+namespace {
+constexpr double kHeavier = 10;    // times the usual work
+constexpr double kOwedToBad = 3;   // seconds within which a caller that can't be served is told or closed
+constexpr double kBadSlack = 0.3;
+}  // namespace
+
+std::vector<Arrival> draw_arrivals(const Script& script, std::uint64_t seed) {
+  Chance chance(seed, 5);
+  std::vector<Arrival> all;
+  auto rate_at = [&](double at) {
+    double rate = script.clients.rate;
+    for (const Fault& fault : script.faults) {
+      if (fault.kind == Trouble::Burst && at >= fault.at && at < fault.at + fault.span) rate *= fault.factor;
+    }
+    return rate;
+  };
+  double highest = script.clients.rate;
+  for (const Fault& fault : script.faults) {
+    if (fault.kind == Trouble::Burst) highest *= fault.factor;
+  }
+  if (highest <= 0) return all;
+  for (double at = chance.exponential(highest); at < script.length; at += chance.exponential(highest)) {
+    if (!chance.happens(rate_at(at) / highest)) continue;
+    Arrival one;
+    one.at = at;
+    one.prefix = int(chance.pick(script.prefixes, [](const PrefixPlan& prefix) { return prefix.share; }));
+    one.customer = int(chance.pick(script.customers, [](const CustomerPlan& who) { return who.share; }));
+    one.work = chance.in(script.prefixes[std::size_t(one.prefix)].work);
+    if (chance.happens(script.clients.heavy)) one.work *= kHeavier * chance.uniform();
+    if (chance.happens(script.clients.leaves))
+      one.leaves_after = 0.001 + chance.uniform() * script.prefixes[std::size_t(one.prefix)].target_latency;
+    one.draw = chance.uniform();
+    all.push_back(one);
+  }
+  return all;
+}
+
+std::uint64_t print_of(const std::vector<Arrival>& arrivals, const Script& script) {
+  std::uint64_t print = 1469598103934665603u;  // FNV-1a
+  auto add = [&](double value) {
+    for (auto bits = std::uint64_t(value * 1e6); bits; bits >>= 8) print = (print ^ (bits & 255)) * 1099511628211u;
+  };
+  for (const Arrival& one : arrivals)
+    add(one.at), add(one.prefix), add(one.customer), add(one.work), add(one.leaves_after), add(one.draw);
+  for (const Fault& fault : script.faults)
+    add(int(fault.kind) + 1), add(fault.at), add(fault.span), add(fault.factor), add(fault.share);
+  return print;
+}
+
+struct Clients::Visit {
+  Arrival arrival;
+  double began = 0;
+  int tries = 0, unreachable = 0;
+  std::string key, visit;
+  Caller* caller = nullptr;
+  bool over = false;
+};
+
+// ---- those that can't be served
+
+class Clients::BadCaller final : Line::Owner {
+ public:
+  BadCaller(Clients& clients, const Address& to, int kind)
+      : clients_(clients), line_(clients.world_.loop, *this), reader_(Reader::Of::Answers) {
+    ++clients_.bad_;
+    if (!line_.connect(to)) {  // refused: that is an answer
+      loop().at(loop().now(), [this] { over(true); });
+      return;
+    }
+    timer_ = loop().at(loop().now() + kOwedToBad + kBadSlack, [this] { over(false); });
+    const std::string id = "X-Correlation-Id: " + clients_.world_.new_visit() + "\r\n";
+    static const std::vector<std::string> kSaid = {
+        "\x16\x03\x01 hello\r\n\r\n",
+        "GET /status/x HTTP/1.1\r\nHost: x\r\n\r\n",
+        "POST /consent/x HTTP/1.1\r\nHost: x\r\nID" "Content-Length: -5\r\n\r\n",
+        "POST /consent/x HTTP/1.1\r\nHost: x\r\nID" "Content-Length: 99999999\r\n\r\nabc",
+        "POST /consent/x HTTP/1.1\r\nHost: x\r\nID" "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "GET /nowhere/x HTTP/1.1\r\nHost: x\r\nID" "\r\n",
+        "GET /status/x HTTP/1.1\r\nHost: x\r\nID" "X-Time-Left: soon\r\n\r\n",
+        "GET /status/x HTTP/1.1\r\nHost: x\r\nX-Half",
+        "POST /consent/x HTTP/1.1\r\nHost: x\r\nID" "Content-Length: 50\r\n\r\nhalf",
+        ""};
+    std::string said = kSaid[std::size_t(kind) % kSaid.size()];
+    if (std::size_t at = said.find("ID"); at != std::string::npos) said.replace(at, 2, id);
+    if (!said.empty()) line_.send(said);
+  }
+
+ private:
+  Loop& loop() { return clients_.world_.loop; }
+  void on_bytes(Line&, std::string_view bytes) override {
+    reader_.feed(bytes);
+    if (!reader_.whole()) return;
+    int status = reader_.take().status;
+    if (status / 100 == 2) ++clients_.bad_served_;
+    over(status >= 400);
+  }
+  void on_end(Line&, bool) override { over(true); }
+  void over(bool told) {
+    if (!told) ++clients_.bad_unanswered_;
+    loop().cancel(timer_);
+    line_.close();
+    auto found = clients_.bad_callers_.extract(this);
+    if (!found.empty()) loop().bury(std::move(found.mapped()));
+  }
+  Clients& clients_;
+  Line line_;
+  Reader reader_;
+  Loop::Timer timer_{};
+};
+
+Clients::Clients(World& world, std::vector<Arrival> arrivals, Told told)
+    : world_(world), arrivals_(std::move(arrivals)), told_(std::move(told)), chance_(arrivals_.size() + 1, 9) {}
+
+Clients::~Clients() = default;
+
+void Clients::add_sidecar(const Address& address, int sidecar) {
+  callers_.push_back(std::make_unique<Caller>(world_, address, sidecar));
+  addresses_.push_back(address);
+  avoided_.push_back(0);
+}
+
+void Clients::avoid(int sidecar, bool is) {
+  for (std::size_t i = 0; i < callers_.size(); ++i) {
+    if (callers_[i]->sidecar() == sidecar) avoided_[i] = is ? 1 : 0;
+  }
+}
+
+void Clients::begin() {
+  began_ = world_.loop.now();
+  if (!arrivals_.empty()) world_.loop.at(began_ + arrivals_.front().at, [this] { arrive(); });
+  if (world_.script.clients.bad_rate > 0)
+    world_.loop.at(began_ + chance_.exponential(world_.script.clients.bad_rate), [this] { bad_arrives(); });
+}
+
+void Clients::bad_arrives() {
+  double now = world_.loop.now();
+  if (now - began_ > world_.script.length) return;
+  auto bad = std::make_unique<BadCaller>(*this, addresses_[std::size_t(chance_.below(int(addresses_.size())))],
+                                         chance_.below(10));
+  const BadCaller* key = bad.get();
+  bad_callers_.emplace(key, std::move(bad));
+  world_.loop.at(now + chance_.exponential(world_.script.clients.bad_rate), [this] { bad_arrives(); });
+}
+
+void Clients::arrive() {
+  double now = world_.loop.now();
+  while (next_ < arrivals_.size() && began_ + arrivals_[next_].at <= now) {
+    auto visit = std::make_shared<Visit>();
+    visit->arrival = arrivals_[next_++];
+    // Its time counts from when it should have come: a late rehearsal must not flatter the answer.
+    visit->began = began_ + visit->arrival.at;
+    ++open_;
+    if (world_.script.prefixes[std::size_t(visit->arrival.prefix)].repeat == Repeat::Tagged)
+      visit->key = "key-" + world_.new_visit();
+    if (visit->arrival.leaves_after > 0) {
+      world_.loop.at(now + visit->arrival.leaves_after, [this, visit] {
+        if (visit->over) return;
+        if (visit->caller) visit->caller->withdraw(visit->visit);
+        conclude(visit, Fate::End::Left);
+      });
+    }
+    attempt(visit);
+  }
+  if (next_ < arrivals_.size()) world_.loop.at(began_ + arrivals_[next_].at, [this] { arrive(); });
+}
+
+Caller* Clients::choose(double draw) {
+  std::vector<Caller*> open;
+  for (std::size_t i = 0; i < callers_.size(); ++i) {
+    if (!avoided_[i]) open.push_back(callers_[i].get());
+  }
+  if (open.empty()) return callers_[std::size_t(draw * double(callers_.size()))].get();
+  return open[std::size_t(draw * double(open.size()))];
+}
+
+void Clients::attempt(const std::shared_ptr<Visit>& visit) {
+  if (visit->over) return;
+  const PrefixPlan& prefix = world_.script.prefixes[std::size_t(visit->arrival.prefix)];
+  Ask ask;
+  ask.visit = visit->visit = world_.new_visit();
+  ask.prefix = prefix.name, ask.key = visit->key;
+  char work[32];
+  std::snprintf(work, sizeof work, "%.5f", visit->arrival.work);
+  ask.target = "/" + prefix.name + "/visit?work=" + work;
+  ask.customer = world_.script.customers[std::size_t(visit->arrival.customer)].name;
+  ask.read_like = prefix.repeat == Repeat::ReadLike;
+  ask.time_left = prefix.client_timeout, ask.tells_time = world_.script.clients.tells_time;
+  ask.repeat = visit->tries > 0;
+  double draw = visit->tries + visit->unreachable == 0 ? visit->arrival.draw : chance_.uniform();
+  visit->caller = choose(draw);
+  ++visit->tries;
+  visit->caller->call(
+      ask, [this, visit](Caller::End end, const Message& answer) { answered(visit, end, answer); });
+}
+
+void Clients::answered(const std::shared_ptr<Visit>& visit, Caller::End end, const Message& answer) {
+  if (visit->over) return;
+  visit->caller = nullptr;
+  const ClientPlan& plan = world_.script.clients;
+  const PrefixPlan& prefix = world_.script.prefixes[std::size_t(visit->arrival.prefix)];
+  if (end == Caller::End::Unreachable && ++visit->unreachable <= 3) {
+    // It never was taken: another sidecar gets it, and it is no retry.
+    --visit->tries;
+    world_.loop.at(world_.loop.now() + 0.02, [this, visit] { attempt(visit); });
+    return;
+  }
+  bool said = end == Caller::End::Answered;
+  if (said && answer.status == 200) return conclude(visit, Fate::End::Delivered);
+  bool bounced = said && (answer.status == 503 || answer.status == 429);
+  bool harmless = bounced || prefix.repeat == Repeat::ReadLike;
+  if (harmless && visit->tries <= plan.retries) {
+    double pause = plan.pause;
+    std::string_view advice = answer.header("Retry-After");
+    if (!advice.empty() && plan.obeys) pause = std::atof(std::string(advice).c_str());
+    world_.loop.at(world_.loop.now() + pause, [this, visit] { attempt(visit); });
+    return;
+  }
+  conclude(visit, bounced ? Fate::End::Bounced : said ? Fate::End::Errored : Fate::End::Unanswered);
+}
+
+void Clients::conclude(const std::shared_ptr<Visit>& visit, Fate::End end) {
+  visit->over = true;
+  --open_;
+  Fate fate;
+  fate.end = end, fate.at = visit->arrival.at, fate.took = world_.loop.now() - visit->began;
+  fate.prefix = visit->arrival.prefix, fate.customer = visit->arrival.customer, fate.tries = visit->tries;
+  told_(fate);
+}
+
+}  // namespace rehearsal
--- /dev/null
+++ b/rehearsal/world/clients.h
@@ -0,0 +1,68 @@
+// Clients in open loop: what comes is drawn ahead from the seed and does not wait for answers. Bad callers
+// come beside them.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "rehearsal/world/caller.h"
+
+namespace rehearsal {
+
+struct Arrival {
+  double at = 0;
+  int prefix = 0, customer = 0;
+  double work = 0;
+  double leaves_after = 0;  // 0: waits for its answer
+  double draw = 0;          // which sidecar it comes to, as a share of those that are up
+};
+std::vector<Arrival> draw_arrivals(const Script& script, std::uint64_t seed);
+std::uint64_t print_of(const std::vector<Arrival>& arrivals, const Script& script);  // tells schedules apart
+
+// What became of a visit, all its tries together.
+struct Fate {
+  enum class End { Delivered, Bounced, Errored, Unanswered, Left } end = End::Unanswered;
+  double at = 0, took = 0;  // from its first try
+  int prefix = 0, customer = 0, tries = 0;
+};
+
+class Clients {
+ public:
+  using Told = std::function<void(const Fate&)>;
+  Clients(World& world, std::vector<Arrival> arrivals, Told told);
+  ~Clients();
+  void add_sidecar(const Address& address, int sidecar);
+  void avoid(int sidecar, bool is);  // as their front sees it
+  void begin();
+  bool done() const { return next_ == arrivals_.size() && open_ == 0; }
+  int bad_callers() const { return bad_; }
+  int bad_unanswered() const { return bad_unanswered_; }  // got neither an error nor a close in time
+  int bad_served() const { return bad_served_; }
+
+ private:
+  struct Visit;
+  class BadCaller;
+  void arrive();
+  void bad_arrives();
+  void attempt(const std::shared_ptr<Visit>& visit);
+  void answered(const std::shared_ptr<Visit>& visit, Caller::End end, const Message& answer);
+  void conclude(const std::shared_ptr<Visit>& visit, Fate::End end);
+  Caller* choose(double draw);
+
+  World& world_;
+  const std::vector<Arrival> arrivals_;
+  Told told_;
+  Chance chance_;
+  std::vector<std::unique_ptr<Caller>> callers_;
+  std::vector<Address> addresses_;
+  std::vector<int> avoided_;
+  std::size_t next_ = 0, open_ = 0;
+  double began_ = 0;
+  int bad_ = 0, bad_unanswered_ = 0, bad_served_ = 0;
+  std::unordered_map<const BadCaller*, std::unique_ptr<BadCaller>> bad_callers_;
+};
+
+}  // namespace rehearsal
--- /dev/null
+++ b/rehearsal/world/process.cpp
@@ -0,0 +1,210 @@
+#include "rehearsal/world/process.h"
+
+#include <dirent.h>
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/prctl.h>
+#include <sys/resource.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstdlib>
+#include <cstring>
+#include <fstream>
+#include <stdexcept>
+
+#include "rehearsal/loop/http.h"
+
+namespace rehearsal {
+
+namespace {
+constexpr double kProbeEvery = 0.02;
+constexpr double kStarvedNoted = 0.004;  // seconds between two looks that are worth an event
+}  // namespace
+
+Usage usage_of(pid_t process) {
+  Usage usage;
+  std::string root = "/proc/" + std::to_string(process);
+  std::ifstream stat(root + "/stat"), statm(root + "/statm"), scheduled(root + "/schedstat");
+  std::string text;
+  if (std::getline(stat, text)) {
+    std::size_t at = text.rfind(')');
+    unsigned long user = 0, system = 0;
+    if (at != std::string::npos)
+      std::sscanf(text.c_str() + at + 2, "%*c %*d %*d %*d %*d %*d %*u %*u %*u %*u %*u %lu %lu", &user, &system);
+    usage.cpu = double(user + system) / double(sysconf(_SC_CLK_TCK));
+  }
+  long all = 0, resident = 0;
+  if (statm >> all >> resident) usage.memory = double(resident) * double(sysconf(_SC_PAGESIZE));
+  unsigned long long ran = 0, waited = 0;
+  if (scheduled >> ran >> waited) usage.starved = double(waited) * 1e-9, usage.cpu = double(ran) * 1e-9;
+  if (DIR* folder = opendir((root + "/fd").c_str())) {
+    while (readdir(folder)) ++usage.descriptors;
+    closedir(folder);
+    usage.descriptors = std::max(0, usage.descriptors - 2);
+  }
+  return usage;
+}
+
+// Asks for /healthz until it is 200.
+class Process::Probe final : Line::Owner {
+ public:
+  Probe(Process& process, const Address& to)
+      : process_(process), line_(process.world_.loop, *this), reader_(Reader::Of::Answers) {
+    up_ = line_.connect(to);
+    if (up_) line_.send("GET /healthz HTTP/1.1\r\nHost: sidecar\r\nConnection: close\r\n\r\n");
+  }
+  bool failed() const { return !up_; }
+
+ private:
+  void on_bytes(Line&, std::string_view bytes) override {
+    reader_.feed(bytes);
+    if (!reader_.whole()) return;
+    up_ = false;
+    line_.close();
+    if (reader_.take().status != 200 || process_.phase_ != Phase::Starting) return;
+    process_.phase_ = Phase::Ready;
+    process_.see(Event::Kind::SidecarUp);
+    process_.owner_.on_ready(process_);
+  }
+  void on_end(Line&, bool) override { up_ = false; }
+  Process& process_;
+  Line line_;
+  Reader reader_;
+  bool up_ = false;
+};
+
+Process::Process(World& world, Owner& owner, int sidecar, int tier, std::string command, std::string folder)
+    : world_(world), owner_(owner), sidecar_(sidecar), tier_(tier), command_(std::move(command)),
+      folder_(std::move(folder)) {}
+
+Process::~Process() {
+  life_.reset();
+  if (process_ <= 0) return;
+  ::kill(process_, SIGKILL);
+  waitpid(process_, nullptr, 0);
+}
+
+void Process::see(Event::Kind kind, double figure, int status) {
+  Event event{kind};
+  event.sidecar = sidecar_, event.figure = figure, event.status = status;
+  world_.did(event);
+}
+
+void Process::write_file(const Told& told) const {
+  std::string path = folder_ + "/" + told.name + ".json", fresh = path + ".new";
+  char seed[24];
+  std::snprintf(seed, sizeof seed, "%llx", static_cast<unsigned long long>(told.seed));
+  {
+    std::ofstream file(fresh);
+    file << R"({"name":")" << told.name << R"(","listen":")" << told.listen << R"(","discovery":")"
+         << told.discovery << R"(","seed":")" << seed << R"(","limits":{"cores":1.0,"memory_mb":)"
+         << told.memory_mb << R"(,"sockets":)" << told.descriptors << R"(},"known":)" << told.known
+         << R"(,"settings":)" << told.settings << "}\n";
+  }
+  std::rename(fresh.c_str(), path.c_str());
+}
+
+void Process::start(const Told& told) {
+  if (phase_ != Phase::Down) return;
+  write_file(told);
+  listen_ = told.listen;
+  ++starts_;
+  std::string log = folder_ + "/" + told.name + ".log", config = folder_ + "/" + told.name + ".json";
+  rlim_t descriptors = rlim_t(told.descriptors);
+  process_ = fork();
+  if (process_ == 0) {
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    dup2(out, 1), dup2(out, 2);
+    rlimit most{descriptors, descriptors};
+    setrlimit(RLIMIT_NOFILE, &most);
+    setenv("BALANCER_CONFIG", config.c_str(), 1);
+    setenv("BALANCER_NAME", told.name.c_str(), 1);
+    setenv("BALANCER_LISTEN", told.listen.c_str(), 1);
+    setenv("BALANCER_DISCOVERY", told.discovery.c_str(), 1);
+    std::string line = "exec " + command_;
+    execl("/bin/sh", "sh", "-c", line.c_str(), nullptr);
+    _exit(127);
+  }
+  if (process_ < 0) throw std::runtime_error(std::string("can't start a sidecar: ") + std::strerror(errno));
+  phase_ = Phase::Starting;
+  last_ = Usage();
+  probe();
+}
+
+void Process::probe() {
+  if (phase_ != Phase::Starting) return;
+  if (!probe_ || probe_->failed()) {
+    world_.loop.bury(std::move(probe_));
+    probe_ = std::make_unique<Probe>(*this, read_address(listen_));
+  }
+  world_.loop.at(world_.loop.now() + kProbeEvery, [this, life = std::weak_ptr<int>(life_)] {
+    if (!life.expired()) probe();
+  });
+}
+
+void Process::terminate() {
+  if (phase_ != Phase::Ready) return;
+  double longest = 0;
+  for (const PrefixPlan& prefix : world_.script.prefixes) longest = std::max(longest, prefix.client_timeout);
+  leave_by_ = world_.loop.now() + longest + 0.7;
+  phase_ = Phase::Leaving;
+  see(Event::Kind::SidecarLeaving);
+  ::kill(process_, SIGTERM);
+}
+
+void Process::kill() {
+  if (phase_ == Phase::Down) return;
+  see(Event::Kind::SidecarDown);
+  ::kill(process_, SIGKILL);
+  waitpid(process_, nullptr, 0);
+  gone(false, 0);
+}
+
+void Process::pause(double span) {
+  if (phase_ == Phase::Down) return;
+  if (paused_++ == 0) see(Event::Kind::SidecarPaused);
+  ::kill(process_, SIGSTOP);
+  world_.loop.at(world_.loop.now() + span, [this, of = process_, life = std::weak_ptr<int>(life_)] {
+    if (life.expired() || process_ != of || --paused_ > 0) return;
+    ::kill(process_, SIGCONT);
+    see(Event::Kind::SidecarResumed);
+  });
+}
+
+void Process::hang_up() {
+  if (phase_ == Phase::Ready || phase_ == Phase::Leaving) ::kill(process_, SIGHUP);
+}
+
+void Process::look() {
+  if (phase_ == Phase::Down) return;
+  int status = 0;
+  if (waitpid(process_, &status, WNOHANG) == process_) {
+    bool clean = phase_ == Phase::Leaving && WIFEXITED(status) && WEXITSTATUS(status) == 0;
+    if (!clean) see(Event::Kind::SidecarCrashed, 0, WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status));
+    see(Event::Kind::SidecarDown);
+    return gone(!clean, status);
+  }
+  Usage now = usage_of(process_);
+  if (double waited = now.starved - last_.starved; waited > kStarvedNoted && last_.cpu > 0)
+    see(Event::Kind::SidecarStarved, waited);
+  last_ = now;
+  most_.memory = std::max(most_.memory, now.memory);
+  most_.descriptors = std::max(most_.descriptors, now.descriptors);
+  // What is still held when its time is up is lost; SIGKILL only ends the wait.
+  if (phase_ == Phase::Leaving && paused_ == 0 && world_.loop.now() > leave_by_ + 0.5) kill();
+}
+
+void Process::gone(bool, int) {
+  process_ = -1;
+  paused_ = 0;
+  cpu_before_ += std::exchange(last_, Usage()).cpu;
+  phase_ = Phase::Down;
+  world_.loop.bury(std::move(probe_));
+  owner_.on_left(*this);
+}
+
+}  // namespace rehearsal
--- /dev/null
+++ b/rehearsal/world/world.h
@@ -0,0 +1,37 @@
+// What all stand-ins of one run share.
+#pragma once
+
+#include <cstdio>
+#include <string>
+
+#include "rehearsal/auditor/event.h"
+#include "rehearsal/loop/line.h"
+#include "rehearsal/loop/loop.h"
+#include "rehearsal/script/chance.h"
+
+namespace rehearsal {
+
+struct World {
+  Loop& loop;
+  const Script& script;
+  Observer& observer;
+  Chance chance;  // of what happens while it runs; what comes is drawn ahead
+  std::uint64_t last_visit = 0;
+
+  std::string new_visit() {
+    char id[24];
+    std::snprintf(id, sizeof id, "%016llx", static_cast<unsigned long long>(++last_visit * 0x9e3779b97f4a7c15u));
+    return id;
+  }
+  void see(Event event) {
+    event.at = loop.now(), event.since = loop.since();
+    observer.observe(event);
+  }
+  // What the rehearsal did itself it knows to the moment.
+  void did(Event event) {
+    event.at = event.since = loop.now();
+    observer.observe(event);
+  }
+};
+
+}  // namespace rehearsal
