--- a/Makefile
+++ b/Makefile
@@ -11,12 +11,26 @@
 lint: build
 	clang-format --dry-run -Werror $$(git ls-files '*.h' '*.cpp')
 	cppcheck --quiet --std=c++20 --language=c++ --inline-suppr --enable=warning,performance,portability \
-	  --error-exitcode=1 -I include -I . src deployment sidecar wirehost
+	  --error-exitcode=1 -I include -I . src deployment sidecar wirehost rehearsal
 
 run: build
 	BALANCER_CONFIG=examples/sidecar.json $(BUILD)/puffinvane
 
 toy: build
-	$(BUILD)/toy_endpoint
+	$(BUILD)/puffinvane_rehearse toy
 
-.PHONY: build test lint run toy
+# Long measurements, outside CI. Figures go to docs/results.md by hand.
+rehearse-table: build
+	$(BUILD)/puffinvane_rehearse suite one-slow shared-and-local hang-and-errors burst crash-cold spoilt --seeds 1..10 \
+	  --sidecars puffinvane,baseline:random,baseline:round-robin,baseline:least-outstanding,baseline:two-choices --lanes 4
+
+rehearse-steady: build
+	$(BUILD)/puffinvane_rehearse suite --repeat 10 --lanes 4
+
+rehearse-hunt: build
+	$(BUILD)/puffinvane_rehearse hunt --count 500 --lanes 4
+
+rehearse-cost: build
+	$(BUILD)/puffinvane_rehearse cost --pairs 3
+
+.PHONY: build test lint run toy rehearse-table rehearse-steady rehearse-hunt rehearse-cost
--- a/rehearsal/auditor/auditor.cpp
+++ b/rehearsal/auditor/auditor.cpp
@@ -195,6 +195,7 @@
   for (Fetch& fetch : visit.fetches) {
     if (fetch.endpoint == event.endpoint && !fetch.ran) fetch.turned_away = true;
   }
+  cold_work(event);  // sent all the same
 }
 
 void Auditor::bounce_after_run(const Event& event, Visit& visit) {
@@ -220,29 +221,21 @@
 
 void Auditor::cold_work(const Event& event) {
   auto found = cold_.find(event.endpoint);
-  if (found == cold_.end() || found->second.broken) return;
-  Cold& cold = found->second;
-  double age = event.at - cold.started;
-  if (age > bounds_.warm_after) return void(cold_.erase(found));
-  cold.sent.emplace_back(event.at, event.figure);
-  while (cold.sent.front().first < event.at - bounds_.cold_window) cold.sent.pop_front();
-  double sum = 0, largest = 0;
-  for (const auto& [when, work] : cold.sent) sum += work, largest = std::max(largest, work);
-  double share = bounds_.cold_share + (1 - bounds_.cold_share) * age / bounds_.warm_after;
-  double most = bounds_.cold_multiple * cold.capacity * share * bounds_.cold_window;
-  // The last one may be large, and which is large nobody can know: chance breaks nothing.
-  if (sum <= most + 2 * largest) return;
-  cold.broken = true;
+  if (found == cold_.end()) return;
+  ColdBudget& cold = found->second;
+  if (cold.warm(event.at)) return void(cold_.erase(found));
+  if (!cold.overrun(event.at, event.figure)) return;
   breach(Rule::ColdNotPushed, event.at, event.visit,
-         "endpoint " + std::to_string(event.endpoint) + ", up for " + seconds(age) + ", was sent " +
-             seconds(sum) + " of work within " + seconds(bounds_.cold_window) + ", " + seconds(most) +
-             " at most");
+         "endpoint " + std::to_string(event.endpoint) + ", up for " + seconds(cold.age(event.at)) +
+             ", was sent " + seconds(cold.sent()) + " of work within " + seconds(bounds_.cold.window) + ", " +
+             seconds(cold.most(event.at)) + " at most");
+  cold_.erase(found);
 }
 
 void Auditor::of_sidecar(const Event& event) {
   using Kind = Event::Kind;
   if (event.kind == Kind::Started) {
-    cold_[event.endpoint] = {event.at, event.figure, {}, false};
+    cold_.insert_or_assign(event.endpoint, ColdBudget(bounds_.cold, event.at, event.figure));
     return;
   }
   if (event.sidecar < 0) return;
--- a/rehearsal/auditor/auditor.h
+++ b/rehearsal/auditor/auditor.h
@@ -12,6 +12,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "rehearsal/auditor/cold.h"
 #include "rehearsal/auditor/event.h"
 
 namespace rehearsal {
@@ -28,8 +29,7 @@
   std::map<std::string, AuditedPrefix> prefixes;
   double slack = 0.05;  // seconds that each time limit is longer on sockets
   double grace = 0.5;   // seconds from being told that an endpoint drains or is gone
-  double cold_share = 0.3, warm_after = 5;  // seconds
-  double cold_multiple = 3, cold_window = 1;
+  ColdBounds cold;
 };
 
 enum class Rule { None, OneAnswer, NoEffectTwice, DrainsKept, ColdNotPushed, Crash };
@@ -74,23 +74,12 @@
     std::deque<std::pair<double, double>> away;  // until, for how long
     std::map<int, double> told;                  // endpoints that drain or are gone, since when
   };
-  struct Cold {
-    double started = 0, capacity = 0;
-    std::deque<std::pair<double, double>> sent;  // when, work
-    bool broken = false;
-  };
   struct Suspicion {  // may yet be explained by a sidecar that was away
     double judged_at, from, to, over_by;
     int sidecar;
     Rule rule;
     std::string visit, text;
   };
-  // A tagged visit's first fetch that may have run, by its key: callers' retries come under new ids.
-  struct Mark {
-    double at = 0;
-    int group = 0;
-  };
-
   using Act = void (Auditor::*)(const Event& event, Visit& visit);
   struct Row {
     Event::Kind kind;
@@ -127,7 +116,7 @@
   std::deque<std::pair<double, std::string>> over_;
   std::set<std::pair<double, std::string>> waiting_;  // by the end of their client timeouts
   std::map<int, Sidecar> sidecars_;
-  std::map<int, Cold> cold_;
+  std::map<int, ColdBudget> cold_;
   std::deque<Suspicion> suspicions_;
   std::vector<Breach> breaches_;
 };
--- /dev/null
+++ b/rehearsal/baselines/baselines.cpp
@@ -0,0 +1,189 @@
+#include "rehearsal/baselines/baselines.h"
+
+#include <algorithm>
+#include <pcg_random.hpp>
+#include <unordered_map>
+
+namespace rehearsal {
+
+using namespace puffinvane;
+
+namespace {
+
+constexpr double kInTime = 0.02;  // seconds before its client timeout that a visit gets its last answer
+
+struct Endpoint {
+  std::string name;
+  int out = 0;
+};
+using Endpoints = std::vector<Endpoint>;
+
+class Choice {
+ public:
+  virtual ~Choice() = default;
+  virtual std::size_t among(const Endpoints& endpoints, const std::vector<std::size_t>& open) = 0;
+};
+
+class Random final : public Choice {
+ public:
+  explicit Random(std::uint64_t seed) : chance_(seed) {}
+  std::size_t among(const Endpoints&, const std::vector<std::size_t>& open) override {
+    return open[chance_(std::uint32_t(open.size()))];
+  }
+
+ private:
+  pcg32 chance_;
+};
+
+class RoundRobin final : public Choice {
+ public:
+  explicit RoundRobin(std::uint64_t seed) : next_(std::size_t(seed % 97)) {}
+  std::size_t among(const Endpoints&, const std::vector<std::size_t>& open) override {
+    return open[next_++ % open.size()];
+  }
+
+ private:
+  std::size_t next_;
+};
+
+class LeastOutstanding final : public Choice {
+ public:
+  explicit LeastOutstanding(std::uint64_t seed) : chance_(seed) {}
+  std::size_t among(const Endpoints& endpoints, const std::vector<std::size_t>& open) override {
+    int least = endpoints[open.front()].out;
+    for (std::size_t one : open) least = std::min(least, endpoints[one].out);
+    std::vector<std::size_t> tied;
+    std::copy_if(open.begin(), open.end(), std::back_inserter(tied),
+                 [&](std::size_t one) { return endpoints[one].out == least; });
+    return tied[chance_(std::uint32_t(tied.size()))];
+  }
+
+ private:
+  pcg32 chance_;
+};
+
+class TwoChoices final : public Choice {
+ public:
+  explicit TwoChoices(std::uint64_t seed) : chance_(seed) {}
+  std::size_t among(const Endpoints& endpoints, const std::vector<std::size_t>& open) override {
+    auto draw = [&] { return open[chance_(std::uint32_t(open.size()))]; };
+    std::size_t one = draw(), other = draw();
+    return endpoints[other].out < endpoints[one].out ? other : one;
+  }
+
+ private:
+  pcg32 chance_;
+};
+
+class BaselinePolicy final : public Policy {
+ public:
+  BaselinePolicy(Deployment deployment, std::unique_ptr<Choice> choice, Host& host)
+      : deployment_(std::move(deployment)), choice_(std::move(choice)), host_(host) {}
+
+  void list(double, ListScope scope, std::span<const ListEntry> entries) override {
+    Endpoints fresh = scope == ListScope::Changes ? endpoints_ : Endpoints();
+    for (const ListEntry& entry : entries) {
+      std::erase_if(fresh, [&](const Endpoint& one) { return one.name == entry.endpoint; });
+      if (entry.state != Listed::Ready) continue;
+      const Endpoint* known = find(entry.endpoint);
+      fresh.push_back({entry.endpoint, known ? known->out : 0});
+    }
+    endpoints_ = std::move(fresh);
+  }
+  void arrive(double now, const Visit& visit) override {
+    const PathPrefix* prefix = nullptr;
+    for (const PathPrefix& one : deployment_.path_prefixes) {
+      if (one.name == visit.path_prefix) prefix = &one;
+    }
+    in_hand_[visit.id] = {prefix, {}, false, 0, false};
+    host_.wake(now + std::max(0.0, visit.time_left - kInTime), visit.id);
+    fetch(now, visit.id);
+  }
+  void fetch_ended(double now, const FetchEnd& end) override {
+    auto found = in_hand_.find(end.visit);
+    if (found == in_hand_.end()) return;
+    InHand& visit = found->second;
+    const std::string& endpoint = visit.endpoints[std::size_t(end.number)];
+    if (Endpoint* one = find(endpoint)) --one->out;
+    --visit.out;
+    if (end.concluded || visit.over) return forget(found);
+    bool never = end.outcome == Outcome::Refused || end.outcome == Outcome::ConnectFailed ||
+                 end.outcome == Outcome::NotSent;
+    visit.may_have_run |= !never;
+    bool again = !visit.may_have_run || visit.prefix->kind == Kind::ReadLike;
+    if (again && int(visit.endpoints.size()) < deployment_.max_fetches) return fetch(now, end.visit);
+    give_up(end.visit);
+  }
+  void withdrawn(double, VisitId id) override {
+    auto found = in_hand_.find(id);
+    if (found == in_hand_.end()) return;
+    found->second.over = true;
+    for (std::size_t i = 0; i < found->second.endpoints.size(); ++i) host_.cancel(id, int(i));
+    forget(in_hand_.find(id));
+  }
+  void woken(double, std::uint64_t token) override {
+    auto found = in_hand_.find(VisitId(token));
+    if (found != in_hand_.end() && !found->second.over) give_up(VisitId(token));
+  }
+
+ private:
+  struct InHand {
+    const PathPrefix* prefix = nullptr;
+    std::vector<std::string> endpoints;  // of its fetches, in order
+    bool may_have_run = false;
+    int out = 0;
+    bool over = false;
+  };
+
+  Endpoint* find(const std::string& name) {
+    auto found = std::find_if(endpoints_.begin(), endpoints_.end(), [&](const Endpoint& one) { return one.name == name; });
+    return found == endpoints_.end() ? nullptr : &*found;
+  }
+  void fetch(double, VisitId id) {
+    InHand& visit = in_hand_[id];
+    std::vector<std::size_t> open;
+    for (std::size_t i = 0; i < endpoints_.size(); ++i) {
+      if (std::find(visit.endpoints.begin(), visit.endpoints.end(), endpoints_[i].name) == visit.endpoints.end())
+        open.push_back(i);
+    }
+    if (open.empty()) return give_up(id);
+    Endpoint& endpoint = endpoints_[choice_->among(endpoints_, open)];
+    ++endpoint.out, ++visit.out;
+    visit.endpoints.push_back(endpoint.name);
+    host_.fetch(id, endpoint.name, 0);
+  }
+  void give_up(VisitId id) {
+    InHand& visit = in_hand_[id];
+    visit.over = true;
+    // One that is out may run yet: only what is known not to have run is bounced.
+    if (visit.out == 0 && !visit.may_have_run) host_.bounce(id, 0.2);
+    else host_.error(id);
+    for (std::size_t i = 0; i < visit.endpoints.size(); ++i) host_.cancel(id, int(i));
+    forget(in_hand_.find(id));
+  }
+  void forget(std::unordered_map<VisitId, InHand>::iterator found) {
+    if (found != in_hand_.end() && found->second.out <= 0) in_hand_.erase(found);
+  }
+
+  const Deployment deployment_;
+  std::unique_ptr<Choice> choice_;
+  Host& host_;
+  Endpoints endpoints_;
+  std::unordered_map<VisitId, InHand> in_hand_;
+};
+
+template <typename Chosen>
+std::unique_ptr<Policy> make(double, Deployment deployment, std::uint64_t seed, Host& host) {
+  return std::make_unique<BaselinePolicy>(std::move(deployment), std::make_unique<Chosen>(seed), host);
+}
+
+constexpr Baseline kBaselines[] = {{"random", make<Random>},
+                                   {"round-robin", make<RoundRobin>},
+                                   {"least-outstanding", make<LeastOutstanding>},
+                                   {"two-choices", make<TwoChoices>}};
+
+}  // namespace
+
+std::span<const Baseline> baselines() { return kBaselines; }
+
+}  // namespace rehearsal
--- /dev/null
+++ b/rehearsal/baselines/baselines.h
@@ -0,0 +1,17 @@
+// Other ways to choose an endpoint, behind the same Carrier: what puffinvane is measured against, never what
+// it does. They retry what the rules allow and nothing else; they know nothing of copies, room or cold starts.
+#pragma once
+
+#include "puffinvane/policy.h"
+
+namespace rehearsal {
+
+using Maker = std::unique_ptr<puffinvane::Policy> (*)(double, puffinvane::Deployment, std::uint64_t,
+                                                      puffinvane::Host&);
+struct Baseline {
+  const char* name;
+  Maker make;
+};
+std::span<const Baseline> baselines();  // random, round-robin, least-outstanding, two-choices
+
+}  // namespace rehearsal
--- a/rehearsal/main.cpp
+++ b/rehearsal/main.cpp
@@ -80,7 +80,7 @@
 
 // "baseline:random" and "vice:loses-one" are the programs beside this one.
 std::string command_of(const std::string& sidecar) {
-  if (sidecar.empty()) return own_folder() + "/puffinvane";
+  if (sidecar.empty() || sidecar == "puffinvane") return own_folder() + "/puffinvane";
   if (sidecar.starts_with("baseline:")) return own_folder() + "/puffinvane_baseline " + sidecar.substr(9);
   if (sidecar.starts_with("vice:")) return own_folder() + "/puffinvane_rogue " + sidecar.substr(5);
   return sidecar;
@@ -115,7 +115,7 @@
 }
 
 struct Many {
-  std::vector<std::string> scripts, sidecars = std::vector<std::string>(1);
+  std::vector<std::string> scripts, sidecars{std::string("puffinvane")};
   std::string out, seeds = "1";
   int lanes = 2, repeat = 1;
 };
@@ -165,9 +165,8 @@
   play(jobs, many.lanes, [&](Job& job) {
     worst = std::max(worst, job.exit);
     broken += job.exit == kBroken, unusable += job.exit != kKept && job.exit != kBroken;
-    std::string who = job.arguments[7].empty() ? "" : " with " + job.arguments[7];
     std::cout << (job.exit == kKept ? "kept    " : job.exit == kBroken ? "BROKEN  " : "FAILED  ") << job.arguments[1]
-              << ", seed " << job.arguments[3] << who << std::endl;
+              << ", seed " << job.arguments[3] << ", " << job.arguments[7] << std::endl;
   });
   std::vector<json> results;
   for (const Job& job : jobs) {
@@ -305,7 +304,7 @@
   CLI::App* suite = app.add_subcommand("suite", "plays many scripts, seeds and sidecars, and compares them");
   suite->add_option("SCRIPT", many.scripts, "all that ship, if none is named");
   suite->add_option("--seeds", many.seeds, "one, or FIRST..LAST");
-  suite->add_option("--sidecars", many.sidecars, "as --sidecar of 'run'; \"\" is puffinvane")->delimiter(',');
+  suite->add_option("--sidecars", many.sidecars, "as --sidecar of 'run'")->delimiter(',');
   suite->add_option("--lanes", many.lanes, "runs side by side")->check(CLI::Range(1, 64));
   suite->add_option("--repeat", many.repeat, "times that all is played")->check(CLI::Range(1, 100));
   suite->add_option("--out", many.out, "keep the results in this folder");
--- /dev/null
+++ b/rehearsal/rogue.cpp
@@ -0,0 +1,294 @@
+// A stand-in sidecar with one vice, to prove that the auditor catches it, and for its own rule only. Without
+// a vice it keeps the rules: puffinvane_rogue VICE, told by BALANCER_CONFIG as the real one is.
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <set>
+
+#include "rehearsal/loop/http.h"
+#include "rehearsal/loop/line.h"
+
+namespace rehearsal {
+namespace {
+
+using nlohmann::json;
+
+constexpr int kOneIn = 20;        // visits that the vice falls upon, where not all of a kind
+constexpr double kInTime = 0.06;  // before its client timeout a visit gets its error
+const std::set<std::string> kVices = {"honest",         "answers-twice", "answers-late",   "loses-one", "reruns-mutating",
+                                      "strays-tagged",  "forgets-tagged", "ignores-drains", "floods-cold"};
+
+struct Target {
+  std::string name, address;
+  int group = 0, out = 0;
+  bool ready = true;
+  double since = 0;  // Unix seconds
+};
+
+struct Prefix {
+  std::string kind;
+  double timeout = 1, memory = 1;
+};
+
+class Rogue;
+
+class Fetch final : public Line::Owner {
+ public:
+  Fetch(Rogue& rogue, std::shared_ptr<struct Visit> visit, Target& target);
+  ~Fetch() override;
+  Target& target;
+
+ private:
+  void on_bytes(Line&, std::string_view bytes) override;
+  void on_end(Line&, bool) override;
+  void over(int status, const std::string& body, bool never_ran);
+  Rogue& rogue_;
+  std::shared_ptr<struct Visit> visit_;
+  Line line_;
+  Reader reader_;
+};
+
+class Caller final : public Line::Owner {
+ public:
+  Caller(Rogue& rogue, int descriptor);
+  void answer(int status, const std::string& body) {
+    Message message;
+    message.status = status, message.body = body;
+    line.send(write(message));
+  }
+  Line line;
+  std::shared_ptr<struct Visit> visit;
+
+ private:
+  void on_bytes(Line&, std::string_view bytes) override;
+  void on_end(Line&, bool) override;
+  Rogue& rogue_;
+  Reader reader_;
+};
+
+struct Visit {
+  Message request;
+  Caller* caller = nullptr;
+  std::string kind;
+  double deadline = 0, memory = 0;
+  int number = 0, fetches = 0;
+  bool answered = false, may_have_run = false;
+};
+
+class Rogue final : public Door::Owner, public Line::Owner {
+ public:
+  Rogue(const json& told, std::string vice)
+      : vice_(std::move(vice)), watch_(loop, *this), door_(loop, *this, read_address(told.at("listen").get<std::string>()), 0) {
+    for (const json& prefix : told.at("settings").at("PathPrefixes"))
+      prefixes_[prefix.at("Name")] = {prefix.at("Idempotency"), prefix.at("ClientTimeoutS"), prefix.at("MemorySpanS")};
+    warm_after_ = told.at("settings").at("Rules").at("ColdS");
+    note(told.at("known"));
+    watch_.connect(read_address(told.at("discovery").get<std::string>()));
+    watch_.send("GET /v1/servers?watch=1&after=0 HTTP/1.1\r\nHost: discovery\r\n\r\n");
+  }
+  void run() {
+    loop.run([] { return false; });
+  }
+  void request(Caller& caller, Message request);
+  void fetch(const std::shared_ptr<Visit>& visit, Target* target);
+  void ended(const std::shared_ptr<Visit>& visit, int status, const std::string& body, bool never_ran);
+  void answer(const std::shared_ptr<Visit>& visit, int status, const std::string& body);
+  void let_go(Caller& caller) { bury(callers_, &caller); }
+  void let_go(Fetch& fetch) { bury(fetches_, &fetch); }
+  Loop loop;
+
+ private:
+  template <typename Map, typename Key>
+  void bury(Map& map, Key* key) {
+    auto found = map.extract(key);
+    if (!found.empty()) loop.bury(std::move(found.mapped()));
+  }
+  bool vice(const char* name) const { return vice_ == name; }
+  void on_knock(Door&, int descriptor) override {
+    auto caller = std::make_unique<Caller>(*this, descriptor);
+    Caller* key = caller.get();
+    callers_.emplace(key, std::move(caller));
+  }
+  void on_bytes(Line&, std::string_view bytes) override;
+  void on_end(Line&, bool) override {}
+  void note(const json& list);
+  Target* choose(const std::function<bool(const Target&)>& fits);
+
+  const std::string vice_;
+  Line watch_;
+  Door door_;
+  std::string heard_;
+  std::map<std::string, Prefix> prefixes_;
+  std::map<std::string, Target> targets_;
+  std::map<const Caller*, std::unique_ptr<Caller>> callers_;
+  std::map<const Fetch*, std::unique_ptr<Fetch>> fetches_;
+  double warm_after_ = 5;
+  int visits_ = 0;
+};
+
+Fetch::Fetch(Rogue& rogue, std::shared_ptr<Visit> visit, Target& target)
+    : target(target), rogue_(rogue), visit_(std::move(visit)), line_(rogue.loop, *this), reader_(Reader::Of::Answers) {
+  ++target.out;
+  Message request = visit_->request;
+  std::erase_if(request.headers, [](const auto& header) {
+    return header.first == "X-Time-Left" || header.first == "Content-Length" || header.first == "Host";
+  });
+  double left = std::max(0.001, visit_->deadline - rogue.loop.now());
+  request.headers.emplace_back("X-Time-Left", std::to_string(long(left * 1e6)) + "u");
+  if (!line_.connect(read_address(target.address))) {
+    rogue.loop.at(rogue.loop.now(), [this] { over(502, "", true); });
+    return;
+  }
+  line_.send(write(request));
+}
+Fetch::~Fetch() { --target.out; }
+
+void Fetch::on_bytes(Line&, std::string_view bytes) {
+  reader_.feed(bytes);
+  if (reader_.bad()) return over(502, "", false);
+  if (!reader_.whole()) return;
+  Message answer = reader_.take();
+  over(answer.status, answer.body, answer.header("X-Unprocessed") == "1");
+}
+void Fetch::on_end(Line&, bool) { over(502, "", !line_.written()); }
+void Fetch::over(int status, const std::string& body, bool never_ran) {
+  line_.close();
+  rogue_.ended(visit_, status, body, never_ran);
+  rogue_.let_go(*this);
+}
+
+Caller::Caller(Rogue& rogue, int descriptor) : line(rogue.loop, *this), rogue_(rogue), reader_(Reader::Of::Requests) {
+  line.adopt(descriptor);
+}
+void Caller::on_bytes(Line&, std::string_view bytes) {
+  reader_.feed(bytes);
+  if (reader_.whole()) rogue_.request(*this, reader_.take());
+}
+void Caller::on_end(Line&, bool) {
+  if (visit) visit->caller = nullptr;
+  rogue_.let_go(*this);
+}
+
+void Rogue::on_bytes(Line&, std::string_view bytes) {
+  heard_ += bytes;
+  for (std::size_t end; (end = heard_.find('\n')) != std::string::npos;) {
+    std::string line = heard_.substr(0, end);
+    heard_.erase(0, end + 1);
+    if (line.starts_with('{')) note(json::parse(line));
+  }
+}
+
+void Rogue::note(const json& list) {
+  std::set<std::string> listed;
+  for (const json& entry : list.at("endpoints")) {
+    std::string name = entry.at("name"), status = entry.at("status");
+    listed.insert(name);
+    if (status != "active" && !targets_.contains(name)) continue;
+    Target& target = targets_[name];
+    target.name = name, target.address = entry.at("address"), target.group = entry.at("group");
+    target.ready = status == "active", target.since = entry.at("since_ms").get<double>() / 1000;
+  }
+  if (!list.at("snapshot").get<bool>()) return;
+  for (auto& [name, target] : targets_) target.ready = target.ready && listed.contains(name);
+}
+
+Target* Rogue::choose(const std::function<bool(const Target&)>& fits) {
+  Target* best = nullptr;
+  double now = double(time(nullptr));
+  // A cold endpoint is chosen only where there is no other; the vice turns that round.
+  auto rank = [&](const Target& target) {
+    bool cold = now - target.since < warm_after_ + 1;
+    return std::make_pair(vice("floods-cold") ? !cold : cold, target.out);
+  };
+  for (auto& [name, target] : targets_) {
+    if (!target.ready && !vice("ignores-drains")) continue;
+    if (fits(target) && (!best || rank(target) < rank(*best))) best = &target;
+  }
+  return best;
+}
+
+void Rogue::request(Caller& caller, Message request) {
+  if (request.target == "/healthz") return caller.answer(200, "ready\n");
+  auto prefix = prefixes_.find(request.target.substr(1, request.target.find('/', 1) - 1));
+  if (prefix == prefixes_.end() || request.header("X-Correlation-Id").empty()) return caller.answer(404, "");
+  auto visit = std::make_shared<Visit>();
+  double left = std::atof(std::string(request.header("X-Time-Left")).c_str()) * 1e-6;
+  visit->deadline = loop.now() + (left > 0 ? std::min(left, prefix->second.timeout) : prefix->second.timeout);
+  visit->kind = prefix->second.kind, visit->memory = prefix->second.memory;
+  visit->request = std::move(request);
+  visit->caller = &caller, visit->number = ++visits_;
+  caller.visit = visit;
+  bool falls = visit->number % kOneIn == 0;
+  if (falls && vice("loses-one")) {
+    loop.at(loop.now() + 0.03, [this, visit] {
+      if (visit->answered || !visit->caller) return;
+      Caller& caller = *std::exchange(visit->caller, nullptr);
+      caller.line.close();
+      let_go(caller);
+    });
+    return;
+  }
+  Target* target = choose([](const Target&) { return true; });
+  if (!target) return answer(visit, 503, "");
+  double end = visit->deadline - kInTime;
+  loop.at(end, [this, visit] { answer(visit, 502, "out of time\n"); });
+  fetch(visit, target);
+  Target* other = nullptr;
+  if (visit->kind == "once" && falls && vice("reruns-mutating"))
+    other = choose([&](const Target& one) { return &one != target; });
+  if (visit->kind == "by_key" && falls && vice("strays-tagged"))
+    other = choose([&](const Target& one) { return one.group != target->group; });
+  if (other) loop.at(loop.now() + 0.002, [this, visit, other] { fetch(visit, other); });
+  if (visit->kind == "by_key" && falls && vice("forgets-tagged"))
+    loop.at(loop.now() + visit->memory + 0.15, [this, visit, target] { fetch(visit, target); });
+}
+
+void Rogue::fetch(const std::shared_ptr<Visit>& visit, Target* target) {
+  ++visit->fetches;
+  auto made = std::make_unique<Fetch>(*this, visit, *target);
+  Fetch* key = made.get();
+  fetches_.emplace(key, std::move(made));
+}
+
+void Rogue::ended(const std::shared_ptr<Visit>& visit, int status, const std::string& body, bool never_ran) {
+  if (visit->answered) return;
+  visit->may_have_run |= !never_ran;
+  if (status == 200) return answer(visit, 200, body);
+  answer(visit, visit->may_have_run ? 502 : 503, "");
+}
+
+void Rogue::answer(const std::shared_ptr<Visit>& visit, int status, const std::string& body) {
+  if (visit->answered || !visit->caller) return;
+  if (vice("answers-late") && visit->number % kOneIn == 0 && loop.now() < visit->deadline + 0.1) {
+    loop.at(visit->deadline + 0.12, [this, visit, status, body] { answer(visit, status, body); });
+    return;
+  }
+  visit->answered = true;
+  Caller* caller = visit->caller;
+  caller->answer(status, body);
+  if (vice("answers-twice") && visit->number % kOneIn == 0) caller->answer(status, body);
+}
+
+}  // namespace
+}  // namespace rehearsal
+
+int main(int count, char** words) {
+  using namespace rehearsal;
+  std::signal(SIGPIPE, SIG_IGN);
+  if (count != 2 || !kVices.contains(words[1])) {
+    std::cerr << "puffinvane_rogue VICE, one of:";
+    for (const std::string& vice : kVices) std::cerr << " " << vice;
+    std::cerr << std::endl;
+    return 2;
+  }
+  const char* file = std::getenv("BALANCER_CONFIG");
+  std::ifstream in(file ? file : "");
+  try {
+    Rogue(nlohmann::json::parse(in), words[1]).run();
+  } catch (const std::exception& fault) {
+    std::cerr << fault.what() << std::endl;
+    return 1;
+  }
+}
--- a/rehearsal/run.cpp
+++ b/rehearsal/run.cpp
@@ -78,10 +78,10 @@
   World world{loop, script, observer, Chance(plan.seed, 11), plan.seed << 32};
   std::vector<Arrival> arrivals = draw_arrivals(script, plan.seed);
   std::uint64_t print = print_of(arrivals, script);
-  Clients clients(world, std::move(arrivals), [&](const Fate& fate) { figures.note(fate); });
   int before = usage_of(getpid()).descriptors;
   nlohmann::json result;
   {
+    Clients clients(world, std::move(arrivals), [&](const Fate& fate) { figures.note(fate); });
     Fleet fleet(world, plan.command, folder.path, plan.seed);
     std::vector<Address> fronts = fleet.front_addresses();
     for (std::size_t i = 0; i < fronts.size(); ++i) clients.add_sidecar(fronts[i], int(i));
@@ -134,10 +134,10 @@
       }
     }
     result["ready"] = ready;
-  }
-  if (script.clients.bad_rate > 0) {
-    result["bad_callers"] = {
-        {"came", clients.bad_callers()}, {"unanswered", clients.bad_unanswered()}, {"served", clients.bad_served()}};
+    if (script.clients.bad_rate > 0) {
+      result["bad_callers"] = {
+          {"came", clients.bad_callers()}, {"unanswered", clients.bad_unanswered()}, {"served", clients.bad_served()}};
+    }
   }
   result["script"] = script.name, result["title"] = script.title, result["seed"] = plan.seed;
   result["label"] = plan.label, result["length"] = script.length;
--- a/rehearsal/script/script.cpp
+++ b/rehearsal/script/script.cpp
@@ -63,8 +63,7 @@
   Bounds made;
   for (const PrefixPlan& prefix : prefixes)
     made.prefixes[prefix.name] = {prefix.repeat, prefix.memory, prefix.grouped};
-  made.grace = grace, made.cold_share = cold_share, made.warm_after = warm_after;
-  made.cold_multiple = cold_multiple, made.cold_window = cold_window;
+  made.grace = grace, made.cold = {cold_share, warm_after, cold_multiple, cold_window};
   return made;
 }
 
--- a/rehearsal/script/script.h
+++ b/rehearsal/script/script.h
@@ -23,8 +23,8 @@
 struct TierPlan {
   std::string name;
   int endpoints = 4;
-  int cores = 2;
-  Span speed{0.6, 1.1};       // work done in a second by one core
+  int cores = 1;
+  Span speed{0.5, 0.9};       // work done in a second by one core
   int queue = 24;             // visits beyond those on cores before it turns away
   int connections = 400;      // open ones at a time
   double connection_work = 0.001;
@@ -54,7 +54,7 @@
 };
 
 struct ClientPlan {
-  double rate = 100;
+  double rate = 120;
   int retries = 1;
   double pause = 0.1;        // before a retry that nobody advised
   bool obeys = true;         // waits for as long as Retry-After says
--- /dev/null
+++ b/rehearsal/tests/auditor.cpp
@@ -0,0 +1,210 @@
+// Short stories of what was seen, and of what the auditor makes of it.
+#undef NDEBUG
+#include "rehearsal/auditor/auditor.h"
+
+#include <cassert>
+#include <cstdio>
+
+using namespace rehearsal;
+using Kind = Event::Kind;
+
+namespace {
+
+Bounds bounds() {
+  Bounds made;
+  made.prefixes["read"] = {Repeat::ReadLike, 0, true};
+  made.prefixes["tagged"] = {Repeat::Tagged, 1, true};
+  made.prefixes["anywhere"] = {Repeat::Tagged, 1, false};
+  made.prefixes["mutating"] = {Repeat::Mutating, 0, true};
+  made.cold = {0.25, 4, 2, 1};
+  return made;
+}
+
+class Story {
+ public:
+  Story() : auditor(bounds()) {}
+  Story& at(double when) { return now = when, auditor.advance(when), *this; }
+  Story& offered(const char* visit, const char* prefix = "read", double waits = 1) {
+    Event event = made(Kind::Offered, visit);
+    event.sidecar = 0, event.prefix = prefix, event.figure = waits;
+    return see(event);
+  }
+  Story& answered(const char* visit, int status = 200, bool genuine = true, double found_since = -1) {
+    Event event = made(Kind::Answered, visit);
+    event.sidecar = 0, event.status = status, event.genuine = genuine;
+    if (found_since >= 0) event.since = found_since;
+    return see(event);
+  }
+  Story& fetch(Kind kind, const char* visit, int endpoint, int group = 1, double work = 0) {
+    Event event = made(kind, visit);
+    event.sidecar = 0, event.endpoint = endpoint, event.group = group, event.figure = work;
+    return see(event);
+  }
+  Story& runs(const char* visit, int endpoint, int group = 1) {
+    return fetch(Kind::FirstByte, visit, endpoint, group), fetch(Kind::Begun, visit, endpoint, group),
+           fetch(Kind::Ran, visit, endpoint, group);
+  }
+  Story& visit_is(Kind kind, const char* visit) {
+    Event event = made(kind, visit);
+    event.sidecar = 0;
+    return see(event);
+  }
+  Story& sidecar(Kind kind, double figure = 0) {
+    Event event = made(kind, "");
+    event.sidecar = 0, event.figure = figure;
+    return see(event);
+  }
+  Story& told(int endpoint, Event::State state) {
+    Event event = made(Kind::Told, "");
+    event.sidecar = 0, event.endpoint = endpoint, event.state = state;
+    return see(event);
+  }
+  Story& cold_start(int endpoint, double capacity) {
+    Event event = made(Kind::Started, "");
+    event.endpoint = endpoint, event.figure = capacity;
+    return see(event);
+  }
+  Rule only() {
+    auditor.finish(now);
+    if (auditor.breaches().empty()) return Rule::None;
+    for (const Breach& breach : auditor.breaches()) assert(breach.rule == auditor.breaches().front().rule);
+    return auditor.breaches().front().rule;
+  }
+  Auditor auditor;
+  double now = 1;
+
+ private:
+  Event made(Kind kind, const char* visit) {
+    Event event{kind};
+    event.at = event.since = now, event.visit = visit;
+    return event;
+  }
+  Story& see(const Event& event) { return auditor.observe(event), *this; }
+};
+
+void one_answer_in_time_is_kept() {
+  assert(Story().offered("a").runs("a", 1).at(1.9).answered("a").only() == Rule::None);
+  assert(Story().offered("a").at(2.04).answered("a", 502).only() == Rule::None);  // within the slack
+}
+void a_second_answer_is_caught() {
+  assert(Story().offered("a").answered("a").at(1.1).answered("a").only() == Rule::OneAnswer);
+}
+void an_answer_after_its_time_is_caught() {
+  assert(Story().offered("a").at(2.2).answered("a").only() == Rule::OneAnswer);
+  assert(Story().offered("a").at(1.5).only() == Rule::OneAnswer);  // none at all
+}
+void a_late_rehearsal_blames_nobody() {
+  // Found at 2.2, but the turn before ended at 2.0: it may have lain there since.
+  assert(Story().offered("a").at(2.2).answered("a", 200, true, 2.0).only() == Rule::None);
+}
+void a_sidecar_without_a_core_is_not_blamed() {
+  Story starved;
+  starved.offered("a").at(2.2).answered("a").at(2.21).sidecar(Kind::SidecarStarved, 0.3);
+  assert(starved.at(2.6).only() == Rule::None);
+  Story stopped;
+  stopped.offered("a").at(1.5).sidecar(Kind::SidecarPaused).at(2.5).sidecar(Kind::SidecarResumed);
+  assert(stopped.answered("a", 502).at(3).only() == Rule::None);
+  Story barely;  // away for less than it was late
+  barely.offered("a").at(2.6).answered("a").sidecar(Kind::SidecarStarved, 0.1);
+  assert(barely.at(3).only() == Rule::OneAnswer);
+}
+void an_ended_connection_loses_its_visit() {
+  assert(Story().offered("a").visit_is(Kind::Broken, "a").only() == Rule::OneAnswer);
+  assert(Story().offered("a").sidecar(Kind::SidecarDown).visit_is(Kind::Broken, "a").only() == Rule::None);
+  assert(Story().offered("a").visit_is(Kind::Withdrawn, "a").at(3).only() == Rule::None);
+}
+void a_close_that_crossed_a_visit_loses_it_only_if_it_was_read() {
+  assert(Story().offered("a").visit_is(Kind::Crossed, "a").offered("a").answered("a").only() == Rule::None);
+  assert(Story().offered("a").runs("a", 1).visit_is(Kind::Crossed, "a").only() == Rule::OneAnswer);
+}
+void an_answer_that_no_endpoint_made_is_caught() {
+  assert(Story().offered("a").answered("a", 200, false).only() == Rule::OneAnswer);
+}
+void a_mutating_visit_runs_once() {
+  assert(Story().offered("a", "mutating").runs("a", 1).runs("a", 2).answered("a").only() == Rule::NoEffectTwice);
+  Story turned_away;
+  turned_away.offered("a", "mutating").fetch(Kind::Begun, "a", 1).fetch(Kind::TurnedAway, "a", 1).runs("a", 2);
+  assert(turned_away.answered("a").only() == Rule::None);
+  assert(Story().offered("a").runs("a", 1).runs("a", 2).answered("a").only() == Rule::None);  // read-like
+}
+void what_may_have_run_is_not_bounced() {
+  assert(Story().offered("a", "mutating").runs("a", 1).answered("a", 503).only() == Rule::NoEffectTwice);
+  assert(Story().offered("a", "mutating").fetch(Kind::Begun, "a", 1).answered("a", 429).only() ==
+         Rule::NoEffectTwice);
+  assert(Story().offered("a", "mutating").fetch(Kind::TurnedAway, "a", 1).answered("a", 503).only() == Rule::None);
+  assert(Story().offered("a", "mutating").runs("a", 1).answered("a", 502).only() == Rule::None);
+  assert(Story().offered("a", "anywhere").runs("a", 1).answered("a", 503).only() == Rule::None);
+}
+void a_tagged_visit_stays_in_its_group_and_memory() {
+  assert(Story().offered("a", "tagged").runs("a", 1).runs("a", 2).answered("a").only() == Rule::None);
+  assert(Story().offered("a", "tagged").runs("a", 1).runs("a", 2, 7).answered("a").only() == Rule::NoEffectTwice);
+  assert(Story().offered("a", "anywhere").runs("a", 1).runs("a", 2, 7).answered("a").only() == Rule::None);
+  assert(Story().offered("a", "tagged", 5).runs("a", 1).at(2.2).runs("a", 2).answered("a").only() ==
+         Rule::NoEffectTwice);
+}
+void a_drain_is_kept_after_its_grace() {
+  auto sent_at = [](double when) {
+    Story story;
+    story.told(3, Event::State::Draining).at(when).offered("a").runs("a", 3).answered("a");
+    return story.at(when + 1).only();
+  };
+  assert(sent_at(1.5) == Rule::None);
+  assert(sent_at(1.6) == Rule::DrainsKept);
+  Story back;  // listed again
+  back.told(3, Event::State::Gone).at(1.2).told(3, Event::State::Ready).at(4).offered("a").runs("a", 3);
+  assert(back.answered("a").at(5).only() == Rule::None);
+  Story twice;  // told again: the grace counts from the first time
+  twice.told(3, Event::State::Draining).at(1.4).told(3, Event::State::Gone).at(1.6).offered("a").runs("a", 3);
+  assert(twice.answered("a").at(3).only() == Rule::DrainsKept);
+}
+void a_cold_endpoint_is_not_pushed_over() {
+  auto pushed = [](double work, double capacity) {
+    Story story;
+    story.cold_start(1, capacity);
+    for (int i = 0; i < 10; ++i) {
+      std::string id = "v" + std::to_string(i);
+      story.at(1 + i * 0.05).offered(id.c_str()).fetch(Kind::Begun, id.c_str(), 1, 1, work).answered(id.c_str());
+    }
+    return story.only();
+  };
+  assert(pushed(0.05, 1) == Rule::None);           // 0.5 s, where 2 x 0.25 x 1 and some are allowed
+  assert(pushed(0.15, 1) == Rule::ColdNotPushed);
+  assert(pushed(0.15, 8) == Rule::None);
+}
+void a_crash_is_told() { assert(Story().sidecar(Kind::SidecarCrashed).only() == Rule::Crash); }
+void a_breach_brings_its_whole_history() {
+  Story story;
+  story.offered("a", "mutating").runs("a", 1).runs("a", 2).answered("a");
+  assert(story.auditor.breaches().size() == 1 && story.auditor.breaches()[0].history.size() >= 5);
+  assert(story.auditor.breaches()[0].visit == "a");
+}
+void nothing_is_kept_of_visits_long_over() {
+  Story story;
+  for (int i = 0; i < 5000; ++i) {
+    std::string id = "v" + std::to_string(i);
+    story.at(1 + i * 0.1).offered(id.c_str()).runs(id.c_str(), 1).answered(id.c_str());
+  }
+  assert(story.auditor.held() < 200);
+}
+
+}  // namespace
+
+int main() {
+  one_answer_in_time_is_kept();
+  a_second_answer_is_caught();
+  an_answer_after_its_time_is_caught();
+  a_late_rehearsal_blames_nobody();
+  a_sidecar_without_a_core_is_not_blamed();
+  an_ended_connection_loses_its_visit();
+  a_close_that_crossed_a_visit_loses_it_only_if_it_was_read();
+  an_answer_that_no_endpoint_made_is_caught();
+  a_mutating_visit_runs_once();
+  what_may_have_run_is_not_bounced();
+  a_tagged_visit_stays_in_its_group_and_memory();
+  a_drain_is_kept_after_its_grace();
+  a_cold_endpoint_is_not_pushed_over();
+  a_crash_is_told();
+  a_breach_brings_its_whole_history();
+  nothing_is_kept_of_visits_long_over();
+  std::puts("auditor: all stories hold");
+}
--- a/rehearsal/world/endpoint.cpp
+++ b/rehearsal/world/endpoint.cpp
@@ -74,7 +74,9 @@
 // ---- life
 
 void Endpoint::start(bool cold) {
+  if (fallen_) return;
   up_ = true, ++life_;
+  cold_.reset();
   started_ = cold ? world_.loop.now() : -1e9;
   crowded_since_ = -1, slow_until_ = 0;
   if (doors_.empty()) {
@@ -204,8 +206,9 @@
   double left = std::atof(std::string(told).c_str()) * (told.ends_with('m') ? 1e-3 : 1e-6);
   job->ends = world_.loop.now() + (told.empty() ? 1 : left);
   work *= plan().work_share;
+  weigh(work);
   bool full = links_.size() > std::size_t(plan().connections);
-  if (full || in_hand_ >= plan().cores + plan().queue) return turn_away(link, job->visit);
+  if (full || in_hand_ >= plan().cores + plan().queue) return turn_away(link, job->visit, work);
   job->piece = work / 2, job->life = life_;
   job->calls = below_ ? plan().calls : 0;
   link.job = job, job->link = &link;
@@ -226,8 +229,24 @@
   run_next();
 }
 
-void Endpoint::turn_away(Link& link, const std::string& visit) {
-  see(Event::Kind::TurnedAway, link, visit);
+// A cold endpoint that is sent far more than it can do falls over and stays down.
+void Endpoint::weigh(double work) {
+  if (!cold_) return;
+  if (cold_->warm(world_.loop.now())) return cold_.reset();
+  if (!cold_->overrun(world_.loop.now(), work)) return;
+  // Only after what is being read now: its connection is still in use.
+  world_.loop.at(world_.loop.now(), [this, life = life_] {
+    if (life != life_) return;
+    Event event{Event::Kind::FellOver};
+    event.endpoint = number_, event.group = place_.group;
+    world_.did(event);
+    fallen_ = true;
+    crash();
+  });
+}
+
+void Endpoint::turn_away(Link& link, const std::string& visit, double work) {
+  see(Event::Kind::TurnedAway, link, visit, work);
   Message answer;
   answer.status = 503;
   answer.headers = {{"X-Unprocessed", "1"}};
--- a/rehearsal/world/endpoint.h
+++ b/rehearsal/world/endpoint.h
@@ -5,11 +5,12 @@
 #include <deque>
 #include <map>
 #include <memory>
-#include <set>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
+#include "rehearsal/auditor/cold.h"
 #include "rehearsal/world/caller.h"
 
 namespace rehearsal {
@@ -42,6 +43,7 @@
   ~Endpoint() override;
 
   void start(bool cold);
+  bool fallen() const { return fallen_; }       // pushed over: stays down
   void crash();                                 // resets everything
   void end();                                   // stops listening and ends its connections, in order
   void rename(int number, std::string name);    // a machine that replaces it, at its addresses
@@ -64,7 +66,8 @@
 
   void on_knock(Door& door, int descriptor) override;
   void take(Link& link, const Message& request);
-  void turn_away(Link& link, const std::string& visit);
+  void turn_away(Link& link, const std::string& visit, double work);
+  void weigh(double work);
   void run_next();
   void work_on(const JobPtr& job);
   void piece_done(const JobPtr& job);
@@ -101,6 +104,8 @@
   double work_done_ = 0, busy_ = 0, busy_since_ = 0;
   std::size_t most_connections_ = 0;
   Loop::Timer sweep_{};
+  std::optional<ColdBudget> cold_;
+  bool fallen_ = false;
 };
 
 }  // namespace rehearsal
--- /dev/null
+++ b/sidecar/lifecycle/run.cpp
@@ -0,0 +1,87 @@
+#include "sidecar/lifecycle/run.h"
+
+#include <glib-unix.h>
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+
+#include "sidecar/lifecycle/sidecar.h"
+
+namespace puffinvane {
+namespace {
+
+struct Heeded {
+  int signal;
+  void (Sidecar::*act)();
+};
+constexpr Heeded kHeeded[] = {
+    {SIGTERM, &Sidecar::terminate}, {SIGINT, &Sidecar::terminate}, {SIGHUP, &Sidecar::reload}};
+
+// Held back from the very start: one that comes while the program still reads its file would end it.
+sigset_t hold_back() {
+  sigset_t heeded;
+  sigemptyset(&heeded);
+  for (const Heeded& one : kHeeded) sigaddset(&heeded, one.signal);
+  sigprocmask(SIG_BLOCK, &heeded, nullptr);
+  return heeded;
+}
+
+// Signals as something to read: a handler could interrupt anything, and GLib's own way starts a thread.
+class Signals {
+ public:
+  Signals(Loop& loop, Sidecar& sidecar, const sigset_t& heeded) : sidecar_(sidecar) {
+    descriptor_ = signalfd(-1, &heeded, SFD_NONBLOCK | SFD_CLOEXEC);
+    GSource* source = g_unix_fd_source_new(descriptor_, G_IO_IN);
+    auto came = [](gint descriptor, GIOCondition, gpointer self) -> gboolean {
+      signalfd_siginfo told;
+      while (read(descriptor, &told, sizeof told) > 0) {
+        for (const Heeded& one : kHeeded) {
+          if (one.signal == int(told.ssi_signo)) (static_cast<Signals*>(self)->sidecar_.*one.act)();
+        }
+      }
+      return G_SOURCE_CONTINUE;
+    };
+    g_source_set_callback(source, G_SOURCE_FUNC(+came), this, nullptr);
+    g_source_attach(source, loop.context());
+    source_ = Source(source);
+  }
+  Signals(const Signals&) = delete;
+  Signals& operator=(const Signals&) = delete;
+  ~Signals() {
+    source_.reset();
+    close(descriptor_);
+  }
+
+ private:
+  Sidecar& sidecar_;
+  int descriptor_ = -1;
+  Source source_;
+};
+
+}  // namespace
+
+int run_sidecar(PolicyMaker make) {
+  std::signal(SIGPIPE, SIG_IGN);
+  const sigset_t heeded = hold_back();
+  const char* level = std::getenv("PUFFINVANE_LOG");
+  Log log(std::cout, read_level(level ? level : "info"));
+  try {
+    double offset = Loop::unix_offset();
+    const char* file = std::getenv("BALANCER_CONFIG");
+    Assignment assignment = load_assignment(file, offset);
+    Loop loop(log, assignment.descriptors);
+    Sidecar sidecar(loop, std::move(assignment), offset, file, make);
+    Signals signals(loop, sidecar, heeded);
+    sidecar.start();
+    loop.run();
+    return 0;
+  } catch (const std::exception& fault) {
+    std::cerr << "puffinvane: " << fault.what() << std::endl;
+    return 1;
+  }
+}
+
+}  // namespace puffinvane
--- a/sidecar/lifecycle/sidecar.cpp
+++ b/sidecar/lifecycle/sidecar.cpp
@@ -30,12 +30,13 @@
     {Phase::Finishing, Event::Overdue, Phase::Stopped, &Sidecar::quit},
 };
 
-Sidecar::Sidecar(Loop& loop, Assignment assignment, double clock_offset, std::string assigned_in)
+Sidecar::Sidecar(Loop& loop, Assignment assignment, double clock_offset, std::string assigned_in,
+                 PolicyMaker make)
     : loop_(loop),
       assignment_(std::move(assignment)),
       clock_offset_(clock_offset),
       assigned_in_(std::move(assigned_in)),
-      carrier_(loop, assignment_.deployment, assignment_.seed, assignment_.memory / kBufferShare),
+      carrier_(loop, assignment_.deployment, assignment_.seed, assignment_.memory / kBufferShare, make),
       door_(loop, carrier_),
       watch_(loop, carrier_, assignment_.discovery, clock_offset, assignment_.known.index) {}
 
--- a/sidecar/lifecycle/sidecar.h
+++ b/sidecar/lifecycle/sidecar.h
@@ -14,7 +14,7 @@
 
 class Sidecar {
  public:
-  Sidecar(Loop& loop, Assignment assignment, double clock_offset, std::string assigned_in);
+  Sidecar(Loop& loop, Assignment assignment, double clock_offset, std::string assigned_in, PolicyMaker make);
 
   void start();      // throws std::runtime_error if it can't listen
   void terminate();  // leaves once all that was taken is answered
--- a/sidecar/wire/carrier.cpp
+++ b/sidecar/wire/carrier.cpp
@@ -14,11 +14,12 @@
 constexpr double kNewcomer = 0.1;  // seconds that a new connection has for its first request when all is full
 }  // namespace
 
-Carrier::Carrier(Loop& loop, Deployment deployment, std::uint64_t seed, std::size_t most_bytes)
+Carrier::Carrier(Loop& loop, Deployment deployment, std::uint64_t seed, std::size_t most_bytes,
+                 PolicyMaker make)
     : loop_(loop),
       deployment_(std::move(deployment)),
       most_bytes_(most_bytes),
-      policy_(make_policy(loop.now(), deployment_, seed, *this)) {
+      policy_(make(loop.now(), deployment_, seed, *this)) {
   sweep();
 }
 
--- a/sidecar/wire/carrier.h
+++ b/sidecar/wire/carrier.h
@@ -19,13 +19,17 @@
 
 namespace puffinvane {
 
+// Who makes the decisions: puffinvane's module, or a baseline.
+using PolicyMaker = std::unique_ptr<Policy> (*)(double now, Deployment deployment, std::uint64_t seed,
+                                                Host& host);
+
 class Carrier final : public Host,
                       public Client::Owner,
                       public Backend::Owner,
                       public Watch::Owner,
                       public Door::Owner {
  public:
-  Carrier(Loop& loop, Deployment deployment, std::uint64_t seed, std::size_t most_bytes);
+  Carrier(Loop& loop, Deployment deployment, std::uint64_t seed, std::size_t most_bytes, PolicyMaker make);
   ~Carrier() override;
 
   void know(const EndpointList& known);      // the list as it was had last
