Sidecar: sockets by one epoll, alarms by the millisecond, thresholds kept

Need: a visit's cost grew with every connection, as GLib polls all sources each turn; a heap of alarms that are never due and a percentile worked out four times a visit were the next. Sockets are one source of the loop now, alarms lie in buckets, an answer that comes whole sets none, the threshold is worked out once an answer.

--- a/rehearsal/loop/loop.cpp
+++ b/rehearsal/loop/loop.cpp
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cmath>
 #include <ctime>
 #include <stdexcept>
 
@@ -75,7 +74,9 @@
 void Loop::turn() {
   std::array<epoll_event, 512> ready;
   double wait = timers_.empty() ? kBeat : std::max(0.0, timers_.begin()->first.first - now());
-  int count = epoll_wait(epoll_, ready.data(), int(ready.size()), int(std::ceil(wait * 1000)));
+  // To the nanosecond: at whole milliseconds an open loop's visits would all be late.
+  timespec most{0, long(std::min(wait, kBeat) * 1e9)};
+  int count = epoll_pwait2(epoll_, ready.data(), int(ready.size()), &most, nullptr);
   double woke = now();
   if (woke - since_ > kStalled) stalled_ += woke - since_;
   for (int i = 0; i < count; ++i) {
--- a/sidecar/lifecycle/loop.cpp
+++ b/sidecar/lifecycle/loop.cpp
@@ -1,6 +1,13 @@
 #include "sidecar/lifecycle/loop.h"
 
+#include <glib-unix.h>
+#include <sys/epoll.h>
+#include <unistd.h>
+
+#include <array>
 #include <cmath>
+#include <limits>
+#include <stdexcept>
 
 namespace puffinvane {
 
@@ -10,6 +17,10 @@
 constexpr double kHeeded = 0.02;  // after a stall: new connections are let in first and read some turns later
 constexpr double kLate = 0.005;   // a loop that only has much to do is not that far behind
 
+constexpr double kBucketsASecond = 1000;
+
+std::int64_t bucket_of(double when) { return std::int64_t(std::floor(when * kBucketsASecond)); }
+
 gboolean dispatch(GSource*, GSourceFunc callback, gpointer data) { return callback(data); }
 
 struct Due {
@@ -24,14 +35,26 @@
       descriptors_(descriptors),
       context_(g_main_context_new()),
       loop_(g_main_loop_new(context_, FALSE)),
+      epoll_(epoll_create1(EPOLL_CLOEXEC)),
       alarm_(own_source(&Loop::alarms_due)),
       next_turn_(own_source(&Loop::soon_due)) {
+  if (epoll_ < 0) throw std::runtime_error("no epoll");
+  auto ready = [](gint, GIOCondition, gpointer self) -> gboolean {
+    static_cast<Loop*>(self)->sockets_ready();
+    return G_SOURCE_CONTINUE;
+  };
+  GSource* sockets = g_unix_fd_source_new(epoll_, G_IO_IN);
+  g_source_set_callback(sockets, G_SOURCE_FUNC(+ready), this, nullptr);
+  g_source_attach(sockets, context_);
+  sockets_ = Source(sockets);
+  next_alarm_ = std::numeric_limits<double>::infinity();
   beat();
 }
 
 Loop::~Loop() {
   while (!soon_.empty()) std::exchange(soon_, {});
-  alarm_.reset(), next_turn_.reset();
+  alarm_.reset(), next_turn_.reset(), sockets_.reset();
+  ::close(epoll_);
   g_main_loop_unref(loop_);
   g_main_context_unref(context_);
 }
@@ -53,8 +76,8 @@
 double Loop::unix_offset() { return double(g_get_real_time() - g_get_monotonic_time()) * 1e-6; }
 
 void Loop::at(double when, std::function<void()> what) {
-  alarms_.push({when, ++turns_, std::move(what)});
-  if (alarms_.top().turn == turns_) set_alarm();
+  alarms_[bucket_of(when)].push_back({when, ++turns_, std::move(what)});
+  if (when < next_alarm_) next_alarm_ = when, set_alarm();
 }
 
 void Loop::beat() {
@@ -62,7 +85,13 @@
 }
 
 void Loop::set_alarm() {
-  g_source_set_ready_time(alarm_.get(), std::max<gint64>(0, gint64(std::ceil(alarms_.top().when * 1e6))));
+  g_source_set_ready_time(alarm_.get(), std::max<gint64>(0, gint64(std::ceil(next_alarm_ * 1e6))));
+}
+
+void Loop::find_next_alarm() {
+  next_alarm_ = std::numeric_limits<double>::infinity();
+  if (alarms_.empty()) return;
+  for (const Alarm& alarm : alarms_.begin()->second) next_alarm_ = std::min(next_alarm_, alarm.when);
 }
 
 void Loop::alarms_due() {
@@ -74,19 +103,55 @@
     return g_source_set_ready_time(alarm_.get(), 0);
   }
   // Alarms set by these are left to the next turn, or one that always asks for 'now' would hold the loop.
-  std::uint64_t last = turns_;
   double until = now();
-  std::vector<Alarm> next;
-  while (!alarms_.empty() && alarms_.top().when <= until) {
-    Alarm due = alarms_.top();
-    alarms_.pop();
-    if (due.turn > last) next.push_back(std::move(due));
-    else due.what();
+  std::vector<Alarm> due;
+  for (auto bucket = alarms_.begin(); bucket != alarms_.end() && bucket->first <= bucket_of(until);) {
+    auto later = std::partition(bucket->second.begin(), bucket->second.end(),
+                                [until](const Alarm& alarm) { return alarm.when > until; });
+    std::move(later, bucket->second.end(), std::back_inserter(due));
+    bucket->second.erase(later, bucket->second.end());
+    bucket = bucket->second.empty() ? alarms_.erase(bucket) : std::next(bucket);
   }
-  for (Alarm& alarm : next) alarms_.push(std::move(alarm));
+  std::sort(due.begin(), due.end(), [](const Alarm& one, const Alarm& other) {
+    return one.when != other.when ? one.when < other.when : one.turn < other.turn;
+  });
+  for (Alarm& alarm : due) alarm.what();
+  find_next_alarm();
   set_alarm();
 }
 
+void Loop::watch(int descriptor, std::uint32_t events, Ready& who) {
+  if (watched_.size() <= std::size_t(descriptor)) watched_.resize(std::size_t(descriptor) + 1);
+  Watched& entry = watched_[std::size_t(descriptor)];
+  if (entry.who == &who && entry.events == events) return;
+  bool known = entry.who != nullptr;
+  entry = {&who, events, known ? entry.turn : ++registrations_};
+  epoll_event asked{};
+  asked.events = events;
+  asked.data.u64 = std::uint64_t(entry.turn) << 32 | std::uint32_t(descriptor);
+  epoll_ctl(epoll_, known ? EPOLL_CTL_MOD : EPOLL_CTL_ADD, descriptor, &asked);
+}
+
+void Loop::unwatch(int descriptor) {
+  if (descriptor < 0 || watched_.size() <= std::size_t(descriptor)) return;
+  if (!std::exchange(watched_[std::size_t(descriptor)], {}).who) return;
+  epoll_ctl(epoll_, EPOLL_CTL_DEL, descriptor, nullptr);
+}
+
+void Loop::sockets_ready() {
+  // All that are ready, as after a stall answers must be heard before the alarms that would take them for
+  // missing; what is beyond this many has its turn at once again.
+  std::array<epoll_event, 1024> ready;
+  int count = epoll_wait(epoll_, ready.data(), int(ready.size()), 0);
+  for (int i = 0; i < count; ++i) {
+    auto descriptor = std::size_t(ready[std::size_t(i)].data.u64 & 0xffffffffu);
+    auto turn = std::uint32_t(ready[std::size_t(i)].data.u64 >> 32);
+    // One handled before it in this turn may have closed it, and opened another by the same number.
+    const Watched& entry = watched_[descriptor];
+    if (entry.who && entry.turn == turn) entry.who->on_ready(ready[std::size_t(i)].events);
+  }
+}
+
 void Loop::soon(std::function<void()> what) {
   soon_.push_back(std::move(what));
   if (soon_.size() == 1) g_source_set_ready_time(next_turn_.get(), 0);
--- a/sidecar/lifecycle/loop.h
+++ b/sidecar/lifecycle/loop.h
@@ -2,8 +2,9 @@
 #pragma once
 
 #include <algorithm>
+#include <cstdint>
 #include <functional>
-#include <queue>
+#include <map>
 #include <vector>
 
 #include "sidecar/lifecycle/glib.h"
@@ -40,6 +41,13 @@
   std::shared_ptr<int> life_ = std::make_shared<int>(0);
 };
 
+// Told of a socket that it has asked for.
+class Ready {
+ public:
+  virtual ~Ready() = default;
+  virtual void on_ready(std::uint32_t events) = 0;  // EPOLLIN and the like
+};
+
 class Loop {
  public:
   Loop(Log& log, int descriptors);
@@ -63,6 +71,11 @@
     if (dead) soon([kept = std::shared_ptr<T>(std::move(dead))] {});
   }
 
+  // Sockets are watched by one epoll that is itself one source of the main loop: GLib goes through all of its
+  // sources and descriptors at every turn, which at a thousand connections is most of what a visit costs.
+  void watch(int descriptor, std::uint32_t events, Ready& who);  // also to change the events
+  void unwatch(int descriptor);
+
   GMainContext* context() const { return context_; }
   Pool& pool() { return pool_; }
   Descriptors& descriptors() { return descriptors_; }
@@ -73,15 +86,21 @@
     double when;
     std::uint64_t turn;
     std::function<void()> what;
-    bool operator<(const Alarm& other) const {
-      return when != other.when ? when > other.when : turn > other.turn;
-    }
   };
+  struct Watched {
+    Ready* who = nullptr;
+    std::uint32_t events = 0, turn = 0;
+  };
+  // By the millisecond that they fall due in. Most are never due: their visit has ended long before, and a
+  // heap of them costs its depth at each turn.
+  using Alarms = std::map<std::int64_t, std::vector<Alarm>>;
   Source own_source(void (Loop::*due)());
   void alarms_due();
   void beat();
-  double late() const { return std::max(0.0, now() - alarms_.top().when); }
+  double late() const { return std::max(0.0, now() - next_alarm_); }
   void soon_due();
+  void sockets_ready();
+  void find_next_alarm();
   void set_alarm();
 
   Log& log_;
@@ -89,12 +108,16 @@
   Descriptors descriptors_;
   GMainContext* context_;
   GMainLoop* loop_;
-  std::priority_queue<Alarm> alarms_;
+  Alarms alarms_;
+  double next_alarm_ = 0;
+  int epoll_;
+  std::vector<Watched> watched_;  // by descriptor
+  std::uint32_t registrations_ = 0;
   std::vector<std::function<void()>> soon_;
   std::uint64_t turns_ = 0;
   bool put_off_ = false;
   double stall_ = 0, stall_heeded_until_ = 0;
-  Source alarm_, next_turn_;
+  Source alarm_, next_turn_, sockets_;
 };
 
 }  // namespace puffinvane
--- a/sidecar/wire/backend.cpp
+++ b/sidecar/wire/backend.cpp
@@ -64,10 +64,13 @@
 void Backend::on_received(std::string_view bytes) {
   if (state_ == State::Idle) return turn(Input::Nonsense);  // nobody asked
   heard_ = loop_.now();
-  if (!std::exchange(answering_, true)) watch_answer(sent_);
+  bool first = !std::exchange(answering_, true);
   std::size_t used = reader_.feed(bytes);
   if (reader_.fault() != HttpReader::Fault::None) return turn(Input::Nonsense);
-  if (!reader_.whole()) return;
+  if (!reader_.whole()) {
+    if (first) watch_answer(sent_);  // most come whole at once, and need no watching
+    return;
+  }
   bool last = !reader_.message().keep_alive || used < bytes.size();
   turn(last ? Input::AnsweredLast : Input::Answered);
 }
--- a/sidecar/wire/stream.cpp
+++ b/sidecar/wire/stream.cpp
@@ -2,6 +2,7 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/epoll.h>
 
 #include <charconv>
 
@@ -37,7 +38,7 @@
     if (!g_error_matches(raw, G_IO_ERROR, G_IO_ERROR_PENDING)) return close(), false;
   }
   connecting_ = true;
-  out_source_ = watch(G_IO_OUT, writable);
+  want(wants_in_, true);
   return true;
 }
 
@@ -47,11 +48,19 @@
   read(true);
 }
 
-Source Stream::watch(GIOCondition condition, gboolean (*callback)(GSocket*, GIOCondition, gpointer)) {
-  GSource* source = g_socket_create_source(socket_.get(), condition, nullptr);
-  g_source_set_callback(source, G_SOURCE_FUNC(callback), this, nullptr);
-  g_source_attach(source, loop_.context());
-  return Source(source);
+void Stream::want(bool in, bool out) {
+  wants_in_ = in, wants_out_ = out;
+  if (!socket_) return;
+  int descriptor = g_socket_get_fd(socket_.get());
+  // Asked for nothing, epoll would still tell of its end, again and again.
+  if (!in && !out) return loop_.unwatch(descriptor);
+  loop_.watch(descriptor, (in ? std::uint32_t(EPOLLIN) : 0u) | (out ? std::uint32_t(EPOLLOUT) : 0u), *this);
+}
+
+void Stream::on_ready(std::uint32_t events) {
+  constexpr std::uint32_t kOver = EPOLLHUP | EPOLLERR;
+  if (wants_out_ && (events & (EPOLLOUT | kOver))) writable();
+  if (wants_in_ && (events & (EPOLLIN | kOver))) readable();
 }
 
 bool Stream::quiet() const {
@@ -60,14 +69,13 @@
 }
 
 void Stream::read(bool wanted) {
-  if (!socket_ || wanted == bool(in_)) return;
-  in_ = wanted ? watch(G_IO_IN, readable) : Source();
+  if (socket_ && wanted != wants_in_) want(wanted, wants_out_);
 }
 
 void Stream::send(Chain bytes) {
   if (out_.empty()) out_ = std::move(bytes);
   else out_.add(bytes);
-  if (socket_ && !connecting_ && !out_source_) flush();
+  if (socket_ && !connecting_ && !wants_out_) flush();
 }
 
 void Stream::flush() {
@@ -79,7 +87,7 @@
     if (sent >= 0) {
       out_.drop(std::size_t(sent));
     } else if (g_error_matches(raw, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK)) {
-      if (!out_source_) out_source_ = watch(G_IO_OUT, writable);
+      if (!wants_out_) want(wants_in_, true);
       return;
     } else {
       // The far end may have answered before it closed: what it said is read first, and the reading side
@@ -88,29 +96,25 @@
       read(true);
     }
   }
-  if (broken_) out_source_.reset();
+  if (broken_ && wants_out_) want(wants_in_, false);
 }
 
-gboolean Stream::writable(GSocket*, GIOCondition, gpointer data) {
-  auto& self = *static_cast<Stream*>(data);
-  if (self.connecting_) {
-    self.connecting_ = false;
-    self.out_source_.reset();
-    if (!g_socket_check_connect_result(self.socket_.get(), nullptr))
-      return self.owner_.on_ended(), G_SOURCE_REMOVE;
-    self.read(true);
-    return self.owner_.on_connected(), G_SOURCE_REMOVE;
+void Stream::writable() {
+  if (connecting_) {
+    connecting_ = false;
+    want(wants_in_, false);
+    if (!g_socket_check_connect_result(socket_.get(), nullptr)) return owner_.on_ended();
+    read(true);
+    return owner_.on_connected();
   }
-  if (!self.out_.empty()) self.flush();
-  if (self.broken_ || !self.out_.empty()) return G_SOURCE_CONTINUE;
-  self.out_source_.reset();
-  return self.owner_.on_written(), G_SOURCE_REMOVE;
+  if (!out_.empty()) flush();
+  if (broken_ || !out_.empty()) return;
+  want(wants_in_, false);
+  owner_.on_written();
 }
 
-gboolean Stream::readable(GSocket*, GIOCondition, gpointer data) {
-  auto& self = *static_cast<Stream*>(data);
-  for (int i = 0; self.receive() && i + 1 < self.reads_at_once_;) ++i;
-  return G_SOURCE_CONTINUE;
+void Stream::readable() {
+  for (int i = 0; receive() && i + 1 < reads_at_once_;) ++i;
 }
 
 bool Stream::receive() {
@@ -120,10 +124,10 @@
   Error error(raw);
   if (count > 0) {
     owner_.on_received({buffer->bytes.data(), std::size_t(count)});
-    return bool(in_);
+    return wants_in_;
   }
   if (count == 0 || !g_error_matches(raw, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK)) {
-    in_.reset();
+    want(false, wants_out_);
     owner_.on_ended();
   }
   return false;
@@ -134,7 +138,8 @@
 }
 
 void Stream::close() {
-  in_.reset(), out_source_.reset();
+  if (socket_) loop_.unwatch(g_socket_get_fd(socket_.get()));
+  wants_in_ = wants_out_ = false;
   if (!socket_) return;
   g_socket_close(socket_.get(), nullptr);
   socket_.reset();
--- a/sidecar/wire/stream.h
+++ b/sidecar/wire/stream.h
@@ -10,7 +10,7 @@
 
 Ref<GSocketAddress> read_address(std::string_view address);  // "127.0.0.1:5000"; none if it is not one
 
-class Stream {
+class Stream final : Ready {
  public:
   class Owner {
    public:
@@ -24,7 +24,7 @@
   Stream(Loop& loop, Owner& owner) : loop_(loop), owner_(owner), out_(loop.pool()) {}
   Stream(const Stream&) = delete;
   Stream& operator=(const Stream&) = delete;
-  ~Stream() { close(); }
+  ~Stream() override { close(); }
 
   bool connect(std::string_view address);  // false: not even begun
   void adopt(Ref<GSocket> socket);
@@ -37,9 +37,10 @@
   void close();
 
  private:
-  static gboolean readable(GSocket*, GIOCondition, gpointer self);
-  static gboolean writable(GSocket*, GIOCondition, gpointer self);
-  Source watch(GIOCondition condition, gboolean (*callback)(GSocket*, GIOCondition, gpointer));
+  void on_ready(std::uint32_t events) override;
+  void writable();
+  void readable();
+  void want(bool in, bool out);
   void prepare();
   void flush();
   bool receive();
@@ -47,11 +48,10 @@
   Loop& loop_;
   Owner& owner_;
   Ref<GSocket> socket_;
-  Source in_, out_source_;
   Chain out_;
   static constexpr int kHurried = 32;  // 512 KiB a turn: a turn for each buffer costs more than its reading
   int reads_at_once_ = 1;
-  bool connecting_ = false, broken_ = false;
+  bool wants_in_ = false, wants_out_ = false, connecting_ = false, broken_ = false;
 };
 
 }  // namespace puffinvane
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -129,6 +129,7 @@
   Module(double now, Deployment deployment, std::uint64_t seed, Host& host)
       : deployment_(std::move(deployment)), host_(host), chance_(seed), now_(now), started_(now) {
     latencies_.resize(deployment_.path_prefixes.size());
+    thresholds_.resize(deployment_.path_prefixes.size());
     means_.resize(deployment_.path_prefixes.size());
     customer_arrivals_.resize(deployment_.customers.size());
     double turn = (deployment_.me % deployment_.sidecars + chance_.share()) / deployment_.sidecars;
@@ -329,7 +330,7 @@
     const auto& samples = latencies_[prefix];
     // Too few answers make no percentile: until then half the target latency stands in for it.
     if (samples.size() < kFewLatencies) return deployment_.path_prefixes[prefix].target_latency / 2;
-    return percentile(samples, kHedgePercentile);
+    return thresholds_[prefix];
   }
   // The lowest mean of the last while, as Little's law wants means: one that moves with a jam would let it
   // in.
@@ -566,6 +567,8 @@
           stretches_.emplace_back(now_, whole / calm(visit.prefix));
           keep(late_, whole > threshold(visit.prefix), std::size_t{40});
           keep(latencies_[visit.prefix], whole, kLatencies);
+          // Worked out here, once: it is asked for several times a visit, and was a tenth of a visit's cost.
+          thresholds_[visit.prefix] = percentile(latencies_[visit.prefix], kHedgePercentile);
         }
         ++answers_, turn_health(endpoint, Sign::Good);
         if (endpoint.allowance >= kTrickleDone) turn_health(endpoint, Sign::Restored);
@@ -714,6 +717,7 @@
   std::map<VisitId, Taken> visits_;
   std::map<Held, VisitId> held_;
   std::vector<std::deque<double>> latencies_, means_, customer_arrivals_;
+  std::vector<double> thresholds_;  // by path prefix, of latencies_
   std::deque<bool> late_, lost_, crowded_;
   std::deque<double> rates_, rates_each_;
   std::deque<std::pair<double, double>> stretches_;  // of the last answers against calm, with their times
