--- a/rehearsal/auditor/auditor.cpp
+++ b/rehearsal/auditor/auditor.cpp
@@ -8,9 +8,9 @@
 
 namespace {
 
-constexpr double kDoubt = 0.25;    // until a sidecar's waits for a core are known
-constexpr double kKept = 8;        // a visit's story is kept that long after its end: a second answer may come
-constexpr double kRemembered = 12;  // a sidecar's waits
+constexpr double kDoubt = 0.25;  // until a sidecar's waits for a core are known
+constexpr double kKept = 8;      // a visit's story is kept that long after its end: a second answer may come
+constexpr double kRemembered = 12;         // a sidecar's waits
 constexpr std::size_t kMostBreaches = 50;  // each with its history; a thousandth says nothing new
 
 std::string seconds(double span) {
@@ -21,10 +21,10 @@
 
 const char* name_of(Event::Kind kind) {
   static constexpr const char* kNames[] = {
-      "offered to",     "crossed a close of", "answered by",    "broken off by",  "could not reach",
-      "withdrawn from", "first byte at",      "begun at",       "ran at",         "turned away by",
-      "answered at",    "connection ended at", "told",          "started",        "fell over",
-      "sidecar up",     "sidecar down",       "sidecar leaves", "sidecar crashed", "sidecar paused",
+      "offered to",      "crossed a close of",  "answered by",    "broken off by",   "could not reach",
+      "withdrawn from",  "first byte at",       "begun at",       "ran at",          "turned away by",
+      "answered at",     "connection ended at", "told",           "started",         "fell over",
+      "sidecar up",      "sidecar down",        "sidecar leaves", "sidecar crashed", "sidecar paused",
       "sidecar resumed", "sidecar starved"};
   return kNames[int(kind)];
 }
@@ -35,8 +35,8 @@
   std::string line = std::string(head) + name_of(event.kind);
   if (event.endpoint >= 0)
     line += " endpoint " + std::to_string(event.endpoint) + " (group " + std::to_string(event.group) + ")";
-  if (event.sidecar >= 0) line += (event.endpoint >= 0 ? " from sidecar " : " sidecar ") +
-                                  std::to_string(event.sidecar);
+  if (event.sidecar >= 0)
+    line += (event.endpoint >= 0 ? " from sidecar " : " sidecar ") + std::to_string(event.sidecar);
   if (event.kind == Event::Kind::Offered)
     line += ", " + event.prefix + ", its caller waits " + seconds(event.figure);
   if (event.status) line += ", " + std::to_string(event.status);
@@ -48,13 +48,12 @@
 }  // namespace
 
 const char* name_of(Rule rule) {
-  static constexpr const char* kNames[] = {
-      "none",
-      "rule 1, one final answer in time",
-      "rule 2, no effect twice",
-      "rule 3, drains kept",
-      "rule 4, a cold endpoint is not pushed over",
-      "a sidecar crashed"};
+  static constexpr const char* kNames[] = {"none",
+                                           "rule 1, one final answer in time",
+                                           "rule 2, no effect twice",
+                                           "rule 3, drains kept",
+                                           "rule 4, a cold endpoint is not pushed over",
+                                           "a sidecar crashed"};
   return kNames[int(rule)];
 }
 
@@ -160,8 +159,8 @@
   const AuditedPrefix& prefix = prefix_of(visit);
   for (const Fetch& earlier : visit.fetches) {
     if (earlier.turned_away) continue;
-    std::string before = "fetched again at endpoint " + std::to_string(event.endpoint) + " though the one at " +
-                         std::to_string(earlier.endpoint);
+    std::string before = "fetched again at endpoint " + std::to_string(event.endpoint) +
+                         " though the one at " + std::to_string(earlier.endpoint);
     if (prefix.repeat == Repeat::Mutating) {
       breach(Rule::NoEffectTwice, event.at, event.visit, before + " may have run");
       break;
@@ -251,8 +250,9 @@
       }
       return;
     case Kind::SidecarCrashed:
-      return breach(Rule::Crash, event.at, "", "sidecar " + std::to_string(event.sidecar) +
-                                                   " ended by itself, status " + std::to_string(event.status));
+      return breach(Rule::Crash, event.at, "",
+                    "sidecar " + std::to_string(event.sidecar) + " ended by itself, status " +
+                        std::to_string(event.status));
     case Kind::SidecarPaused: sidecar.paused = event.at; return;
     case Kind::SidecarResumed:
       if (sidecar.paused) sidecar.away.emplace_back(event.at, event.at - *sidecar.paused);
@@ -275,8 +275,8 @@
 
 // ---- judging
 
-void Auditor::suspect(Rule rule, double from, double to, double over_by, int sidecar, const std::string& visit,
-                      std::string text) {
+void Auditor::suspect(Rule rule, double from, double to, double over_by, int sidecar,
+                      const std::string& visit, std::string text) {
   suspicions_.push_back({to + kDoubt, from, to, over_by, sidecar, rule, visit, std::move(text)});
 }
 
--- a/rehearsal/baselines/baselines.cpp
+++ b/rehearsal/baselines/baselines.cpp
@@ -136,14 +136,16 @@
   };
 
   Endpoint* find(const std::string& name) {
-    auto found = std::find_if(endpoints_.begin(), endpoints_.end(), [&](const Endpoint& one) { return one.name == name; });
+    auto found = std::find_if(endpoints_.begin(), endpoints_.end(),
+                              [&](const Endpoint& one) { return one.name == name; });
     return found == endpoints_.end() ? nullptr : &*found;
   }
   void fetch(double, VisitId id) {
     InHand& visit = in_hand_[id];
     std::vector<std::size_t> open;
     for (std::size_t i = 0; i < endpoints_.size(); ++i) {
-      if (std::find(visit.endpoints.begin(), visit.endpoints.end(), endpoints_[i].name) == visit.endpoints.end())
+      if (std::find(visit.endpoints.begin(), visit.endpoints.end(), endpoints_[i].name) ==
+          visit.endpoints.end())
         open.push_back(i);
     }
     if (open.empty()) return give_up(id);
--- a/rehearsal/cost/cost.cpp
+++ b/rehearsal/cost/cost.cpp
@@ -99,7 +99,8 @@
   std::string read_all() const {
     std::string all;
     char bytes[4096];
-    for (ssize_t count; (count = read(from_, bytes, sizeof bytes)) > 0;) all.append(bytes, std::size_t(count));
+    for (ssize_t count; (count = read(from_, bytes, sizeof bytes)) > 0;)
+      all.append(bytes, std::size_t(count));
     return all;
   }
 
@@ -117,8 +118,11 @@
     part.rate = plan.rate / loaders;
     children.push_back(std::make_unique<Child>([part](int to) {
       Loaded loaded = load_one(part);
-      nlohmann::json told = {{"steps", loaded.latency.steps()}, {"good", loaded.good}, {"other", loaded.other},
-                             {"broken", loaded.broken}, {"seconds", loaded.seconds}};
+      nlohmann::json told = {{"steps", loaded.latency.steps()},
+                             {"good", loaded.good},
+                             {"other", loaded.other},
+                             {"broken", loaded.broken},
+                             {"seconds", loaded.seconds}};
       std::string text = told.dump();
       for (std::size_t sent = 0; sent < text.size();) {
         ssize_t count = ::write(to, text.data() + sent, text.size() - sent);
@@ -238,7 +242,9 @@
   auto [low, high] = std::minmax_element(values.begin(), values.end());
   char text[64];
   if (values.size() < 2) std::snprintf(text, sizeof text, "%.*f", places, values.front());
-  else std::snprintf(text, sizeof text, "%.*f (%.*f to %.*f)", places, estimate(values).mean, places, *low, places, *high);
+  else
+    std::snprintf(text, sizeof text, "%.*f (%.*f to %.*f)", places, estimate(values).mean, places, *low,
+                  places, *high);
   return text;
 }
 
@@ -250,7 +256,8 @@
   for (int count : plan.endpoints) rows.push_back({std::to_string(count) + " endpoints", 64, count, 0, 0});
   for (int count : plan.in_hand) rows.push_back({std::to_string(count) + " in hand", count, 8, 0.02, 0});
   rows.push_back({"10,000/s in open loop", 64, 3, 0, 10000});
-  out << "| row | visits/s | direct/s | CPU us a visit | p50 ms, ratio | p99 ms, ratio | p99.9 ms, ratio | MB | not 200 |\n"
+  out << "| row | visits/s | direct/s | CPU us a visit | p50 ms, ratio | p99 ms, ratio | p99.9 ms, ratio | "
+         "MB | not 200 |\n"
       << "| --- | --- | --- | --- | --- | --- | --- | --- | --- |\n";
   nlohmann::json json = nlohmann::json::array();
   double least_memory = 0, most_memory = 0;
@@ -265,7 +272,8 @@
       Usage before, after;
       Loaded through = bench.through(load, before, after), direct = bench.direct(load);
       double warm = (load.seconds + load.warm_up) / load.seconds;  // the CPU of the warm-up's visits too
-      rate.push_back(double(through.good) / through.seconds), direct_rate.push_back(double(direct.good) / direct.seconds);
+      rate.push_back(double(through.good) / through.seconds),
+          direct_rate.push_back(double(direct.good) / direct.seconds);
       cpu.push_back((after.cpu - before.cpu) * 1e6 / std::max(1.0, double(through.latency.count()) * warm));
       auto pair = [&](double share, std::vector<double>& at, std::vector<double>& ratio) {
         at.push_back(through.latency.at(share) * 1e3);
@@ -275,12 +283,19 @@
       memory.push_back(after.memory / 1048576);
       other += through.other + through.broken;
     }
-    out << "| " << row.name << " | " << between(rate, 0) << " | " << between(direct_rate, 0) << " | " << between(cpu, 1)
-        << " | " << between(p50, 2) << ", " << between(r50, 1) << " | " << between(p99, 2) << ", " << between(r99, 1)
-        << " | " << between(p999, 2) << ", " << between(r999, 1) << " | " << between(memory, 1) << " | " << other << " |"
-        << std::endl;
-    json.push_back({{"row", row.name}, {"visits_s", rate}, {"direct_s", direct_rate}, {"cpu_us", cpu}, {"p50_ms", p50},
-                    {"p99_ms", p99}, {"p99.9_ms", p999}, {"memory_mb", memory}, {"not_200", other}});
+    out << "| " << row.name << " | " << between(rate, 0) << " | " << between(direct_rate, 0) << " | "
+        << between(cpu, 1) << " | " << between(p50, 2) << ", " << between(r50, 1) << " | " << between(p99, 2)
+        << ", " << between(r99, 1) << " | " << between(p999, 2) << ", " << between(r999, 1) << " | "
+        << between(memory, 1) << " | " << other << " |" << std::endl;
+    json.push_back({{"row", row.name},
+                    {"visits_s", rate},
+                    {"direct_s", direct_rate},
+                    {"cpu_us", cpu},
+                    {"p50_ms", p50},
+                    {"p99_ms", p99},
+                    {"p99.9_ms", p999},
+                    {"memory_mb", memory},
+                    {"not_200", other}});
     if (row.after == 0 && row.rate == 0 && row.endpoints == 3) {
       if (!fewest || row.connections < fewest) fewest = row.connections, least_memory = memory.front();
       if (row.connections > most) most = row.connections, most_memory = memory.front();
@@ -288,7 +303,8 @@
   }
   if (most > fewest)
     out << "\nmemory a connection (its endpoint's with it): " << std::fixed << std::setprecision(1)
-        << (most_memory - least_memory) * 1024 / (most - fewest) << " KiB, from " << fewest << " to " << most << "\n";
+        << (most_memory - least_memory) * 1024 / (most - fewest) << " KiB, from " << fewest << " to " << most
+        << "\n";
   if (!plan.json_to.empty()) std::ofstream(plan.json_to) << json.dump(1) << "\n";
 }
 
--- a/rehearsal/cost/load.cpp
+++ b/rehearsal/cost/load.cpp
@@ -139,7 +139,8 @@
   auto wanted = std::uint64_t(share * double(count_));
   std::uint64_t sum = 0;
   for (std::size_t i = 0; i < steps_.size(); ++i) {
-    if ((sum += steps_[i]) > wanted || (sum == count_ && sum > 0)) return std::exp2((double(i) + 0.5) / kStep) * 1e-6;
+    if ((sum += steps_[i]) > wanted || (sum == count_ && sum > 0))
+      return std::exp2((double(i) + 0.5) / kStep) * 1e-6;
   }
   return 0;
 }
@@ -149,8 +150,8 @@
 std::string told(const Loaded& loaded) {
   std::ostringstream out;
   out.precision(3);
-  out << std::fixed << double(loaded.good) / loaded.seconds << " visits/s delivered in " << loaded.seconds << " s; "
-      << loaded.other << " other answers, " << loaded.broken << " broken\n";
+  out << std::fixed << double(loaded.good) / loaded.seconds << " visits/s delivered in " << loaded.seconds
+      << " s; " << loaded.other << " other answers, " << loaded.broken << " broken\n";
   for (double share : {0.5, 0.9, 0.99, 0.999, 0.9999})
     out << "  p" << share * 100 << "  " << loaded.latency.at(share) * 1e3 << " ms\n";
   return out.str();
--- a/rehearsal/loop/line.h
+++ b/rehearsal/loop/line.h
@@ -39,11 +39,11 @@
   bool written() const { return out_.size() == sent_; }
   bool up() const { return descriptor_ >= 0 && !connecting_; }
   bool open() const { return descriptor_ >= 0; }
-  bool quiet() const;      // nothing lies unread, not even its end
-  void finish_sending();   // half closed: the far end still may answer
+  bool quiet() const;     // nothing lies unread, not even its end
+  void finish_sending();  // half closed: the far end still may answer
   void close();
-  void reset();            // the far end gets a reset
-  void deaf(bool is);      // neither reads nor writes: a frozen or vanished machine
+  void reset();        // the far end gets a reset
+  void deaf(bool is);  // neither reads nor writes: a frozen or vanished machine
   void cut_in(std::size_t bytes) { cut_in_ = bytes; }    // reset once so many bytes more were read
   void cut_out(std::size_t bytes) { cut_out_ = bytes; }  // or written
 
--- a/rehearsal/main.cpp
+++ b/rehearsal/main.cpp
@@ -92,7 +92,8 @@
   if (chosen.only_given) {
     std::vector<Fault> kept;
     for (int number : chosen.only) {
-      if (number >= 0 && number < int(plan.script.faults.size())) kept.push_back(plan.script.faults[std::size_t(number)]);
+      if (number >= 0 && number < int(plan.script.faults.size()))
+        kept.push_back(plan.script.faults[std::size_t(number)]);
     }
     plan.script.faults = kept;
   }
@@ -108,7 +109,8 @@
   if (!chosen.json_to.empty()) write_file(chosen.json_to, result.dump(1) + "\n");
   if (!chosen.report_to.empty()) {
     fs::create_directories(chosen.report_to);
-    write_file(chosen.report_to + "/" + plan.script.name + "-" + std::to_string(plan.seed) + ".html", page_of(result));
+    write_file(chosen.report_to + "/" + plan.script.name + "-" + std::to_string(plan.seed) + ".html",
+               page_of(result));
   }
   std::cout << summary(result) << std::flush;
   return result["rules"] == "kept" ? kKept : kBroken;
@@ -123,7 +125,8 @@
 std::vector<std::uint64_t> read_seeds(const std::string& text) {
   std::size_t dots = text.find("..");
   std::uint64_t first = std::strtoull(text.c_str(), nullptr, 10);
-  std::uint64_t last = dots == std::string::npos ? first : std::strtoull(text.c_str() + dots + 2, nullptr, 10);
+  std::uint64_t last =
+      dots == std::string::npos ? first : std::strtoull(text.c_str() + dots + 2, nullptr, 10);
   std::vector<std::uint64_t> seeds;
   for (std::uint64_t seed = first; seed <= last && seeds.size() < 10000; ++seed) seeds.push_back(seed);
   return seeds;
@@ -156,7 +159,8 @@
       for (std::uint64_t seed : read_seeds(many.seeds)) {
         for (const std::string& sidecar : many.sidecars) {
           std::string file = folder + "/" + std::to_string(jobs.size()) + ".json";
-          jobs.push_back({{"run", script, "--seed", std::to_string(seed), "--json", file, "--sidecar", sidecar}});
+          jobs.push_back(
+              {{"run", script, "--seed", std::to_string(seed), "--json", file, "--sidecar", sidecar}});
         }
       }
     }
@@ -165,8 +169,10 @@
   play(jobs, many.lanes, [&](Job& job) {
     worst = std::max(worst, job.exit);
     broken += job.exit == kBroken, unusable += job.exit != kKept && job.exit != kBroken;
-    std::cout << (job.exit == kKept ? "kept    " : job.exit == kBroken ? "BROKEN  " : "FAILED  ") << job.arguments[1]
-              << ", seed " << job.arguments[3] << ", " << job.arguments[7] << std::endl;
+    std::cout << (job.exit == kKept     ? "kept    "
+                  : job.exit == kBroken ? "BROKEN  "
+                                        : "FAILED  ")
+              << job.arguments[1] << ", seed " << job.arguments[3] << ", " << job.arguments[7] << std::endl;
   });
   std::vector<json> results;
   for (const Job& job : jobs) {
@@ -213,7 +219,8 @@
   std::vector<Job> jobs;
   for (int i = 0; i < seek.count; ++i) {
     std::string seed = std::to_string(seek.from + std::uint64_t(i));
-    jobs.push_back({{"run", "random", "--seed", seed, "--json", scratch.path + "/" + seed, "--sidecar", seek.sidecar}});
+    jobs.push_back(
+        {{"run", "random", "--seed", seed, "--json", scratch.path + "/" + seed, "--sidecar", seek.sidecar}});
   }
   struct Found {
     double service;
@@ -234,7 +241,8 @@
     }
     found.push_back({result["service"], std::move(result)});
   });
-  std::sort(found.begin(), found.end(), [](const Found& one, const Found& other) { return one.service < other.service; });
+  std::sort(found.begin(), found.end(),
+            [](const Found& one, const Found& other) { return one.service < other.service; });
   std::cout << "\nworst service:\n";
   for (std::size_t i = 0; i < std::min<std::size_t>(10, found.size()); ++i) {
     std::cout << "  " << found[i].service << "  seed " << found[i].result["seed"] << ":";
@@ -248,7 +256,8 @@
     std::uint64_t seed = one.result["seed"];
     std::cout << "seed " << seed << " still fails with only faults";
     for (int number : shrink(seed, seek.sidecar))
-      std::cout << " " << number << " (" << name_of(draw_script(seed).faults[std::size_t(number)].kind) << ")";
+      std::cout << " " << number << " (" << name_of(draw_script(seed).faults[std::size_t(number)].kind)
+                << ")";
     std::cout << std::endl;
   }
   std::cout << found.size() << " seeds played, " << broken << " broken, " << late << " late\n"
@@ -257,14 +266,16 @@
 }
 
 int program(int count, char** words) {
-  CLI::App app("Rehearses sidecars: stand-ins on loopback, load, troubles, and an auditor of the four rules.\n"
-               "Exit codes: 0 all rules held, 3 one broke, 2 what was asked can't be used.");
+  CLI::App app(
+      "Rehearses sidecars: stand-ins on loopback, load, troubles, and an auditor of the four rules.\n"
+      "Exit codes: 0 all rules held, 3 one broke, 2 what was asked can't be used.");
   app.require_subcommand(1);
   app.set_version_flag("--version", "puffinvane_rehearse 1");
 
   app.add_subcommand("list", "the scripts that ship, a line each")->callback([] {
     for (const std::string& name : shipped())
-      std::cout << name << std::string(name.size() < 22 ? 22 - name.size() : 1, ' ') << find_script(name, 1).title << "\n";
+      std::cout << name << std::string(name.size() < 22 ? 22 - name.size() : 1, ' ')
+                << find_script(name, 1).title << "\n";
     std::cout << "random                drawn from --seed: troubles that overlap\n";
   });
   app.add_subcommand("troubles", "the kinds of faults that a script may hold")->callback([] {
@@ -279,20 +290,25 @@
   CLI::App* run = app.add_subcommand("run", "plays one script");
   run->add_option("SCRIPT", chosen.script, "a file, a name from 'list', or 'random'")->required();
   run->add_option("--seed", chosen.seed, "of all that is drawn");
-  run->add_option("--time-scale", chosen.time_scale, "all times by this factor")->check(CLI::Range(0.05, 50.0));
-  run->add_option("--length", chosen.length, "seconds of load in place of the script's")->check(CLI::Range(0.2, 36000.0));
+  run->add_option("--time-scale", chosen.time_scale, "all times by this factor")
+      ->check(CLI::Range(0.05, 50.0));
+  run->add_option("--length", chosen.length, "seconds of load in place of the script's")
+      ->check(CLI::Range(0.2, 36000.0));
   run->add_option("--json", chosen.json_to, "write the result there");
   run->add_option("--report", chosen.report_to, "write an HTML page into this folder");
-  run->add_option("--sidecar", chosen.sidecar,
-                  "a command in place of puffinvane; baseline:NAME and vice:NAME are the programs beside this one");
+  run->add_option(
+      "--sidecar", chosen.sidecar,
+      "a command in place of puffinvane; baseline:NAME and vice:NAME are the programs beside this one");
   run->add_option("--label", chosen.label, "its name in comparisons");
-  auto* only = run->add_option("--only-faults", chosen.only, "the numbers of the faults to keep")->delimiter(',');
+  auto* only =
+      run->add_option("--only-faults", chosen.only, "the numbers of the faults to keep")->delimiter(',');
   run->add_flag("--keep", chosen.keep, "keep the sidecars' files and logs");
   run->add_flag("--show", chosen.show, "print the script and run nothing");
   run->callback([&] { chosen.only_given = only->count() > 0, exit = run_one(chosen); });
 
   std::vector<std::string> results;
-  CLI::App* comparing = app.add_subcommand("compare", "figures of results with error bars, and which differences are real");
+  CLI::App* comparing =
+      app.add_subcommand("compare", "figures of results with error bars, and which differences are real");
   comparing->add_option("RESULT", results, "files of 'run --json'")->required();
   comparing->callback([&] {
     std::vector<json> all;
@@ -311,7 +327,8 @@
   suite->callback([&] { exit = play_many(many); });
 
   Seek seek;
-  CLI::App* hunting = app.add_subcommand("hunt", "seeks seeds that fail or serve badly, and shrinks what fails");
+  CLI::App* hunting =
+      app.add_subcommand("hunt", "seeks seeds that fail or serve badly, and shrinks what fails");
   hunting->add_option("--count", seek.count, "seeds to play")->check(CLI::Range(1, 100000));
   hunting->add_option("--from", seek.from, "the first seed");
   hunting->add_option("--lanes", seek.lanes, "runs side by side")->check(CLI::Range(1, 64));
@@ -320,9 +337,11 @@
 
   LoadPlan load;
   std::string to;
-  CLI::App* loading = app.add_subcommand("load", "visits to one address: at a rate, or as fast as they are answered");
+  CLI::App* loading =
+      app.add_subcommand("load", "visits to one address: at a rate, or as fast as they are answered");
   loading->add_option("ADDRESS", to, "HOST:PORT, on loopback")->required();
-  loading->add_option("--rate", load.rate, "visits a second in open loop; 0: each connection sends as it is answered");
+  loading->add_option("--rate", load.rate,
+                      "visits a second in open loop; 0: each connection sends as it is answered");
   loading->add_option("--connections", load.connections, "open at a time")->check(CLI::Range(1, 20000));
   loading->add_option("--seconds", load.seconds, "of load")->check(CLI::Range(0.1, 600.0));
   loading->add_option("--path", load.target, "what is asked for");
@@ -332,13 +351,16 @@
   });
 
   CostPlan costs;
-  CLI::App* costing = app.add_subcommand("cost", "what one sidecar core carries, and what it adds, against direct calls");
+  CLI::App* costing =
+      app.add_subcommand("cost", "what one sidecar core carries, and what it adds, against direct calls");
   costing->add_option("--sidecar", costs.command, "as of 'run'");
   costing->add_option("--seconds", costs.seconds, "a measurement")->check(CLI::Range(0.2, 60.0));
-  costing->add_option("--pairs", costs.pairs, "of direct and through, for each row")->check(CLI::Range(1, 50));
+  costing->add_option("--pairs", costs.pairs, "of direct and through, for each row")
+      ->check(CLI::Range(1, 50));
   costing->add_option("--connections", costs.connections, "rows by connections")->delimiter(',');
   costing->add_option("--endpoints", costs.endpoints, "rows by endpoints")->delimiter(',');
-  costing->add_option("--in-hand", costs.in_hand, "rows by visits in hand, each answered after 20 ms")->delimiter(',');
+  costing->add_option("--in-hand", costs.in_hand, "rows by visits in hand, each answered after 20 ms")
+      ->delimiter(',');
   costing->add_option("--json", costs.json_to, "write the figures there");
   costing->callback([&] {
     costs.command = command_of(costs.command);
--- a/rehearsal/report/compare.cpp
+++ b/rehearsal/report/compare.cpp
@@ -13,8 +13,9 @@
 
 // Two-sided 95% of Student's t, by degrees of freedom.
 double student(int freedom) {
-  static constexpr double kTable[] = {0,     12.706, 4.303, 3.182, 2.776, 2.571, 2.447, 2.365, 2.306, 2.262, 2.228,
-                                      2.201, 2.179,  2.160, 2.145, 2.131, 2.120, 2.110, 2.101, 2.093, 2.086};
+  static constexpr double kTable[] = {0,     12.706, 4.303, 3.182, 2.776, 2.571, 2.447,
+                                      2.365, 2.306,  2.262, 2.228, 2.201, 2.179, 2.160,
+                                      2.145, 2.131,  2.120, 2.110, 2.101, 2.093, 2.086};
   if (freedom < int(std::size(kTable))) return kTable[freedom];
   return 1.96 + 2.4 / freedom;  // within 0.002 from there on
 }
@@ -30,7 +31,8 @@
     {"worst", "worst window", [](const nlohmann::json& r) { return r.at("worst_window").get<double>(); }},
     {"p50", "p50 s", [](const nlohmann::json& r) { return r.at("latency").at("p50").get<double>(); }},
     {"p99", "p99 s", [](const nlohmann::json& r) { return r.at("latency").at("p99").get<double>(); }},
-    {"fetches", "fetches a visit", [](const nlohmann::json& r) { return r.at("fetches_a_visit").get<double>(); }},
+    {"fetches", "fetches a visit",
+     [](const nlohmann::json& r) { return r.at("fetches_a_visit").get<double>(); }},
     {"bounced", "bounced", [](const nlohmann::json& r) {
        return r.at("bounced").get<double>() / std::max(1.0, r.at("visits").get<double>());
      }}};
@@ -99,7 +101,8 @@
         if (differences.empty()) continue;
         Estimate difference = estimate(differences);
         bool real = difference.count > 1 && std::abs(difference.mean) > difference.half;
-        out << "\n" << labels.front() << " less " << label << ", service, " << difference.count
+        out << "\n"
+            << labels.front() << " less " << label << ", service, " << difference.count
             << " pairs: " << shown(difference) << (real ? ": real" : ": not told apart");
       }
       out << "\n\n";
--- a/rehearsal/report/figures.cpp
+++ b/rehearsal/report/figures.cpp
@@ -7,7 +7,8 @@
 
 double percentile(std::vector<double>& values, double share) {
   if (values.empty()) return 0;
-  auto at = values.begin() + std::ptrdiff_t(std::min(double(values.size() - 1), share * double(values.size())));
+  auto at =
+      values.begin() + std::ptrdiff_t(std::min(double(values.size() - 1), share * double(values.size())));
   std::nth_element(values.begin(), at, values.end());
   return *at;
 }
@@ -91,7 +92,8 @@
   json["windows"] = nlohmann::json::array();
   double worst = 1;
   for (const auto& [window, served] : by_window_) {
-    json["windows"].push_back({{"at", window * script_.window}, {"asked", served.asked}, {"service", served.share()}});
+    json["windows"].push_back(
+        {{"at", window * script_.window}, {"asked", served.asked}, {"service", served.share()}});
     worst = std::min(worst, served.share());
   }
   json["worst_window"] = worst;
--- a/rehearsal/report/page.cpp
+++ b/rehearsal/report/page.cpp
@@ -45,33 +45,38 @@
     for (const json& fault : result["faults"]) bands_.push_back(fault);
   }
   std::string draw(const std::vector<Curve>& curves) const {
-    static constexpr const char* kColours[] = {"#1f6fb2", "#c8501e", "#2a8c4a", "#7d4fa8", "#8a6d00", "#b0356a"};
+    static constexpr const char* kColours[] = {"#1f6fb2", "#c8501e", "#2a8c4a",
+                                               "#7d4fa8", "#8a6d00", "#b0356a"};
     std::ostringstream out;
     out << "<h3>" << escaped(title_) << "</h3><svg viewBox='0 0 " << kWide << " " << kHigh + kBottom << "'>";
     for (std::size_t i = 0; i < bands_.size(); ++i) {
       double from = bands_[i]["at"], span = bands_[i]["for"];
-      out << "<rect class='band' x='" << x(from) << "' y='0' width='" << std::max(1.0, x(std::min(length_, from + span)) - x(from))
-          << "' height='" << kHigh << "'><title>" << escaped(bands_[i]["kind"].get<std::string>() + " " +
-                                                             bands_[i]["on"].get<std::string>())
+      out << "<rect class='band' x='" << x(from) << "' y='0' width='"
+          << std::max(1.0, x(std::min(length_, from + span)) - x(from)) << "' height='" << kHigh
+          << "'><title>"
+          << escaped(bands_[i]["kind"].get<std::string>() + " " + bands_[i]["on"].get<std::string>())
           << "</title></rect><text class='name' x='" << x(from) + 2 << "' y='" << 10 + 10 * (i % 6) << "'>"
           << escaped(bands_[i]["kind"].get<std::string>()) << "</text>";
     }
     for (int i = 0; i <= 4; ++i) {
       double value = most_ * i / 4;
-      out << "<line class='grid' x1='" << kLeft << "' x2='" << kWide << "' y1='" << y(value) << "' y2='" << y(value)
-          << "'/><text x='2' y='" << y(value) + 4 << "'>" << number(value, most_ < 0.5 ? 3 : 2) << "</text>";
+      out << "<line class='grid' x1='" << kLeft << "' x2='" << kWide << "' y1='" << y(value) << "' y2='"
+          << y(value) << "'/><text x='2' y='" << y(value) + 4 << "'>" << number(value, most_ < 0.5 ? 3 : 2)
+          << "</text>";
     }
     for (int i = 0; i <= 10; ++i)
-      out << "<text x='" << x(length_ * i / 10) - 8 << "' y='" << kHigh + 16 << "'>" << number(length_ * i / 10, 1)
-          << "</text>";
+      out << "<text x='" << x(length_ * i / 10) - 8 << "' y='" << kHigh + 16 << "'>"
+          << number(length_ * i / 10, 1) << "</text>";
     for (std::size_t i = 0; i < curves.size(); ++i) {
       out << "<polyline fill='none' stroke='" << kColours[i % 6] << "' points='";
-      for (const auto& [at, value] : curves[i].points) out << x(at) << "," << y(std::min(value, most_)) << " ";
+      for (const auto& [at, value] : curves[i].points)
+        out << x(at) << "," << y(std::min(value, most_)) << " ";
       out << "'><title>" << escaped(curves[i].name) << "</title></polyline>";
     }
     out << "</svg><p class='key'>";
     for (std::size_t i = 0; i < curves.size(); ++i)
-      out << "<span style='color:" << kColours[i % 6] << "'>&#9632; " << escaped(curves[i].name) << "</span> ";
+      out << "<span style='color:" << kColours[i % 6] << "'>&#9632; " << escaped(curves[i].name)
+          << "</span> ";
     return out.str() + "</p>";
   }
 
@@ -92,7 +97,9 @@
     out << "<tr>";
     for (const auto& [key, head] : columns) {
       const json& cell = row[key];
-      out << "<td>" << (cell.is_number_float() ? number(cell, 3) : escaped(cell.is_string() ? cell.get<std::string>() : cell.dump()))
+      out << "<td>"
+          << (cell.is_number_float() ? number(cell, 3)
+                                     : escaped(cell.is_string() ? cell.get<std::string>() : cell.dump()))
           << "</td>";
     }
     out << "</tr>";
@@ -113,12 +120,12 @@
       << "pre{background:#f5f5f5;padding:8px;overflow:auto}.broken{color:#b00}</style>";
   out << "<h1>" << escaped(title) << "</h1><p>" << escaped(result["title"].get<std::string>()) << "</p>";
   bool kept = result["rules"] == "kept";
-  out << "<p><b class='" << (kept ? "" : "broken") << "'>rules: " << escaped(result["rules"].get<std::string>())
-      << "</b> &middot; service " << number(result["service"], 3) << ", worst window "
-      << number(result["worst_window"], 3) << " &middot; " << result["visits"] << " visits, "
-      << result["delivered"] << " delivered, " << result["bounced"] << " bounced, " << result["errored"]
-      << " errored &middot; " << number(result["fetches_a_visit"], 3) << " fetches a visit, " << result["copies"]
-      << " copies</p>";
+  out << "<p><b class='" << (kept ? "" : "broken")
+      << "'>rules: " << escaped(result["rules"].get<std::string>()) << "</b> &middot; service "
+      << number(result["service"], 3) << ", worst window " << number(result["worst_window"], 3)
+      << " &middot; " << result["visits"] << " visits, " << result["delivered"] << " delivered, "
+      << result["bounced"] << " bounced, " << result["errored"] << " errored &middot; "
+      << number(result["fetches_a_visit"], 3) << " fetches a visit, " << result["copies"] << " copies</p>";
   Curve service{"service", {}};
   for (const json& window : result["windows"])
     service.points.emplace_back(window["at"].get<double>(), window["service"].get<double>());
@@ -129,7 +136,8 @@
     for (const auto& [endpoint, points] : result["loads"].items()) {
       Curve curve{"endpoint " + endpoint, {}};
       for (const json& point : points)
-        curve.points.emplace_back(point[0].get<double>(), point[1].get<double>()), most = std::max(most, point[1].get<double>());
+        curve.points.emplace_back(point[0].get<double>(), point[1].get<double>()),
+            most = std::max(most, point[1].get<double>());
       loads.push_back(curve);
     }
   }
@@ -142,7 +150,12 @@
       rows.push_back(row);
     }
     out << "<h3>Latency of delivered visits, seconds</h3>"
-        << table(rows, {{"name", "path prefix"}, {"service", "service"}, {"p50", "p50"}, {"p90", "p90"}, {"p99", "p99"}, {"p99.9", "p99.9"}});
+        << table(rows, {{"name", "path prefix"},
+                        {"service", "service"},
+                        {"p50", "p50"},
+                        {"p90", "p90"},
+                        {"p99", "p99"},
+                        {"p99.9", "p99.9"}});
     std::vector<Curve> curves;
     double slowest = 0.001;
     for (const json& row : rows) {
@@ -160,9 +173,14 @@
     out << Plot("Latency at p50, p90, p99, p99.9 (left to right)", no_bands, slowest).draw(curves);
   }
   out << "<h3>Sidecars</h3>"
-      << table(result["sidecars"], {{"number", "sidecar"}, {"tier", "tier"}, {"starts", "starts"}, {"cpu_s", "CPU s"},
-                                    {"memory_mb", "MB"}, {"descriptors", "descriptors"}});
-  out << "<h3>Troubles</h3>" << table(result["faults"], {{"kind", "kind"}, {"on", "on"}, {"at", "at"}, {"for", "for"}});
+      << table(result["sidecars"], {{"number", "sidecar"},
+                                    {"tier", "tier"},
+                                    {"starts", "starts"},
+                                    {"cpu_s", "CPU s"},
+                                    {"memory_mb", "MB"},
+                                    {"descriptors", "descriptors"}});
+  out << "<h3>Troubles</h3>"
+      << table(result["faults"], {{"kind", "kind"}, {"on", "on"}, {"at", "at"}, {"for", "for"}});
   for (const json& breach : result["breaches"]) {
     out << "<h3 class='broken'>" << escaped(breach["rule"].get<std::string>()) << " at "
         << number(breach["at"], 3) << "</h3><p>" << escaped(breach["text"].get<std::string>()) << "</p><pre>";
--- a/rehearsal/rogue.cpp
+++ b/rehearsal/rogue.cpp
@@ -17,8 +17,9 @@
 
 constexpr int kOneIn = 20;        // visits that the vice falls upon, where not all of a kind
 constexpr double kInTime = 0.06;  // before its client timeout a visit gets its error
-const std::set<std::string> kVices = {"honest",         "answers-twice", "answers-late",   "loses-one", "reruns-mutating",
-                                      "strays-tagged",  "forgets-tagged", "ignores-drains", "floods-cold"};
+const std::set<std::string> kVices = {"honest",         "answers-twice",   "answers-late",
+                                      "loses-one",      "reruns-mutating", "strays-tagged",
+                                      "forgets-tagged", "ignores-drains",  "floods-cold"};
 
 struct Target {
   std::string name, address;
@@ -80,9 +81,12 @@
 class Rogue final : public Door::Owner, public Line::Owner {
  public:
   Rogue(const json& told, std::string vice)
-      : vice_(std::move(vice)), watch_(loop, *this), door_(loop, *this, read_address(told.at("listen").get<std::string>()), 0) {
+      : vice_(std::move(vice)),
+        watch_(loop, *this),
+        door_(loop, *this, read_address(told.at("listen").get<std::string>()), 0) {
     for (const json& prefix : told.at("settings").at("PathPrefixes"))
-      prefixes_[prefix.at("Name")] = {prefix.at("Idempotency"), prefix.at("ClientTimeoutS"), prefix.at("MemorySpanS")};
+      prefixes_[prefix.at("Name")] = {prefix.at("Idempotency"), prefix.at("ClientTimeoutS"),
+                                      prefix.at("MemorySpanS")};
     warm_after_ = told.at("settings").at("Rules").at("ColdS");
     note(told.at("known"));
     watch_.connect(read_address(told.at("discovery").get<std::string>()));
@@ -129,7 +133,11 @@
 };
 
 Fetch::Fetch(Rogue& rogue, std::shared_ptr<Visit> visit, Target& target)
-    : target(target), rogue_(rogue), visit_(std::move(visit)), line_(rogue.loop, *this), reader_(Reader::Of::Answers) {
+    : target(target),
+      rogue_(rogue),
+      visit_(std::move(visit)),
+      line_(rogue.loop, *this),
+      reader_(Reader::Of::Answers) {
   ++target.out;
   Message request = visit_->request;
   std::erase_if(request.headers, [](const auto& header) {
@@ -159,7 +167,8 @@
   rogue_.let_go(*this);
 }
 
-Caller::Caller(Rogue& rogue, int descriptor) : line(rogue.loop, *this), rogue_(rogue), reader_(Reader::Of::Requests) {
+Caller::Caller(Rogue& rogue, int descriptor)
+    : line(rogue.loop, *this), rogue_(rogue), reader_(Reader::Of::Requests) {
   line.adopt(descriptor);
 }
 void Caller::on_bytes(Line&, std::string_view bytes) {
--- a/rehearsal/run.cpp
+++ b/rehearsal/run.cpp
@@ -15,11 +15,11 @@
 
 namespace {
 
-constexpr double kReadyWithin = 20;   // seconds for all sidecars to start
+constexpr double kReadyWithin = 20;  // seconds for all sidecars to start
 constexpr double kAuditEvery = 0.01;
 constexpr double kLookEvery = 0.02;
-constexpr double kAfterwards = 0.6;   // until what comes too late has come as well
-constexpr double kLate = 0.05;        // share of a run without a core that makes its figures worth little
+constexpr double kAfterwards = 0.6;  // until what comes too late has come as well
+constexpr double kLate = 0.05;       // share of a run without a core that makes its figures worth little
 
 class Both final : public Observer {
  public:
@@ -62,7 +62,10 @@
 };
 
 nlohmann::json json_of(const Breach& breach) {
-  return {{"rule", name_of(breach.rule)}, {"at", breach.at}, {"visit", breach.visit}, {"text", breach.text},
+  return {{"rule", name_of(breach.rule)},
+          {"at", breach.at},
+          {"visit", breach.visit},
+          {"text", breach.text},
           {"history", breach.history}};
 }
 
@@ -100,7 +103,8 @@
       double longest = 0, last = script.length;
       for (const PrefixPlan& prefix : script.prefixes) longest = std::max(longest, prefix.client_timeout);
       for (const Fault& fault : script.faults)
-        last = std::max(last, std::min(script.length, fault.at + fault.span + (fault.times - 1) * fault.every));
+        last =
+            std::max(last, std::min(script.length, fault.at + fault.span + (fault.times - 1) * fault.every));
       double least = began + last, most = least + (script.clients.retries + 1) * (longest + 1) + 3;
       loop.run([&] { return (clients.done() && loop.now() > least) || loop.now() > most; });
       double end = loop.now() + kAfterwards;
@@ -135,8 +139,9 @@
     }
     result["ready"] = ready;
     if (script.clients.bad_rate > 0) {
-      result["bad_callers"] = {
-          {"came", clients.bad_callers()}, {"unanswered", clients.bad_unanswered()}, {"served", clients.bad_served()}};
+      result["bad_callers"] = {{"came", clients.bad_callers()},
+                               {"unanswered", clients.bad_unanswered()},
+                               {"served", clients.bad_served()}};
     }
   }
   result["script"] = script.name, result["title"] = script.title, result["seed"] = plan.seed;
@@ -147,8 +152,10 @@
   result["faults"] = nlohmann::json::array();
   for (const Fault& fault : script.faults) {
     for (int i = 0; i < std::min(fault.times, 50); ++i)
-      result["faults"].push_back(
-          {{"kind", name_of(fault.kind)}, {"on", fault.on}, {"at", fault.at + i * fault.every}, {"for", fault.span}});
+      result["faults"].push_back({{"kind", name_of(fault.kind)},
+                                  {"on", fault.on},
+                                  {"at", fault.at + i * fault.every},
+                                  {"for", fault.span}});
   }
   result["breaches"] = nlohmann::json::array();
   for (const Breach& breach : auditor.breaches()) result["breaches"].push_back(json_of(breach));
@@ -161,18 +168,21 @@
   std::ostringstream out;
   out.precision(3);
   out << std::fixed;
-  out << result["script"].get<std::string>() << ", seed " << result["seed"] << ": " << result["title"].get<std::string>()
-      << "\n  service " << result["service"].get<double>() << ", worst window " << result["worst_window"].get<double>()
-      << "; " << result["visits"] << " visits: " << result["delivered"] << " delivered, " << result["bounced"]
-      << " bounced, " << result["errored"] << " errored, " << result["unanswered"] << " unanswered, "
-      << result["left"] << " left\n";
+  out << result["script"].get<std::string>() << ", seed " << result["seed"] << ": "
+      << result["title"].get<std::string>() << "\n  service " << result["service"].get<double>()
+      << ", worst window " << result["worst_window"].get<double>() << "; " << result["visits"]
+      << " visits: " << result["delivered"] << " delivered, " << result["bounced"] << " bounced, "
+      << result["errored"] << " errored, " << result["unanswered"] << " unanswered, " << result["left"]
+      << " left\n";
   const nlohmann::json& latency = result["latency"];
-  out << "  latency p50 " << latency["p50"].get<double>() << " s, p99 " << latency["p99"].get<double>() << " s, p99.9 "
-      << latency["p99.9"].get<double>() << " s; " << result["fetches_a_visit"].get<double>() << " fetches a visit, "
-      << result["copies"] << " copies; " << result["cpu_us_a_visit"].get<double>() << " us of CPU a visit\n";
+  out << "  latency p50 " << latency["p50"].get<double>() << " s, p99 " << latency["p99"].get<double>()
+      << " s, p99.9 " << latency["p99.9"].get<double>() << " s; " << result["fetches_a_visit"].get<double>()
+      << " fetches a visit, " << result["copies"] << " copies; " << result["cpu_us_a_visit"].get<double>()
+      << " us of CPU a visit\n";
   if (result.contains("bad_callers"))
-    out << "  bad callers: " << result["bad_callers"]["came"] << " came, " << result["bad_callers"]["unanswered"]
-        << " got neither an error nor a close in time, " << result["bad_callers"]["served"] << " were served\n";
+    out << "  bad callers: " << result["bad_callers"]["came"] << " came, "
+        << result["bad_callers"]["unanswered"] << " got neither an error nor a close in time, "
+        << result["bad_callers"]["served"] << " were served\n";
   if (result["rehearsal"]["late"])
     out << "  the rehearsal itself was late: no core for " << result["rehearsal"]["stalled_s"].get<double>()
         << " s of " << result["rehearsal"]["seconds"].get<double>() << " s; its figures are worth little\n";
@@ -184,8 +194,8 @@
     std::string rule = breach["rule"];
     if (std::find(broken.begin(), broken.end(), rule) != broken.end()) continue;
     broken.push_back(rule);
-    out << "  " << rule << ", at " << breach["at"].get<double>() << ", visit " << breach["visit"].get<std::string>()
-        << ": " << breach["text"].get<std::string>() << "\n";
+    out << "  " << rule << ", at " << breach["at"].get<double>() << ", visit "
+        << breach["visit"].get<std::string>() << ": " << breach["text"].get<std::string>() << "\n";
     for (const nlohmann::json& line : breach["history"]) out << "    " << line.get<std::string>() << "\n";
   }
   out << "  " << result["breaches"].size() << " breaches in all\nrules: broken: ";
--- a/rehearsal/script/draw.cpp
+++ b/rehearsal/script/draw.cpp
@@ -19,30 +19,29 @@
 };
 
 const std::vector<Likely>& likely() {
-  static const std::vector<Likely> kLikely = {
-      {Trouble::Slow, 3, {1, 4}, {3, 10}},
-      {Trouble::Hang, 2, {1, 3}},
-      {Trouble::Errors, 2, {1, 3}, {1, 1}, {0.2, 1}},
-      {Trouble::Crash, 2, {0.5, 2}},
-      {Trouble::Freeze, 2, {0.2, 1.5}},
-      {Trouble::ResetIn, 1, {1, 3}, {1, 1}, {0.1, 0.6}},
-      {Trouble::ResetOut, 1, {1, 3}, {1, 1}, {0.1, 0.6}},
-      {Trouble::Refuse, 1, {1, 3}},
-      {Trouble::Unreachable, 1, {1, 3}},
-      {Trouble::Drop, 1, {1, 3}},
-      {Trouble::Spoil, 1, {1, 3}, {1, 1}, {0.05, 0.4}},
-      {Trouble::Burst, 2, {0.5, 2}, {1.5, 3}},
-      {Trouble::SharedSlow, 1, {0.5, 2}, {1.5, 3}},
-      {Trouble::Drain, 2, {0.8, 2}},
-      {Trouble::Release, 1, {2, 4}},
-      {Trouble::ColdTogether, 0.5, {0.3, 0.8}},
-      {Trouble::ListSilent, 1, {1, 4}},
-      {Trouble::ListLate, 1, {0.5, 2}},
-      {Trouble::ListOld, 0.5, {1, 4}},
-      {Trouble::SidecarTerm, 1, {0.2, 0.5}},
-      {Trouble::SidecarKill, 1, {0.2, 1}},
-      {Trouble::SidecarStop, 1, {0.1, 0.6}},
-      {Trouble::SidecarHup, 1, {0.5, 1}}};
+  static const std::vector<Likely> kLikely = {{Trouble::Slow, 3, {1, 4}, {3, 10}},
+                                              {Trouble::Hang, 2, {1, 3}},
+                                              {Trouble::Errors, 2, {1, 3}, {1, 1}, {0.2, 1}},
+                                              {Trouble::Crash, 2, {0.5, 2}},
+                                              {Trouble::Freeze, 2, {0.2, 1.5}},
+                                              {Trouble::ResetIn, 1, {1, 3}, {1, 1}, {0.1, 0.6}},
+                                              {Trouble::ResetOut, 1, {1, 3}, {1, 1}, {0.1, 0.6}},
+                                              {Trouble::Refuse, 1, {1, 3}},
+                                              {Trouble::Unreachable, 1, {1, 3}},
+                                              {Trouble::Drop, 1, {1, 3}},
+                                              {Trouble::Spoil, 1, {1, 3}, {1, 1}, {0.05, 0.4}},
+                                              {Trouble::Burst, 2, {0.5, 2}, {1.5, 3}},
+                                              {Trouble::SharedSlow, 1, {0.5, 2}, {1.5, 3}},
+                                              {Trouble::Drain, 2, {0.8, 2}},
+                                              {Trouble::Release, 1, {2, 4}},
+                                              {Trouble::ColdTogether, 0.5, {0.3, 0.8}},
+                                              {Trouble::ListSilent, 1, {1, 4}},
+                                              {Trouble::ListLate, 1, {0.5, 2}},
+                                              {Trouble::ListOld, 0.5, {1, 4}},
+                                              {Trouble::SidecarTerm, 1, {0.2, 0.5}},
+                                              {Trouble::SidecarKill, 1, {0.2, 1}},
+                                              {Trouble::SidecarStop, 1, {0.1, 0.6}},
+                                              {Trouble::SidecarHup, 1, {0.5, 1}}};
   return kLikely;
 }
 
@@ -75,7 +74,8 @@
                                         (tier.work_share * mean_work));
   made.clients.rate = std::min(160.0, std::round(narrowest * (0.25 + 0.45 * chance.uniform())));
   made.clients.retries = chance.below(3), made.clients.obeys = chance.happens(0.6);
-  made.clients.heavy = rounded(0.05 * chance.uniform()), made.clients.leaves = rounded(0.05 * chance.uniform());
+  made.clients.heavy = rounded(0.05 * chance.uniform()),
+  made.clients.leaves = rounded(0.05 * chance.uniform());
   made.clients.bad_rate = chance.happens(0.25) ? 10 : 0;
   int troubles = 1 + chance.below(5);
   for (int i = 0; i < troubles; ++i) {
--- a/rehearsal/script/script.cpp
+++ b/rehearsal/script/script.cpp
@@ -1,12 +1,13 @@
 #include "rehearsal/script/script.h"
 
+#include <toml++/toml.h>
+
 #include <algorithm>
 #include <filesystem>
 #include <fstream>
 #include <functional>
 #include <set>
 #include <sstream>
-#include <toml++/toml.h>
 
 namespace rehearsal {
 
@@ -26,7 +27,8 @@
       {Trouble::Burst, "burst", "visits come 'factor' times as often"},
       {Trouble::SharedSlow, "shared-slow", "a whole tier works 'factor' times slower"},
       {Trouble::Drain, "drain", "is listed as leaving, is gone after 'for'"},
-      {Trouble::Release, "release", "each in turn drains and is replaced, cold, under a new name; 'for' in all"},
+      {Trouble::Release, "release",
+       "each in turn drains and is replaced, cold, under a new name; 'for' in all"},
       {Trouble::ColdTogether, "cold-together", "all restart at once, cold"},
       {Trouble::ListSilent, "list-silent", "discovery says nothing"},
       {Trouble::ListLate, "list-late", "discovery's changes come 'for' later"},
@@ -198,9 +200,9 @@
 
 void read_prefix(Table& table, PrefixPlan& prefix) {
   table.read("name", prefix.name);
-  table.choose<Repeat>("kind", prefix.repeat, {{"read-like", Repeat::ReadLike},
-                                               {"tagged", Repeat::Tagged},
-                                               {"mutating", Repeat::Mutating}});
+  table.choose<Repeat>(
+      "kind", prefix.repeat,
+      {{"read-like", Repeat::ReadLike}, {"tagged", Repeat::Tagged}, {"mutating", Repeat::Mutating}});
   table.read("share", prefix.share, 0, 1), table.read("work", prefix.work);
   table.read("target_latency", prefix.target_latency), table.read("client_timeout", prefix.client_timeout);
   table.read("credit", prefix.credit), table.read("late_credit", prefix.late_credit, 0, 1);
@@ -238,7 +240,8 @@
   Table table(parsed, path, "a script");
   table.read("title", script.title), table.read("length", script.length, 0.5, 3600);
   table.read("sidecars", script.sidecars, 1, 32), table.read("max_fetches", script.max_fetches, 1, 10);
-  table.read("descriptors", script.descriptors, 32, 65536), table.read("memory_mb", script.memory_mb, 16, 4096);
+  table.read("descriptors", script.descriptors, 32, 65536),
+      table.read("memory_mb", script.memory_mb, 16, 4096);
   table.read("list_delay", script.list_delay), table.read("grace", script.grace);
   table.read("cold_share", script.cold_share, 0.01, 1), table.read("warm_after", script.warm_after);
   table.read("cold_multiple", script.cold_multiple, 1, 100);
@@ -278,7 +281,8 @@
 
 Script read_script(const std::string& path) {
   std::ifstream file(path);
-  if (!file) throw Unusable(path + ":1: can't be opened; expected a script (TOML), 'random', or a name from 'list'");
+  if (!file)
+    throw Unusable(path + ":1: can't be opened; expected a script (TOML), 'random', or a name from 'list'");
   std::ostringstream text;
   text << file.rdbuf();
   return read_script(text.str(), path);
@@ -293,21 +297,24 @@
   for (const Fault& fault : script.faults) {
     if (fault.kind == Trouble::Burst) continue;
     std::string tier = fault.on.substr(0, fault.on.find('/'));
-    std::string which = fault.on.find('/') == std::string::npos ? "" : fault.on.substr(fault.on.find('/') + 1);
+    std::string which =
+        fault.on.find('/') == std::string::npos ? "" : fault.on.substr(fault.on.find('/') + 1);
     bool number = !which.empty() && which.find_first_not_of("0123456789") == std::string::npos;
     if (sidecar_trouble(fault.kind)) {
-      if (fault.on == "*" || (!fault.on.empty() && fault.on.find_first_not_of("0123456789") == std::string::npos &&
-                              std::stoi(fault.on) < script.sidecars))
+      if (fault.on == "*" ||
+          (!fault.on.empty() && fault.on.find_first_not_of("0123456789") == std::string::npos &&
+           std::stoi(fault.on) < script.sidecars))
         continue;
-      throw Unusable(std::string("fault '") + name_of(fault.kind) + "': 'on' is a sidecar of the first tier (0 to " +
-                     std::to_string(script.sidecars - 1) + ") or \"*\"");
+      throw Unusable(std::string("fault '") + name_of(fault.kind) +
+                     "': 'on' is a sidecar of the first tier (0 to " + std::to_string(script.sidecars - 1) +
+                     ") or \"*\"");
     }
     auto found = std::find_if(script.tiers.begin(), script.tiers.end(),
                               [&](const TierPlan& plan) { return plan.name == tier; });
     bool whole = fault.kind == Trouble::SharedSlow || fault.kind == Trouble::Release ||
                  fault.kind == Trouble::ColdTogether;
-    if (found == script.tiers.end() || (!(whole && which.empty()) && which != "*" &&
-                                        !(number && std::stoi(which) < found->endpoints)))
+    if (found == script.tiers.end() ||
+        (!(whole && which.empty()) && which != "*" && !(number && std::stoi(which) < found->endpoints)))
       throw Unusable(std::string("fault '") + name_of(fault.kind) + "': 'on' is \"" + fault.on +
                      "\"; expected a tier and an endpoint's number, as \"" + script.tiers.front().name +
                      "/0\", or \"" + script.tiers.front().name + "/*\"");
@@ -316,8 +323,9 @@
 
 void stretch(Script& script, double scale) {
   auto by = [scale](Span& span) { span.low *= scale, span.high *= scale; };
-  for (double* time : {&script.length, &script.grace, &script.warm_after, &script.cold_window,
-                       &script.connect_timeout, &script.idle_time, &script.longest_wait_advice, &script.window})
+  for (double* time :
+       {&script.length, &script.grace, &script.warm_after, &script.cold_window, &script.connect_timeout,
+        &script.idle_time, &script.longest_wait_advice, &script.window})
     *time *= scale;
   by(script.list_delay);
   for (TierPlan& tier : script.tiers)
@@ -332,10 +340,11 @@
 
 std::string write_script(const Script& script) {
   std::ostringstream out;
-  out << "title = \"" << script.title << "\"\nlength = " << script.length << "\nsidecars = " << script.sidecars
-      << "\n\n[clients]\nrate = " << script.clients.rate << "\nretries = " << script.clients.retries
-      << "\nheavy = " << script.clients.heavy << "\nleaves = " << script.clients.leaves
-      << "\nobeys = " << (script.clients.obeys ? "true" : "false") << "\n";
+  out << "title = \"" << script.title << "\"\nlength = " << script.length
+      << "\nsidecars = " << script.sidecars << "\n\n[clients]\nrate = " << script.clients.rate
+      << "\nretries = " << script.clients.retries << "\nheavy = " << script.clients.heavy
+      << "\nleaves = " << script.clients.leaves << "\nobeys = " << (script.clients.obeys ? "true" : "false")
+      << "\n";
   for (const TierPlan& tier : script.tiers) {
     out << "\n[[tier]]\nname = \"" << tier.name << "\"\nendpoints = " << tier.endpoints
         << "\ncores = " << tier.cores << "\nspeed = [" << tier.speed.low << ", " << tier.speed.high
@@ -344,8 +353,8 @@
         << "\nreports = " << (tier.reports ? "true" : "false") << "\n";
   }
   for (const Fault& fault : script.faults) {
-    out << "\n[[fault]]\nkind = \"" << name_of(fault.kind) << "\"\nat = " << fault.at << "\nfor = " << fault.span
-        << "\n";
+    out << "\n[[fault]]\nkind = \"" << name_of(fault.kind) << "\"\nat = " << fault.at
+        << "\nfor = " << fault.span << "\n";
     if (!fault.on.empty()) out << "on = \"" << fault.on << "\"\n";
     out << "factor = " << fault.factor << "\nshare = " << fault.share << "\nbytes = " << fault.bytes << "\n";
   }
--- a/rehearsal/script/script.h
+++ b/rehearsal/script/script.h
@@ -24,17 +24,17 @@
   std::string name;
   int endpoints = 4;
   int cores = 1;
-  Span speed{0.5, 0.9};       // work done in a second by one core
-  int queue = 24;             // visits beyond those on cores before it turns away
-  int connections = 400;      // open ones at a time
+  Span speed{0.5, 0.9};   // work done in a second by one core
+  int queue = 24;         // visits beyond those on cores before it turns away
+  int connections = 400;  // open ones at a time
   double connection_work = 0.001;
-  int groups = 2;             // endpoints are dealt to them in turn
-  int calls = 1;              // to the next tier for a visit, one after another
-  double work_share = 1;      // of a visit's work
-  double crowd = 0;           // visits waiting for each core that make it slow; 0: never
+  int groups = 2;         // endpoints are dealt to them in turn
+  int calls = 1;          // to the next tier for a visit, one after another
+  double work_share = 1;  // of a visit's work
+  double crowd = 0;       // visits waiting for each core that make it slow; 0: never
   double crowd_after = 1.5, crowd_factor = 2.5, crowd_span = 3;
-  bool cancel_stops = true;   // a fetch given up frees its core
-  bool reports = true;        // answers carry load reports
+  bool cancel_stops = true;  // a fetch given up frees its core
+  bool reports = true;       // answers carry load reports
 };
 
 struct PrefixPlan {
@@ -56,42 +56,63 @@
 struct ClientPlan {
   double rate = 120;
   int retries = 1;
-  double pause = 0.1;        // before a retry that nobody advised
-  bool obeys = true;         // waits for as long as Retry-After says
-  double leaves = 0.01;      // share of visits whose client goes before its answer
-  double heavy = 0.02;       // share of visits with ten times the work
-  double bad_rate = 0;       // callers that can't be served
-  bool tells_time = true;    // X-Time-Left
+  double pause = 0.1;      // before a retry that nobody advised
+  bool obeys = true;       // waits for as long as Retry-After says
+  double leaves = 0.01;    // share of visits whose client goes before its answer
+  double heavy = 0.02;     // share of visits with ten times the work
+  double bad_rate = 0;     // callers that can't be served
+  bool tells_time = true;  // X-Time-Left
 };
 
 enum class Trouble {
-  Slow, Hang, Errors, Crash, Freeze, ResetIn, ResetOut, Refuse, Unreachable, Drop, Spoil, Burst, SharedSlow,
-  Drain, Release, ColdTogether, ListSilent, ListLate, ListOld, SidecarTerm, SidecarKill, SidecarStop, SidecarHup
+  Slow,
+  Hang,
+  Errors,
+  Crash,
+  Freeze,
+  ResetIn,
+  ResetOut,
+  Refuse,
+  Unreachable,
+  Drop,
+  Spoil,
+  Burst,
+  SharedSlow,
+  Drain,
+  Release,
+  ColdTogether,
+  ListSilent,
+  ListLate,
+  ListOld,
+  SidecarTerm,
+  SidecarKill,
+  SidecarStop,
+  SidecarHup
 };
 
 struct Fault {
   Trouble kind = Trouble::Slow;
   double at = 0, span = 1;
-  std::string on;      // "front/0", "front/*", "dossier/2"; of sidecars "0" or "*"
-  double factor = 3;   // of slowness or of a burst
-  double share = 1;    // of the visits that it meets
-  int bytes = 40;      // until a reset
-  double every = 0;    // again after so long,
-  int times = 1;       // so often in all
+  std::string on;     // "front/0", "front/*", "dossier/2"; of sidecars "0" or "*"
+  double factor = 3;  // of slowness or of a burst
+  double share = 1;   // of the visits that it meets
+  int bytes = 40;     // until a reset
+  double every = 0;   // again after so long,
+  int times = 1;      // so often in all
 };
 
 struct Script {
   std::string name, title;
-  double length = 8;       // of load; after it all that is out is waited for
-  int sidecars = 2;        // before the first tier
+  double length = 8;  // of load; after it all that is out is waited for
+  int sidecars = 2;   // before the first tier
   int max_fetches = 3;
-  int descriptors = 512;   // of each sidecar
+  int descriptors = 512;  // of each sidecar
   int memory_mb = 64;
   Span list_delay{0.1, 0.5};
   double grace = 0.5;
   double cold_share = 0.3, warm_after = 5, cold_multiple = 3, cold_window = 1;
   double connect_timeout = 0.15, idle_time = 3, longest_wait_advice = 1.5;
-  double window = 1;       // of service by time
+  double window = 1;  // of service by time
   bool expect_crash = false;
   std::vector<TierPlan> tiers;
   std::vector<PrefixPlan> prefixes;
@@ -110,12 +131,12 @@
 const std::vector<TroubleName>& trouble_names();
 const char* name_of(Trouble kind);
 
-Script default_script();                        // three tiers, three path prefixes, three customers, no faults
-Script read_script(const std::string& path);    // throws Unusable
+Script default_script();                      // three tiers, three path prefixes, three customers, no faults
+Script read_script(const std::string& path);  // throws Unusable
 Script read_script(const std::string& text, const std::string& path);
-Script draw_script(std::uint64_t seed);         // random overlapping troubles
-std::string write_script(const Script& script); // its faults and load as TOML that read_script takes
-void check_script(const Script& script);        // throws Unusable
-void stretch(Script& script, double scale);     // all its times by that factor, its rates against it
+Script draw_script(std::uint64_t seed);          // random overlapping troubles
+std::string write_script(const Script& script);  // its faults and load as TOML that read_script takes
+void check_script(const Script& script);         // throws Unusable
+void stretch(Script& script, double scale);      // all its times by that factor, its rates against it
 
 }  // namespace rehearsal
--- a/rehearsal/tests/auditor.cpp
+++ b/rehearsal/tests/auditor.cpp
@@ -121,9 +121,13 @@
   assert(Story().offered("a").answered("a", 200, false).only() == Rule::OneAnswer);
 }
 void a_mutating_visit_runs_once() {
-  assert(Story().offered("a", "mutating").runs("a", 1).runs("a", 2).answered("a").only() == Rule::NoEffectTwice);
+  assert(Story().offered("a", "mutating").runs("a", 1).runs("a", 2).answered("a").only() ==
+         Rule::NoEffectTwice);
   Story turned_away;
-  turned_away.offered("a", "mutating").fetch(Kind::Begun, "a", 1).fetch(Kind::TurnedAway, "a", 1).runs("a", 2);
+  turned_away.offered("a", "mutating")
+      .fetch(Kind::Begun, "a", 1)
+      .fetch(Kind::TurnedAway, "a", 1)
+      .runs("a", 2);
   assert(turned_away.answered("a").only() == Rule::None);
   assert(Story().offered("a").runs("a", 1).runs("a", 2).answered("a").only() == Rule::None);  // read-like
 }
@@ -132,14 +136,18 @@
   assert(Story().offered("a", "mutating").fetch(Kind::Begun, "a", 1).answered("a", 429).only() ==
          Rule::NoEffectTwice);
   Story never;
-  never.offered("a", "mutating").fetch(Kind::Begun, "a", 1).fetch(Kind::TurnedAway, "a", 1).answered("a", 503);
+  never.offered("a", "mutating")
+      .fetch(Kind::Begun, "a", 1)
+      .fetch(Kind::TurnedAway, "a", 1)
+      .answered("a", 503);
   assert(never.only() == Rule::None);
   assert(Story().offered("a", "mutating").runs("a", 1).answered("a", 502).only() == Rule::None);
   assert(Story().offered("a", "anywhere").runs("a", 1).answered("a", 503).only() == Rule::None);
 }
 void a_tagged_visit_stays_in_its_group_and_memory() {
   assert(Story().offered("a", "tagged").runs("a", 1).runs("a", 2).answered("a").only() == Rule::None);
-  assert(Story().offered("a", "tagged").runs("a", 1).runs("a", 2, 7).answered("a").only() == Rule::NoEffectTwice);
+  assert(Story().offered("a", "tagged").runs("a", 1).runs("a", 2, 7).answered("a").only() ==
+         Rule::NoEffectTwice);
   assert(Story().offered("a", "anywhere").runs("a", 1).runs("a", 2, 7).answered("a").only() == Rule::None);
   assert(Story().offered("a", "tagged", 5).runs("a", 1).at(2.2).runs("a", 2).answered("a").only() ==
          Rule::NoEffectTwice);
@@ -165,11 +173,14 @@
     story.cold_start(1, capacity);
     for (int i = 0; i < 10; ++i) {
       std::string id = "v" + std::to_string(i);
-      story.at(1 + i * 0.05).offered(id.c_str()).fetch(Kind::Begun, id.c_str(), 1, 1, work).answered(id.c_str());
+      story.at(1 + i * 0.05)
+          .offered(id.c_str())
+          .fetch(Kind::Begun, id.c_str(), 1, 1, work)
+          .answered(id.c_str());
     }
     return story.only();
   };
-  assert(pushed(0.05, 1) == Rule::None);           // 0.5 s, where 2 x 0.25 x 1 and some are allowed
+  assert(pushed(0.05, 1) == Rule::None);  // 0.5 s, where 2 x 0.25 x 1 and some are allowed
   assert(pushed(0.15, 1) == Rule::ColdNotPushed);
   assert(pushed(0.15, 8) == Rule::None);
 }
--- a/rehearsal/tests/pieces.cpp
+++ b/rehearsal/tests/pieces.cpp
@@ -21,12 +21,14 @@
 void messages_are_read_wherever_they_are_split() {
   const std::string text =
       "HTTP/1.1 103 Hints\r\nA: b\r\n\r\n"
-      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-One: 1\r\n\r\n4\r\nwiki\r\n5;x=y\r\npedia\r\n0\r\n\r\n"
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-One: "
+      "1\r\n\r\n4\r\nwiki\r\n5;x=y\r\npedia\r\n0\r\n\r\n"
       "HTTP/1.1 503 No\r\nContent-Length: 3\r\n\r\nno\n";
   for (std::size_t split = 0; split <= text.size(); ++split) {
     Reader reader(Reader::Of::Answers);
     std::vector<Message> read;
-    for (std::string_view part : {std::string_view(text).substr(0, split), std::string_view(text).substr(split)}) {
+    for (std::string_view part :
+         {std::string_view(text).substr(0, split), std::string_view(text).substr(split)}) {
       while (!part.empty()) {
         part.remove_prefix(reader.feed(part));
         assert(!reader.bad());
@@ -39,9 +41,10 @@
 }
 
 void what_can_be_read_in_two_ways_is_not_read() {
-  for (const char* text : {"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\nabc",
-                           "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\nabc",
-                           "HTTP/1.1 200 OK\r\nContent-Length: -3\r\n\r\nabc", "nothing that can be read\r\n\r\n"}) {
+  for (const char* text :
+       {"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\nabc",
+        "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\nabc",
+        "HTTP/1.1 200 OK\r\nContent-Length: -3\r\n\r\nabc", "nothing that can be read\r\n\r\n"}) {
     Reader reader(Reader::Of::Answers);
     reader.feed(text);
     assert(reader.bad());
@@ -70,7 +73,8 @@
   assert(says("[[fault]]\nkind = \"slwo\"\non = \"front/0\"\n", "a.toml:2", "expected one of slow"));
   assert(says("[[fault]]\nat = 1\n", "a.toml:1", "needs a 'kind'"));
   assert(says("[[fault]]\nkind = \"slow\"\non = \"front/9\"\n", "a.toml:1", "expected a tier"));
-  assert(says("[[fault]]\nkind = \"sidecar-term\"\non = \"front/0\"\n", "a.toml:1", "a sidecar of the first tier"));
+  assert(says("[[fault]]\nkind = \"sidecar-term\"\non = \"front/0\"\n", "a.toml:1",
+              "a sidecar of the first tier"));
   assert(says("[[prefix]]\nname = \"x\"\ntarget_latency = 3\n", "a.toml:1", "under its target latency"));
   assert(says("list_delay = [2, 1]\n", "a.toml:1", "low end above"));
   assert(fault_of("[clients]\nrate = 5\n[[fault]]\nkind = \"slow\"\non = \"bron/*\"\n").empty());
@@ -128,11 +132,24 @@
 }
 
 nlohmann::json result_of(const char* label, int seed, double service) {
-  return {{"label", label},         {"script", "x"},     {"title", "<b>x</b>"}, {"seed", seed},     {"service", service},
-          {"worst_window", service}, {"rules", "kept"},  {"length", 4.0},       {"visits", 10},     {"bounced", 0},
-          {"delivered", 10},         {"errored", 0},     {"copies", 0},         {"windows", nlohmann::json::array()},
-          {"faults", nlohmann::json::array()},           {"breaches", nlohmann::json::array()},
-          {"sidecars", nlohmann::json::array()},         {"fetches_a_visit", 1.0},
+  return {{"label", label},
+          {"script", "x"},
+          {"title", "<b>x</b>"},
+          {"seed", seed},
+          {"service", service},
+          {"worst_window", service},
+          {"rules", "kept"},
+          {"length", 4.0},
+          {"visits", 10},
+          {"bounced", 0},
+          {"delivered", 10},
+          {"errored", 0},
+          {"copies", 0},
+          {"windows", nlohmann::json::array()},
+          {"faults", nlohmann::json::array()},
+          {"breaches", nlohmann::json::array()},
+          {"sidecars", nlohmann::json::array()},
+          {"fetches_a_visit", 1.0},
           {"latency", {{"p50", 0.1}, {"p99", 0.2}}}};
 }
 
@@ -165,7 +182,8 @@
 }
 
 void addresses_off_this_machine_are_not_load_targets() {
-  for (const char* text : {"10.0.0.1:80", "8.8.8.8:53", "127.0.0.1", "127.0.0.1:0", "127.0.0.1:x", "example:80"}) {
+  for (const char* text :
+       {"10.0.0.1:80", "8.8.8.8:53", "127.0.0.1", "127.0.0.1:0", "127.0.0.1:x", "example:80"}) {
     bool refused = false;
     try {
       read_address(text);
@@ -185,7 +203,9 @@
     static int next = 21000 + int(getpid() % 9000);
     return next++;
   }
-  void on_bytes(Line& line, std::string_view bytes) override { (&line == &far ? at_far : at_near) += bytes.size(); }
+  void on_bytes(Line& line, std::string_view bytes) override {
+    (&line == &far ? at_far : at_near) += bytes.size();
+  }
   void on_end(Line& line, bool reset) override { (&line == &far ? far_ended : near_ended) = reset ? 2 : 1; }
   void on_knock(Door&, int descriptor) override { far.adopt(descriptor); }
   void turn(double seconds) {
--- a/rehearsal/tests/plays.cpp
+++ b/rehearsal/tests/plays.cpp
@@ -62,7 +62,9 @@
     for (std::size_t i = from; i < from + 3; ++i) {
       lanes.emplace_back([i, &exits] {
         std::string name = kVices[i].name;
-        exits[i] = play("run '" + folder + "/vices.toml' --sidecar vice:" + name + " --json " + scratch + "/" + name).exit;
+        exits[i] =
+            play("run '" + folder + "/vices.toml' --sidecar vice:" + name + " --json " + scratch + "/" + name)
+                .exit;
       });
     }
     for (std::thread& lane : lanes) lane.join();
@@ -72,7 +74,8 @@
     nlohmann::json json = result(vice.name);
     for (const nlohmann::json& breach : json["breaches"]) {
       std::string rule = breach["rule"];
-      if (!*vice.rule || !rule.starts_with(vice.rule)) std::printf("%s: %s\n", vice.name, breach.dump(1).c_str());
+      if (!*vice.rule || !rule.starts_with(vice.rule))
+        std::printf("%s: %s\n", vice.name, breach.dump(1).c_str());
       assert(*vice.rule && rule.starts_with(vice.rule));
       assert(rule.starts_with("rule 4") || breach["history"].size() >= 2);
     }
@@ -89,7 +92,8 @@
 void the_same_seed_gives_the_same_schedule() {
   for (const char* name : {"one", "two"})
     assert(play(std::string("run random --seed 7 --length 1 --json ") + scratch + "/" + name).exit == 0);
-  assert(result("one")["schedule"] == result("two")["schedule"] && result("one")["faults"] == result("two")["faults"]);
+  assert(result("one")["schedule"] == result("two")["schedule"] &&
+         result("one")["faults"] == result("two")["faults"]);
   assert(play("run random --seed 8 --length 1 --json " + scratch + "/other").exit == 0);
   assert(result("one")["schedule"] != result("other")["schedule"]);
 }
@@ -99,7 +103,8 @@
   assert(played.exit == 0 && played.last == "rules: kept\n");
   int starts = 0;
   for (const nlohmann::json& sidecar : result("restarts")["sidecars"]) starts += sidecar["starts"].get<int>();
-  std::printf("%d starts, %s descriptors left\n", starts, result("restarts")["descriptors_left"].dump().c_str());
+  std::printf("%d starts, %s descriptors left\n", starts,
+              result("restarts")["descriptors_left"].dump().c_str());
   assert(starts >= 300 && result("restarts")["descriptors_left"] == 0);
 }
 
--- a/rehearsal/toy.cpp
+++ b/rehearsal/toy.cpp
@@ -37,7 +37,8 @@
     loop.at(loop.now() + (slow ? 0.3 : 3), [&turn, slow] { turn(!slow); });
   };
   turn(false);
-  std::cout << "toy endpoints at 127.0.0.1:6000 to 6002, discovery at 127.0.0.1:8500; end with Ctrl-C" << std::endl;
+  std::cout << "toy endpoints at 127.0.0.1:6000 to 6002, discovery at 127.0.0.1:8500; end with Ctrl-C"
+            << std::endl;
   loop.run([] { return false; });
 }
 
--- a/rehearsal/world/caller.cpp
+++ b/rehearsal/world/caller.cpp
@@ -6,7 +6,7 @@
 namespace rehearsal {
 
 namespace {
-constexpr double kLooksOn = 0.2;   // after its timeout a caller stays, to see an answer that comes too late
+constexpr double kLooksOn = 0.2;    // after its timeout a caller stays, to see an answer that comes too late
 constexpr double kCrossing = 0.01;  // a close within this of the request may have crossed it
 }  // namespace
 
@@ -53,7 +53,8 @@
     if (!ask_) return;
     visit_ = ask_->visit;
     Event event{Event::Kind::Offered};
-    event.visit = visit_, event.sidecar = caller_.sidecar_, event.prefix = ask_->prefix, event.key = ask_->key;
+    event.visit = visit_, event.sidecar = caller_.sidecar_, event.prefix = ask_->prefix,
+    event.key = ask_->key;
     event.figure = ask_->time_left;
     caller_.world_.did(event);
     offered_ = loop().now();
--- a/rehearsal/world/clients.cpp
+++ b/rehearsal/world/clients.cpp
@@ -6,8 +6,8 @@
 namespace rehearsal {
 
 namespace {
-constexpr double kHeavier = 10;    // times the usual work
-constexpr double kOwedToBad = 3;   // seconds within which a caller that can't be served is told or closed
+constexpr double kHeavier = 10;   // times the usual work
+constexpr double kOwedToBad = 3;  // seconds within which a caller that can't be served is told or closed
 constexpr double kBadSlack = 0.3;
 }  // namespace
 
@@ -45,7 +45,8 @@
 std::uint64_t print_of(const std::vector<Arrival>& arrivals, const Script& script) {
   std::uint64_t print = 1469598103934665603u;  // FNV-1a
   auto add = [&](double value) {
-    for (auto bits = std::uint64_t(value * 1e6); bits; bits >>= 8) print = (print ^ (bits & 255)) * 1099511628211u;
+    for (auto bits = std::uint64_t(value * 1e6); bits; bits >>= 8)
+      print = (print ^ (bits & 255)) * 1099511628211u;
   };
   for (const Arrival& one : arrivals)
     add(one.at), add(one.prefix), add(one.customer), add(one.work), add(one.leaves_after), add(one.draw);
@@ -79,13 +80,19 @@
     static const std::vector<std::string> kSaid = {
         "\x16\x03\x01 hello\r\n\r\n",
         "GET /status/x HTTP/1.1\r\nHost: x\r\n\r\n",
-        "POST /consent/x HTTP/1.1\r\nHost: x\r\nID" "Content-Length: -5\r\n\r\n",
-        "POST /consent/x HTTP/1.1\r\nHost: x\r\nID" "Content-Length: 99999999\r\n\r\nabc",
-        "POST /consent/x HTTP/1.1\r\nHost: x\r\nID" "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
-        "GET /nowhere/x HTTP/1.1\r\nHost: x\r\nID" "\r\n",
-        "GET /status/x HTTP/1.1\r\nHost: x\r\nID" "X-Time-Left: soon\r\n\r\n",
+        "POST /consent/x HTTP/1.1\r\nHost: x\r\nID"
+        "Content-Length: -5\r\n\r\n",
+        "POST /consent/x HTTP/1.1\r\nHost: x\r\nID"
+        "Content-Length: 99999999\r\n\r\nabc",
+        "POST /consent/x HTTP/1.1\r\nHost: x\r\nID"
+        "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "GET /nowhere/x HTTP/1.1\r\nHost: x\r\nID"
+        "\r\n",
+        "GET /status/x HTTP/1.1\r\nHost: x\r\nID"
+        "X-Time-Left: soon\r\n\r\n",
         "GET /status/x HTTP/1.1\r\nHost: x\r\nX-Half",
-        "POST /consent/x HTTP/1.1\r\nHost: x\r\nID" "Content-Length: 50\r\n\r\nhalf",
+        "POST /consent/x HTTP/1.1\r\nHost: x\r\nID"
+        "Content-Length: 50\r\n\r\nhalf",
         ""};
     std::string said = kSaid[std::size_t(kind) % kSaid.size()];
     if (std::size_t at = said.find("ID"); at != std::string::npos) said.replace(at, 2, id);
@@ -116,7 +123,10 @@
 };
 
 Clients::Clients(World& world, std::vector<Arrival> arrivals, Told told)
-    : world_(world), arrivals_(std::move(arrivals)), told_(std::move(told)), chance_(arrivals_.size() + 1, 9) {}
+    : world_(world),
+      arrivals_(std::move(arrivals)),
+      told_(std::move(told)),
+      chance_(arrivals_.size() + 1, 9) {}
 
 Clients::~Clients() = default;
 
@@ -142,8 +152,8 @@
 void Clients::bad_arrives() {
   double now = world_.loop.now();
   if (now - began_ > world_.script.length) return;
-  auto bad = std::make_unique<BadCaller>(*this, addresses_[std::size_t(chance_.below(int(addresses_.size())))],
-                                         chance_.below(10));
+  auto bad = std::make_unique<BadCaller>(
+      *this, addresses_[std::size_t(chance_.below(int(addresses_.size())))], chance_.below(10));
   const BadCaller* key = bad.get();
   bad_callers_.emplace(key, std::move(bad));
   world_.loop.at(now + chance_.exponential(world_.script.clients.bad_rate), [this] { bad_arrives(); });
--- a/rehearsal/world/discovery.h
+++ b/rehearsal/world/discovery.h
@@ -27,7 +27,7 @@
 
   void change(const Listed& entry);  // is told after a delay of its own
   void know(std::vector<Listed> entries);
-  std::string known_json() const;    // what its sidecar starts with, and is told by it
+  std::string known_json() const;  // what its sidecar starts with, and is told by it
   void told_at_start();
   void silent(bool is);
   void late(double by) { late_ += by; }
@@ -46,9 +46,9 @@
   World& world_;
   const int sidecar_;
   std::unique_ptr<Door> door_;
-  std::map<int, Listed> entries_;   // by endpoint
+  std::map<int, Listed> entries_;  // by endpoint
   std::vector<Listed> at_first_;
-  std::vector<Listed> held_back_;   // while silent
+  std::vector<Listed> held_back_;  // while silent
   std::map<int, Event::State> told_;
   int silent_ = 0, old_ = 0;
   double late_ = 0, told_by_ = 0;
--- a/rehearsal/world/endpoint.cpp
+++ b/rehearsal/world/endpoint.cpp
@@ -30,7 +30,10 @@
 class Endpoint::Link final : public Line::Owner {
  public:
   Link(Endpoint& endpoint, int sidecar)
-      : endpoint(endpoint), sidecar(sidecar), line(endpoint.world_.loop, *this), reader(Reader::Of::Requests),
+      : endpoint(endpoint),
+        sidecar(sidecar),
+        line(endpoint.world_.loop, *this),
+        reader(Reader::Of::Requests),
         used(endpoint.world_.loop.now()) {}
 
   void on_bytes(Line&, std::string_view bytes) override {
@@ -64,8 +67,13 @@
 
 Endpoint::Endpoint(World& world, Place place, int number, std::string name, double speed, TagMemory& memory,
                    Caller* below)
-    : world_(world), place_(std::move(place)), number_(number), name_(std::move(name)), speed_(speed),
-      memory_(memory), below_(below) {
+    : world_(world),
+      place_(std::move(place)),
+      number_(number),
+      name_(std::move(name)),
+      speed_(speed),
+      memory_(memory),
+      below_(below) {
   for (const auto& [sidecar, address] : place_.doors) addresses_[sidecar] = address.text();
 }
 
@@ -197,7 +205,8 @@
     return link.line.send(write(none));
   }
   Event first{Event::Kind::FirstByte};
-  first.visit = job->visit, first.endpoint = number_, first.group = place_.group, first.sidecar = link.sidecar;
+  first.visit = job->visit, first.endpoint = number_, first.group = place_.group,
+  first.sidecar = link.sidecar;
   first.at = link.first_byte.first, first.since = link.first_byte.second;
   world_.observer.observe(first);
   std::size_t at = request.target.find("work=");
@@ -362,20 +371,26 @@
   message.headers.emplace_back("X-Made-By", name_);
   message.body = "made for " + job->visit + "\nby " + name_ + "\n";
   Event event{Event::Kind::FetchAnswered};
-  event.visit = job->visit, event.endpoint = number_, event.group = place_.group, event.sidecar = link->sidecar;
+  event.visit = job->visit, event.endpoint = number_, event.group = place_.group,
+  event.sidecar = link->sidecar;
   event.status = status;
   world_.see(event);
   link->job.reset();
   link->used = world_.loop.now();
   std::string good = write(message);
   if (!world_.chance.happens(condition_.spoil)) return link->line.send(good);
-  // After a spoilt answer the connection stays open and is of no further use; some are good with more to them.
+  // After a spoilt answer the connection stays open and is of no further use; some are good with more to
+  // them.
   message.status = 200;
   switch (world_.chance.below(6)) {
     case 0: link->ruined = true; return link->line.send("\x01\x02 nothing that can be read\r\n\r\n");
-    case 1: link->ruined = true; return link->line.send("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nmore");
+    case 1:
+      link->ruined = true;
+      return link->line.send("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nmore");
     case 2: link->ruined = true; return link->line.send("HTTP/1.1 200 OK\r\nContent-Length: -7\r\n\r\nmore");
-    case 3: link->ruined = true; return link->line.send("HTTP/1.1 200 OK\r\nX-Endless: " + std::string(40000, 'x'));
+    case 3:
+      link->ruined = true;
+      return link->line.send("HTTP/1.1 200 OK\r\nX-Endless: " + std::string(40000, 'x'));
     case 4: return link->line.send("HTTP/1.1 103 Hints\r\n\r\n" + good);
     default: return link->line.send(good + good);
   }
--- a/rehearsal/world/endpoint.h
+++ b/rehearsal/world/endpoint.h
@@ -43,12 +43,12 @@
   ~Endpoint() override;
 
   void start(bool cold);
-  bool fallen() const { return fallen_; }       // pushed over: stays down
-  void crash();                                 // resets everything
-  void end();                                   // stops listening and ends its connections, in order
-  void rename(int number, std::string name);    // a machine that replaces it, at its addresses
+  bool fallen() const { return fallen_; }     // pushed over: stays down
+  void crash();                               // resets everything
+  void end();                                 // stops listening and ends its connections, in order
+  void rename(int number, std::string name);  // a machine that replaces it, at its addresses
   void change(const std::function<void(Condition&)>& how);
-  void drop_connections();                      // those open go silent
+  void drop_connections();  // those open go silent
   int number() const { return number_; }
   const std::string& name() const { return name_; }
   int group() const { return place_.group; }
--- a/rehearsal/world/fleet.cpp
+++ b/rehearsal/world/fleet.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr double kFrontHears = 0.3;   // until clients' front heeds that a sidecar leaves or has died
+constexpr double kFrontHears = 0.3;    // until clients' front heeds that a sidecar leaves or has died
 constexpr double kOldDiscovery = 1.5;  // after a move the old one closes its connections
 
 std::int64_t unix_ms() {
@@ -37,34 +37,50 @@
   for (const CustomerPlan& customer : script.customers)
     customers.push_back({{"Name", customer.name}, {"QuotaPerS", customer.share * script.clients.rate * 1.5}});
   for (const TierPlan& plan : script.tiers) tiers.push_back(plan.name);
-  nlohmann::json settings = {
-      {"Zone", "here"}, {"Zones", {"here"}}, {"Me", me}, {"PeersTotal", sidecars}, {"Layer", tier},
-      {"Tiers", tiers}, {"PathPrefixes", prefixes}, {"Customers", customers}, {"RoundS", 0.005},
-      {"Limits",
-       {{"MaxBackendFetches", script.max_fetches},
-        {"ParallelTries", true},
-        {"MayCancel", true},
-        {"RetryAfter", true},
-        {"MaxRetryAfterS", script.longest_wait_advice},
-        {"ConnectTimeoutS", script.connect_timeout},
-        {"ConnIdleS", script.idle_time}}},
-      {"Rules", {{"ColdShare", script.cold_share}, {"ColdS", script.warm_after}}}};
+  nlohmann::json settings = {{"Zone", "here"},
+                             {"Zones", {"here"}},
+                             {"Me", me},
+                             {"PeersTotal", sidecars},
+                             {"Layer", tier},
+                             {"Tiers", tiers},
+                             {"PathPrefixes", prefixes},
+                             {"Customers", customers},
+                             {"RoundS", 0.005},
+                             {"Limits",
+                              {{"MaxBackendFetches", script.max_fetches},
+                               {"ParallelTries", true},
+                               {"MayCancel", true},
+                               {"RetryAfter", true},
+                               {"MaxRetryAfterS", script.longest_wait_advice},
+                               {"ConnectTimeoutS", script.connect_timeout},
+                               {"ConnIdleS", script.idle_time}}},
+                             {"Rules", {{"ColdShare", script.cold_share}, {"ColdS", script.warm_after}}}};
   return settings.dump();
 }
 
-const Fleet::Row Fleet::kRows[] = {
-    {Trouble::Slow, &Fleet::on_condition},        {Trouble::Hang, &Fleet::on_condition},
-    {Trouble::Errors, &Fleet::on_condition},      {Trouble::Freeze, &Fleet::on_condition},
-    {Trouble::ResetIn, &Fleet::on_condition},     {Trouble::ResetOut, &Fleet::on_condition},
-    {Trouble::Refuse, &Fleet::on_condition},      {Trouble::Unreachable, &Fleet::on_condition},
-    {Trouble::Spoil, &Fleet::on_condition},       {Trouble::SharedSlow, &Fleet::on_condition},
-    {Trouble::Crash, &Fleet::crash},              {Trouble::ColdTogether, &Fleet::crash},
-    {Trouble::Drop, &Fleet::drop},                {Trouble::Burst, &Fleet::nothing},
-    {Trouble::Drain, &Fleet::drain},              {Trouble::Release, &Fleet::release},
-    {Trouble::ListSilent, &Fleet::list},          {Trouble::ListLate, &Fleet::list},
-    {Trouble::ListOld, &Fleet::list},             {Trouble::SidecarTerm, &Fleet::term},
-    {Trouble::SidecarKill, &Fleet::kill},         {Trouble::SidecarStop, &Fleet::stop},
-    {Trouble::SidecarHup, &Fleet::hup}};
+const Fleet::Row Fleet::kRows[] = {{Trouble::Slow, &Fleet::on_condition},
+                                   {Trouble::Hang, &Fleet::on_condition},
+                                   {Trouble::Errors, &Fleet::on_condition},
+                                   {Trouble::Freeze, &Fleet::on_condition},
+                                   {Trouble::ResetIn, &Fleet::on_condition},
+                                   {Trouble::ResetOut, &Fleet::on_condition},
+                                   {Trouble::Refuse, &Fleet::on_condition},
+                                   {Trouble::Unreachable, &Fleet::on_condition},
+                                   {Trouble::Spoil, &Fleet::on_condition},
+                                   {Trouble::SharedSlow, &Fleet::on_condition},
+                                   {Trouble::Crash, &Fleet::crash},
+                                   {Trouble::ColdTogether, &Fleet::crash},
+                                   {Trouble::Drop, &Fleet::drop},
+                                   {Trouble::Burst, &Fleet::nothing},
+                                   {Trouble::Drain, &Fleet::drain},
+                                   {Trouble::Release, &Fleet::release},
+                                   {Trouble::ListSilent, &Fleet::list},
+                                   {Trouble::ListLate, &Fleet::list},
+                                   {Trouble::ListOld, &Fleet::list},
+                                   {Trouble::SidecarTerm, &Fleet::term},
+                                   {Trouble::SidecarKill, &Fleet::kill},
+                                   {Trouble::SidecarStop, &Fleet::stop},
+                                   {Trouble::SidecarHup, &Fleet::hup}};
 
 Address Fleet::new_address() { return {host_, next_port_++}; }
 
@@ -184,8 +200,8 @@
 Listed Fleet::entry(int tier, std::size_t which, int sidecar, Event::State state) const {
   const Endpoint& endpoint = *tiers_[std::size_t(tier)].endpoints[which];
   auto since = since_ms_.find({tier, which});
-  return {endpoint.number(), endpoint.name(), endpoint.address_for(sidecar), endpoint.group(), state,
-          since == since_ms_.end() ? 0 : since->second};
+  return {endpoint.number(), endpoint.name(), endpoint.address_for(sidecar),
+          endpoint.group(),  state,           since == since_ms_.end() ? 0 : since->second};
 }
 
 void Fleet::listed(int tier, std::size_t which, Event::State state) {
@@ -325,7 +341,8 @@
   double each = fault.span / double(all.size()), now = world_.loop.now();
   for (std::size_t i = 0; i < all.size(); ++i) {
     std::size_t which = all[i];
-    world_.loop.at(now + double(i) * each, [this, tier, which] { listed(tier, which, Event::State::Draining); });
+    world_.loop.at(now + double(i) * each,
+                   [this, tier, which] { listed(tier, which, Event::State::Draining); });
     // Long enough after for all to have heard of it and ended what they had there.
     double down = now + double(i) * each + world_.script.list_delay.high + world_.script.grace + 0.3;
     world_.loop.at(down, [this, tier, which] {
--- a/rehearsal/world/fleet.h
+++ b/rehearsal/world/fleet.h
@@ -22,12 +22,14 @@
   Fleet(World& world, std::string command, std::string folder, std::uint64_t seed);
   ~Fleet() override;
 
-  void start();        // sidecars; until 'ready' nothing comes
+  void start();  // sidecars; until 'ready' nothing comes
   bool ready() const;
   void begin(Clients& clients);  // the script's troubles, from now on
   void look();
   const std::vector<std::unique_ptr<Process>>& sidecars() const { return processes_; }
-  const std::vector<std::unique_ptr<Endpoint>>& endpoints(int tier) const { return tiers_[std::size_t(tier)].endpoints; }
+  const std::vector<std::unique_ptr<Endpoint>>& endpoints(int tier) const {
+    return tiers_[std::size_t(tier)].endpoints;
+  }
   std::vector<Address> front_addresses() const;
 
  private:
@@ -81,7 +83,7 @@
   std::vector<std::unique_ptr<Process>> processes_;  // by sidecar
   std::vector<std::unique_ptr<Agent>> agents_;       // by sidecar
   std::vector<Address> listens_;
-  std::vector<int> me_, of_tier_;                    // by sidecar
+  std::vector<int> me_, of_tier_;  // by sidecar
   std::map<std::pair<int, std::size_t>, Below> below_;
   std::map<std::pair<int, std::size_t>, std::int64_t> since_ms_;
   std::map<std::pair<int, std::size_t>, Event::State> states_;
--- a/rehearsal/world/process.cpp
+++ b/rehearsal/world/process.cpp
@@ -33,7 +33,8 @@
     std::size_t at = text.rfind(')');
     unsigned long user = 0, system = 0;
     if (at != std::string::npos)
-      std::sscanf(text.c_str() + at + 2, "%*c %*d %*d %*d %*d %*d %*u %*u %*u %*u %*u %lu %lu", &user, &system);
+      std::sscanf(text.c_str() + at + 2, "%*c %*d %*d %*d %*d %*d %*u %*u %*u %*u %*u %lu %lu", &user,
+                  &system);
     usage.cpu = double(user + system) / double(sysconf(_SC_CLK_TCK));
   }
   long all = 0, resident = 0;
@@ -77,7 +78,11 @@
 };
 
 Process::Process(World& world, Owner& owner, int sidecar, int tier, std::string command, std::string folder)
-    : world_(world), owner_(owner), sidecar_(sidecar), tier_(tier), command_(std::move(command)),
+    : world_(world),
+      owner_(owner),
+      sidecar_(sidecar),
+      tier_(tier),
+      command_(std::move(command)),
       folder_(std::move(folder)) {}
 
 Process::~Process() {
@@ -184,7 +189,8 @@
   int status = 0;
   if (waitpid(process_, &status, WNOHANG) == process_) {
     bool clean = phase_ == Phase::Leaving && WIFEXITED(status) && WEXITSTATUS(status) == 0;
-    if (!clean) see(Event::Kind::SidecarCrashed, 0, WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status));
+    if (!clean)
+      see(Event::Kind::SidecarCrashed, 0, WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status));
     see(Event::Kind::SidecarDown);
     return gone(!clean, status);
   }
--- a/rehearsal/world/world.h
+++ b/rehearsal/world/world.h
@@ -20,7 +20,8 @@
 
   std::string new_visit() {
     char id[24];
-    std::snprintf(id, sizeof id, "%016llx", static_cast<unsigned long long>(++last_visit * 0x9e3779b97f4a7c15u));
+    std::snprintf(id, sizeof id, "%016llx",
+                  static_cast<unsigned long long>(++last_visit * 0x9e3779b97f4a7c15u));
     return id;
   }
   void see(Event event) {
--- a/sidecar/lifecycle/sidecar.h
+++ b/sidecar/lifecycle/sidecar.h
@@ -3,9 +3,9 @@
 
 #include <string>
 
-#include "sidecar/lifecycle/loop.h"
 #include "sidecar/lifecycle/start.h"
-#include "sidecar/lifecycle/table.h"
+#include "sidecar/loop/loop.h"
+#include "sidecar/loop/table.h"
 #include "sidecar/wire/carrier.h"
 #include "sidecar/wire/door.h"
 #include "sidecar/wire/watch.h"
--- a/sidecar/lifecycle/log.cpp
+++ b/sidecar/loop/log.cpp
@@ -1,4 +1,4 @@
-#include "sidecar/lifecycle/log.h"
+#include "sidecar/loop/log.h"
 
 namespace puffinvane {
 
--- a/sidecar/lifecycle/loop.cpp
+++ b/sidecar/loop/loop.cpp
@@ -1,4 +1,4 @@
-#include "sidecar/lifecycle/loop.h"
+#include "sidecar/loop/loop.h"
 
 #include <glib-unix.h>
 #include <sys/epoll.h>
--- a/sidecar/lifecycle/loop.h
+++ b/sidecar/loop/loop.h
@@ -7,8 +7,8 @@
 #include <map>
 #include <vector>
 
-#include "sidecar/lifecycle/glib.h"
-#include "sidecar/lifecycle/log.h"
+#include "sidecar/loop/glib.h"
+#include "sidecar/loop/log.h"
 #include "sidecar/memory/buffers.h"
 
 namespace puffinvane {
--- a/sidecar/wire/client.h
+++ b/sidecar/wire/client.h
@@ -4,7 +4,7 @@
 #include <cstdint>
 #include <optional>
 
-#include "sidecar/lifecycle/table.h"
+#include "sidecar/loop/table.h"
 #include "sidecar/wire/http.h"
 #include "sidecar/wire/stream.h"
 
--- a/sidecar/wire/stream.h
+++ b/sidecar/wire/stream.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <string_view>
 
-#include "sidecar/lifecycle/loop.h"
+#include "sidecar/loop/loop.h"
 
 namespace puffinvane {
 
--- a/tests/wire.cpp
+++ b/tests/wire.cpp
@@ -7,8 +7,8 @@
 #include <sstream>
 
 #include "helpers.h"
-#include "sidecar/lifecycle/loop.h"
 #include "sidecar/lifecycle/start.h"
+#include "sidecar/loop/loop.h"
 #include "sidecar/memory/addresses.h"
 #include "sidecar/memory/idle.h"
 #include "sidecar/memory/kept_uses.h"
@@ -348,10 +348,12 @@
   assert(order == "a12bc" && loop.now() >= start + 0.02);
 }
 
-// Two sockets have something to read in one turn. Whichever is heard first closes the other, whose number a new
-// and silent one takes: what was ready before must not be told of that one.
+// Two sockets have something to read in one turn. Whichever is heard first closes the other, whose number a
+// new and silent one takes: what was ready before must not be told of that one.
 struct Heard final : Ready {
-  Heard(Loop& loop, int& told) : loop(loop), told(told) { assert(socketpair(AF_UNIX, SOCK_STREAM, 0, ends) == 0); }
+  Heard(Loop& loop, int& told) : loop(loop), told(told) {
+    assert(socketpair(AF_UNIX, SOCK_STREAM, 0, ends) == 0);
+  }
   ~Heard() override {
     loop.unwatch(ends[0]);
     close(ends[0]), close(ends[1]);
