--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -85,6 +85,10 @@
   bool in_time = false, failed = false;
 };
 
+struct Slowness {
+  double until = 0, figure = 1;  // worked out anew from then on, or after an answer
+};
+
 struct Endpoint {
   std::string name, zone;
   std::int64_t cell = 0;
@@ -95,6 +99,7 @@
   double reported = -1, units = 1, dealt = 0;      // dealt: the part of its units that is ours
   std::set<std::pair<double, std::uint64_t>> out;  // by time of sending
   std::deque<Answer> answers;
+  mutable Slowness slowness = {};
 };
 
 enum class State { Held, Out, Paired, Done };
@@ -270,11 +275,11 @@
   void set_aside(Endpoint& endpoint) {
     endpoint.hold_until = now_ + endpoint.hold * (0.75 + 0.5 * chance_.share());
     endpoint.hold = std::min(endpoint.hold * 2, kLongestHold);
-    endpoint.answers.clear();
+    forget_answers(endpoint);
     // What is lost there must not fill the room of the living until its client timeout.
     for (const auto& [sent, what] : endpoint.out) leave_count(visits_.at(VisitId(what >> 8)));
   }
-  void open_trickle(Endpoint& endpoint) { endpoint.allowance = 1, endpoint.answers.clear(); }
+  void open_trickle(Endpoint& endpoint) { endpoint.allowance = 1, forget_answers(endpoint); }
   void double_trickle(Endpoint& endpoint) { endpoint.allowance *= 2; }
   void restore(Endpoint& endpoint) { endpoint.hold = kFirstHold; }
 
@@ -348,13 +353,24 @@
   double depth(const Endpoint& endpoint) const {
     return endpoint.reported >= 0 ? endpoint.reported + endpoint.since_report : double(endpoint.out.size());
   }
+  static void note_answer(Endpoint& endpoint, const Answer& answer) {
+    keep(endpoint.answers, answer, kEndpointSamples);
+    endpoint.slowness.until = 0;
+  }
+  static void forget_answers(Endpoint& endpoint) { endpoint.answers.clear(), endpoint.slowness.until = 0; }
   // Against calm: a usual that moves with a jam makes those in it look no worse than those left out of use.
+  // Kept until an answer comes or one grows old: each choice asks it of every endpoint.
   double slowness(const Endpoint& endpoint) const {
+    Slowness& known = endpoint.slowness;
+    if (now_ < known.until) return known.figure;
     double sum = 3, count = 3;
+    known.until = now_ + kSampleAge;
     for (const Answer& answer : endpoint.answers) {
-      if (now_ - answer.at < kSampleAge && !answer.failed) sum += answer.stretch, count += 1;
+      if (now_ - answer.at >= kSampleAge || answer.failed) continue;
+      sum += answer.stretch, count += 1;
+      known.until = std::min(known.until, answer.at + kSampleAge);
     }
-    return sum / count;
+    return known.figure = sum / count;
   }
   double learned_capacity(const Endpoint& endpoint) const {
     double capacity = kFirstCapacity;
@@ -436,7 +452,7 @@
       // A trickle is a test: a mutating visit, which could not be sent again, is no stake for it.
       if (endpoint.health == Health::Trickle && prefix(visit).kind == Kind::Mutating) continue;
       // A crossing is priced: zones are crossed for shorter queues, not by chance.
-      double crossing = endpoint.zone == deployment_.zone || !deployment_.crossing_priced ? 0 : kCrossing;
+      double crossing = !deployment_.crossing_priced || endpoint.zone == deployment_.zone ? 0 : kCrossing;
       double size = endpoint.dealt > 0 ? endpoint.dealt : endpoint.units;
       double ahead = (depth(endpoint) + 1 + crossing + (again ? kBack : 0)) * slowness(endpoint) / size;
       ready.emplace_back(at_random ? 0 : ahead, i);
@@ -562,7 +578,7 @@
     switch (end.outcome) {
       case Outcome::Delivered:
         endpoint.last_answer = now_;
-        keep(endpoint.answers, answer, kEndpointSamples);
+        note_answer(endpoint, answer);
         if (visit.state != State::Done) {
           stretches_.emplace_back(now_, whole / calm(visit.prefix));
           keep(late_, whole > threshold(visit.prefix), std::size_t{40});
@@ -576,7 +592,7 @@
       case Outcome::Failed:
         endpoint.last_answer = now_;
         answer.failed = true;
-        keep(endpoint.answers, answer, kEndpointSamples);
+        note_answer(endpoint, answer);
         if (fails_alone(endpoint)) note_failing(endpoint);
         return;
       case Outcome::ConnectFailed:
@@ -624,7 +640,7 @@
     if (entry.online_since != endpoint.online_since) {
       // Restarted: nothing learned holds. Rule 4: by their numbers sidecars' first fetches come in turn.
       endpoint.online_since = entry.online_since;
-      endpoint.reported = -1, endpoint.answers.clear();
+      endpoint.reported = -1, forget_answers(endpoint);
       endpoint.cold_credit = double(deployment_.me % deployment_.sidecars) / deployment_.sidecars;
       turn_health(endpoint, Sign::Unlisted);
     }
@@ -671,8 +687,8 @@
       if (endpoints_[i].health == Health::Steady && !cold(endpoints_[i])) warm += endpoints_[i].dealt;
     }
     // A fresh one gets the cold share, growing evenly, of a warm one's; with none warm, of what one did while
-    // some were (the median: the last survivor's pace was a crowd's); with none ever, a fetch a second. Held to
-    // that, a tier that came back as a whole served nobody until it was warm, which it is only by serving.
+    // some were (the median: the last survivor's pace was a crowd's); with none ever, a fetch a second. Held
+    // to that, a tier that came back as a whole served nobody until it was warm, which it is only by serving.
     if (warm > 0) keep(paces_, recent_rate_ * kTick / warm, kRateTicks);
     double last = warm > 0 ? paces_.back() : paces_.empty() ? 0 : percentile(paces_, 0.5);
     double pace = std::max(last, kTick / rings());
