Rehearsal: a run that was stopped itself blames nobody; crossings and early deaths

Found by a test that stops the rehearsal for 1.5 s: an interrupted look was taken for one that found nothing, and a sidecar was blamed for answers that lay unread (12 breaches). Such a look now dates nothing, and the auditor judges only up to what has been looked at.

--- a/rehearsal/auditor/auditor.h
+++ b/rehearsal/auditor/auditor.h
@@ -48,7 +48,7 @@
 
   void begin(double at) { began_ = at; }  // what histories count from
   void observe(const Event& event) override;
-  void advance(double now);  // judges what has waited long enough
+  void advance(double now);  // judges what has waited long enough; all that came before 'now' was observed
   void finish(double now);   // the run is over: what has no answer by now never gets one
   const std::vector<Breach>& breaches() const { return breaches_; }
   std::size_t held() const { return visits_.size(); }
--- a/rehearsal/loop/loop.cpp
+++ b/rehearsal/loop/loop.cpp
@@ -77,6 +77,8 @@
   // To the nanosecond: at whole milliseconds an open loop's visits would all be late.
   timespec most{0, long(std::min(wait, kBeat) * 1e9)};
   int count = epoll_pwait2(epoll_, ready.data(), int(ready.size()), &most, nullptr);
+  // Interrupted (it was stopped and goes on): nothing was looked at, so nothing may be dated or timed out.
+  if (count < 0) return;
   double woke = now();
   if (woke - since_ > kStalled) stalled_ += woke - since_;
   for (int i = 0; i < count; ++i) {
--- a/rehearsal/tests/auditor.cpp
+++ b/rehearsal/tests/auditor.cpp
@@ -144,6 +144,15 @@
   assert(Story().offered("a", "mutating").runs("a", 1).answered("a", 502).only() == Rule::None);
   assert(Story().offered("a", "anywhere").runs("a", 1).answered("a", 503).only() == Rule::None);
 }
+void an_answer_that_crosses_its_cancel_is_nobodys_fault() {
+  Story story;
+  story.offered("a").runs("a", 1).runs("a", 2).answered("a").fetch(Kind::FetchAnswered, "a", 1);
+  assert(story.fetch(Kind::FetchEnded, "a", 2).only() == Rule::None);
+}
+void a_visit_whose_client_died_before_its_last_byte_was_never_taken() {
+  assert(Story().visit_is(Kind::Unreachable, "a").at(5).only() == Rule::None);
+  assert(Story().offered("a").visit_is(Kind::Withdrawn, "a").at(5).only() == Rule::None);
+}
 void a_tagged_visit_stays_in_its_group_and_memory() {
   assert(Story().offered("a", "tagged").runs("a", 1).runs("a", 2).answered("a").only() == Rule::None);
   assert(Story().offered("a", "tagged").runs("a", 1).runs("a", 2, 7).answered("a").only() ==
@@ -213,6 +222,8 @@
   an_answer_that_no_endpoint_made_is_caught();
   a_mutating_visit_runs_once();
   what_may_have_run_is_not_bounced();
+  an_answer_that_crosses_its_cancel_is_nobodys_fault();
+  a_visit_whose_client_died_before_its_last_byte_was_never_taken();
   a_tagged_visit_stays_in_its_group_and_memory();
   a_drain_is_kept_after_its_grace();
   a_cold_endpoint_is_not_pushed_over();
--- a/rehearsal/tests/plays.cpp
+++ b/rehearsal/tests/plays.cpp
@@ -5,6 +5,8 @@
 #include <unistd.h>
 
 #include <cassert>
+#include <chrono>
+#include <csignal>
 #include <cstdio>
 #include <cstdlib>
 #include <filesystem>
@@ -119,6 +121,28 @@
   assert(play("--help").exit == 0 && play("run --help").exit == 0 && play("list").exit == 0);
 }
 
+// Stopped itself for a while, the rehearsal finds a heap of late answers: it has to say so and blame nobody.
+void a_stalled_rehearsal_says_so_and_blames_nobody() {
+  std::string file = scratch + "/stalled";
+  pid_t child = fork();
+  if (child == 0) {
+    std::freopen((file + ".txt").c_str(), "w", stdout);
+    execl(rehearse.c_str(), rehearse.c_str(), "run", "calm", "--length", "4", "--json", file.c_str(), nullptr);
+    _exit(127);
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(2000));
+  kill(child, SIGSTOP);
+  std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+  kill(child, SIGCONT);
+  int status = 0;
+  assert(waitpid(child, &status, 0) == child);
+  std::ifstream said(file + ".txt");
+  std::string text((std::istreambuf_iterator<char>(said)), {});
+  if (!WIFEXITED(status) || WEXITSTATUS(status) != 0) std::puts(text.c_str());
+  assert(WIFEXITED(status) && WEXITSTATUS(status) == 0);
+  assert(text.find("the rehearsal itself was late") != std::string::npos && result("stalled")["rehearsal"]["late"]);
+}
+
 void a_report_stands_alone() {
   assert(play("run calm --length 1 --report " + scratch + "/pages").exit == 0);
   std::ifstream file(scratch + "/pages/calm-1.html");
@@ -140,6 +164,7 @@
   a_program_that_crashes_is_told();
   the_same_seed_gives_the_same_schedule();
   a_report_stands_alone();
+  a_stalled_rehearsal_says_so_and_blames_nobody();
   three_hundred_restarts_leave_no_descriptor_behind();
   std::filesystem::remove_all(scratch);
   std::puts("plays: all stories hold");
--- a/rehearsal/world/clients.cpp
+++ b/rehearsal/world/clients.cpp
@@ -93,10 +93,14 @@
         "GET /status/x HTTP/1.1\r\nHost: x\r\nX-Half",
         "POST /consent/x HTTP/1.1\r\nHost: x\r\nID"
         "Content-Length: 50\r\n\r\nhalf",
+        "POST /consent/x HTTP/1.1\r\nHost: x\r\nID"
+        "Content-Length: 50\r\n\r\nhalf, and it dies",
         ""};
     std::string said = kSaid[std::size_t(kind) % kSaid.size()];
     if (std::size_t at = said.find("ID"); at != std::string::npos) said.replace(at, 2, id);
     if (!said.empty()) line_.send(said);
+    // Dead before its last byte: its visit was never taken, and nothing of it may run.
+    if (said.ends_with("dies")) loop().at(loop().now() + 0.005, [this] { line_.reset(), over(true); });
   }
 
  private:
@@ -153,7 +157,7 @@
   double now = world_.loop.now();
   if (now - began_ > world_.script.length) return;
   auto bad = std::make_unique<BadCaller>(
-      *this, addresses_[std::size_t(chance_.below(int(addresses_.size())))], chance_.below(10));
+      *this, addresses_[std::size_t(chance_.below(int(addresses_.size())))], chance_.below(11));
   const BadCaller* key = bad.get();
   bad_callers_.emplace(key, std::move(bad));
   world_.loop.at(now + chance_.exponential(world_.script.clients.bad_rate), [this] { bad_arrives(); });
