--- a/rehearsal/tests/plays.cpp
+++ b/rehearsal/tests/plays.cpp
@@ -105,7 +105,7 @@
   assert(played.exit == 0 && played.last == "rules: kept\n");
   int starts = 0;
   for (const nlohmann::json& sidecar : result("restarts")["sidecars"]) starts += sidecar["starts"].get<int>();
-  std::printf("%d starts, %s descriptors left\n", starts,
+  std::fprintf(stderr, "%d starts, %s descriptors left\n", starts,
               result("restarts")["descriptors_left"].dump().c_str());
   assert(starts >= 300 && result("restarts")["descriptors_left"] == 0);
 }
