Rehearsal: the restarts' story kept a reference into a result that was gone

Cause: a loop over a part of a temporary, so that it counted 0 starts now and then (printed once it was made to print). The result is kept now.

--- a/rehearsal/tests/plays.cpp
+++ b/rehearsal/tests/plays.cpp
@@ -103,11 +103,11 @@
 void three_hundred_restarts_leave_no_descriptor_behind() {
   Played played = play("run many-restarts --json " + scratch + "/restarts");
   assert(played.exit == 0 && played.last == "rules: kept\n");
+  nlohmann::json json = result("restarts");
   int starts = 0;
-  for (const nlohmann::json& sidecar : result("restarts")["sidecars"]) starts += sidecar["starts"].get<int>();
-  std::fprintf(stderr, "%d starts, %s descriptors left\n", starts,
-              result("restarts")["descriptors_left"].dump().c_str());
-  assert(starts >= 300 && result("restarts")["descriptors_left"] == 0);
+  for (const nlohmann::json& sidecar : json["sidecars"]) starts += sidecar["starts"].get<int>();
+  std::fprintf(stderr, "%d starts, %s descriptors left\n", starts, json["descriptors_left"].dump().c_str());
+  assert(starts >= 300 && json["descriptors_left"] == 0);
 }
 
 void what_cant_be_used_exits_with_2() {
@@ -127,7 +127,8 @@
   pid_t child = fork();
   if (child == 0) {
     std::freopen((file + ".txt").c_str(), "w", stdout);
-    execl(rehearse.c_str(), rehearse.c_str(), "run", "calm", "--length", "4", "--json", file.c_str(), nullptr);
+    execl(rehearse.c_str(), rehearse.c_str(), "run", "calm", "--length", "4", "--json", file.c_str(),
+          nullptr);
     _exit(127);
   }
   std::this_thread::sleep_for(std::chrono::milliseconds(2000));
@@ -140,7 +141,8 @@
   std::string text((std::istreambuf_iterator<char>(said)), {});
   if (!WIFEXITED(status) || WEXITSTATUS(status) != 0) std::puts(text.c_str());
   assert(WIFEXITED(status) && WEXITSTATUS(status) == 0);
-  assert(text.find("the rehearsal itself was late") != std::string::npos && result("stalled")["rehearsal"]["late"]);
+  assert(text.find("the rehearsal itself was late") != std::string::npos &&
+         result("stalled")["rehearsal"]["late"]);
 }
 
 void a_report_stands_alone() {
