--- a/rehearsal/report/figures.cpp
+++ b/rehearsal/report/figures.cpp
@@ -46,6 +46,7 @@
   double earned = 0;
   if (fate.end == Fate::End::Delivered) {
     latencies_[fate.prefix].push_back(fate.took);
+    latencies_by_window_[int(fate.at / script_.window)].push_back(fate.took);
     if (fate.took <= prefix.target_latency) earned = prefix.credit;
     else if (fate.took <= prefix.client_timeout) earned = prefix.credit * prefix.late_credit;
   }
@@ -90,6 +91,12 @@
   for (const auto& [customer, served] : by_customer_)
     json["service_by_customer"][script_.customers[std::size_t(customer)].name] = served.share();
   json["windows"] = nlohmann::json::array();
+  json["latency_windows"] = nlohmann::json::array();
+  for (auto [window, values] : latencies_by_window_) {
+    json["latency_windows"].push_back({{"at", window * script_.window},
+                                       {"p50", percentile(values, 0.5)},
+                                       {"p99", percentile(values, 0.99)}});
+  }
   double worst = 1;
   for (const auto& [window, served] : by_window_) {
     json["windows"].push_back(
--- a/rehearsal/report/figures.h
+++ b/rehearsal/report/figures.h
@@ -36,6 +36,7 @@
   Served all_;
   std::map<int, Served> by_prefix_, by_customer_, by_window_;
   std::map<int, std::vector<double>> latencies_;  // by path prefix
+  std::map<int, std::vector<double>> latencies_by_window_;
   std::map<int, int> ends_;
   int visits_ = 0, tries_ = 0, taken_ = 0, fetches_ = 0, copies_ = 0, turned_away_ = 0, effects_ = 0;
   std::map<int, std::map<int, double>> loads_;  // by endpoint and window: work sent
--- a/rehearsal/report/page.cpp
+++ b/rehearsal/report/page.cpp
@@ -130,6 +130,14 @@
   for (const json& window : result["windows"])
     service.points.emplace_back(window["at"].get<double>(), window["service"].get<double>());
   out << Plot("Service by window", result, 1).draw({service});
+  Curve p50{"p50", {}}, p99{"p99", {}};
+  double slowest = 0.001;
+  for (const json& window : result["latency_windows"]) {
+    double at = window["at"].get<double>(), high = window["p99"].get<double>();
+    p50.points.emplace_back(at, window["p50"].get<double>()), p99.points.emplace_back(at, high);
+    slowest = std::max(slowest, high);
+  }
+  out << Plot("Latency of delivered visits by window, seconds", result, slowest).draw({p50, p99});
   double most = 0.001;
   std::vector<Curve> loads;
   if (result.contains("loads")) {
@@ -156,21 +164,6 @@
                         {"p90", "p90"},
                         {"p99", "p99"},
                         {"p99.9", "p99.9"}});
-    std::vector<Curve> curves;
-    double slowest = 0.001;
-    for (const json& row : rows) {
-      Curve curve{row["name"].get<std::string>(), {}};
-      double at = 0;
-      for (const char* share : {"p50", "p90", "p99", "p99.9"}) {
-        curve.points.emplace_back(at, row[share].get<double>());
-        slowest = std::max(slowest, row[share].get<double>());
-        at += result["length"].get<double>() / 3;
-      }
-      curves.push_back(curve);
-    }
-    json no_bands = result;
-    no_bands["faults"] = json::array();
-    out << Plot("Latency at p50, p90, p99, p99.9 (left to right)", no_bands, slowest).draw(curves);
   }
   out << "<h3>Sidecars</h3>"
       << table(result["sidecars"], {{"number", "sidecar"},
--- a/rehearsal/script/script.h
+++ b/rehearsal/script/script.h
@@ -113,7 +113,6 @@
   double cold_share = 0.3, warm_after = 5, cold_multiple = 3, cold_window = 1;
   double connect_timeout = 0.15, idle_time = 3, longest_wait_advice = 1.5;
   double window = 1;  // of service by time
-  bool expect_crash = false;
   std::vector<TierPlan> tiers;
   std::vector<PrefixPlan> prefixes;
   std::vector<CustomerPlan> customers;
--- a/rehearsal/tests/pieces.cpp
+++ b/rehearsal/tests/pieces.cpp
@@ -146,6 +146,7 @@
           {"errored", 0},
           {"copies", 0},
           {"windows", nlohmann::json::array()},
+          {"latency_windows", nlohmann::json::array()},
           {"faults", nlohmann::json::array()},
           {"breaches", nlohmann::json::array()},
           {"sidecars", nlohmann::json::array()},
--- a/rehearsal/world/process.cpp
+++ b/rehearsal/world/process.cpp
@@ -166,7 +166,7 @@
   see(Event::Kind::SidecarDown);
   ::kill(process_, SIGKILL);
   waitpid(process_, nullptr, 0);
-  gone(false, 0);
+  gone();
 }
 
 void Process::pause(double span) {
@@ -192,7 +192,7 @@
     if (!clean)
       see(Event::Kind::SidecarCrashed, 0, WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status));
     see(Event::Kind::SidecarDown);
-    return gone(!clean, status);
+    return gone();
   }
   Usage now = usage_of(process_);
   if (double waited = now.starved - last_.starved; waited > kStarvedNoted && last_.cpu > 0)
@@ -204,7 +204,7 @@
   if (phase_ == Phase::Leaving && paused_ == 0 && world_.loop.now() > leave_by_ + 0.5) kill();
 }
 
-void Process::gone(bool, int) {
+void Process::gone() {
   process_ = -1;
   paused_ = 0;
   cpu_before_ += std::exchange(last_, Usage()).cpu;
--- a/rehearsal/world/process.h
+++ b/rehearsal/world/process.h
@@ -63,7 +63,7 @@
  private:
   class Probe;
   void probe();
-  void gone(bool crashed, int status);
+  void gone();
   void see(Event::Kind kind, double figure = 0, int status = 0);
 
   World& world_;
