--- a/rehearsal/loop/loop.cpp
+++ b/rehearsal/loop/loop.cpp
@@ -31,7 +31,7 @@
 
 Loop::Loop() : epoll_(epoll_create1(EPOLL_CLOEXEC)) {
   if (epoll_ < 0) throw std::runtime_error("no epoll");
-  since_ = now();
+  since_ = looked_ = woke_ = now();
   beat();
 }
 
@@ -73,14 +73,16 @@
 
 void Loop::turn() {
   std::array<epoll_event, 512> ready;
-  double wait = timers_.empty() ? kBeat : std::max(0.0, timers_.begin()->first.first - now());
+  // All that came before this is found by the call; what it returns after is no measure, as this process may
+  // be stopped on its way back.
+  double looked = now();
+  double wait = timers_.empty() ? kBeat : std::clamp(timers_.begin()->first.first - looked, 0.0, kBeat);
   // To the nanosecond: at whole milliseconds an open loop's visits would all be late.
-  timespec most{0, long(std::min(wait, kBeat) * 1e9)};
+  timespec most{0, long(wait * 1e9)};
   int count = epoll_pwait2(epoll_, ready.data(), int(ready.size()), &most, nullptr);
-  // Interrupted (it was stopped and goes on): nothing was looked at, so nothing may be dated or timed out.
-  if (count < 0) return;
-  double woke = now();
-  if (woke - since_ > kStalled) stalled_ += woke - since_;
+  if (count < 0) return;  // interrupted: nothing was looked at, so nothing may be dated or timed out
+  double woke = now(), idle = woke - std::exchange(woke_, woke);
+  if (idle > kStalled) stalled_ += idle;
   for (int i = 0; i < count; ++i) {
     auto descriptor = std::size_t(ready[std::size_t(i)].data.u64 & 0xffffffffu);
     auto registered = std::uint32_t(ready[std::size_t(i)].data.u64 >> 32);
@@ -88,12 +90,16 @@
     if (!watched_[descriptor].watcher || watched_[descriptor].turn != registered) continue;
     watched_[descriptor].watcher->on_ready(ready[std::size_t(i)].events);
   }
-  double until = now();
-  while (!timers_.empty() && timers_.begin()->first.first <= until) {
+  std::exchange(buried_, {});
+  if (count == int(ready.size())) return;  // there is more to find that came before
+  // A time-out only falls due after a look at what had come by then: stopped for a while, the rehearsal would
+  // else call what lies there unread too late.
+  while (!timers_.empty() && timers_.begin()->first.first <= looked) {
     auto due = timers_.extract(timers_.begin());
     due.mapped()();
   }
-  since_ = woke;
+  // Two turns back: a connection is taken in at one turn and read at the next.
+  since_ = std::exchange(looked_, looked);
   std::exchange(buried_, {});
 }
 
--- a/rehearsal/loop/loop.h
+++ b/rehearsal/loop/loop.h
@@ -52,7 +52,7 @@
 
   int epoll_;
   std::uint64_t last_ = 0;
-  double since_ = 0, stalled_ = 0;
+  double since_ = 0, looked_ = 0, woke_ = 0, stalled_ = 0;
   std::map<Timer, std::function<void()>> timers_;
   std::vector<Watched> watched_;  // by descriptor
   std::uint32_t registrations_ = 0;
