--- a/rehearsal/world/caller.cpp
+++ b/rehearsal/world/caller.cpp
@@ -74,7 +74,8 @@
     // With nothing asked it is one answer more for the visit before, and the auditor's to judge.
     see(Event::Kind::Answered, answer.status, answer.body.starts_with("made for " + visit_ + "\n"));
     if (!ask_) {
-      looking_on_ = false;
+      // Free again, and somebody's next: it isn't dropped under them.
+      if (std::exchange(looking_on_, false)) loop().cancel(timer_);
       if (answer.close) drop();
       return;
     }
