--- a/include/puffinvane/policy.h
+++ b/include/puffinvane/policy.h
@@ -24,16 +24,19 @@
   double target_latency = 1;
   double credit = 1;
   double client_timeout = 1;
+  friend bool operator==(const PathPrefix&, const PathPrefix&) = default;
 };
 
 struct Customer {
   std::string name;
   double quota_per_s = 0;
+  friend bool operator==(const Customer&, const Customer&) = default;
 };
 
 struct ColdRule {
   double share = 0.1;
   double warm_after = 30;
+  friend bool operator==(const ColdRule&, const ColdRule&) = default;
 };
 
 struct Deployment {
@@ -58,6 +61,7 @@
   double ask_within = 10;
   double longest_wait_advice = 0;
   double round = 0;
+  friend bool operator==(const Deployment&, const Deployment&) = default;
 };
 
 enum class Listed { Gone, Ready, Draining };
--- /dev/null
+++ b/serving/server.cpp
@@ -0,0 +1,315 @@
+#include "serving/server.h"
+
+#include <algorithm>
+#include <iostream>
+#include <random>
+#include <utility>
+
+#include "language/read.h"
+#include "sidecar/lifecycle/run.h"
+#include "sidecar/wire/headers.h"
+
+namespace puffinvane::serving {
+
+namespace {
+constexpr std::size_t kBufferShare = 2;  // of the memory: the rest is for the modules, GLib and the heap
+constexpr double kLookAtRetired = 0.1;
+
+std::shared_ptr<const site::Site> shared(site::Site site) {
+  return std::make_shared<const site::Site>(std::move(site));
+}
+
+EndpointList list_of(const site::Pool& pool, const std::map<std::string, double>& since) {
+  EndpointList list;
+  list.whole = true;
+  for (const site::Endpoint& one : pool.endpoints) {
+    std::string identity = site::identity_of(one);
+    list.entries.push_back({identity, one.zone, one.cell, Listed::Ready, one.size, since.at(identity)});
+    list.addresses.push_back(one.address);
+  }
+  return list;
+}
+}  // namespace
+
+Server::Server(Loop& loop, site::Site site, Read read, std::uint64_t seed, PolicyMaker make)
+    : Lifecycle(loop),
+      read_(std::move(read)),
+      make_(make),
+      chance_(seed),
+      router_(shared(std::move(site))),
+      version_(site::version(router_.site())),
+      admission_(loop, router_.site().limits.memory / kBufferShare),
+      callers_(loop, admission_, *this, router_.site().limits.body) {}
+
+void Server::start() {
+  open_doors(router_.site());
+  set_pools(router_.site());
+  opened();
+}
+
+void Server::serves() {
+  for (const Opened& one : doors_) {
+    loop()
+        .log()
+        .event(Level::Info, "listener.opened")
+        .with("listener", one.listener.name)
+        .with("address", one.listener.address);
+  }
+  loop()
+      .log()
+      .event(Level::Info, "site.serving")
+      .with("site", router_.site().name)
+      .with("version", version_)
+      .with("pools", router_.site().pools.size())
+      .with("routes", router_.site().routes.size());
+}
+
+// ---- versions
+
+void Server::reads_anew() {
+  std::string why;
+  std::optional<site::Site> read = read_(why);
+  try {
+    if (!read) throw std::runtime_error(why);
+    if (read->limits.descriptors != router_.site().limits.descriptors ||
+        read->limits.memory != router_.site().limits.memory ||
+        read->limits.body != router_.site().limits.body)
+      throw std::runtime_error("descriptors, memory and body are taken at the start only");
+    routing::Router next(shared(std::move(*read)));
+    open_doors(next.site());  // the one step that others can make fail
+    std::string before = std::exchange(version_, site::version(next.site()));
+    std::size_t changes = site::differences(router_.site(), next.site()).size();
+    set_pools(next.site());
+    close_doors(next.site());
+    router_ = std::move(next);
+    loop()
+        .log()
+        .event(Level::Info, "site.reloaded")
+        .with("site", router_.site().name)
+        .with("before", before)
+        .with("version", version_)
+        .with("changes", changes)
+        .with("pools_ending", retired_.size());
+  } catch (const std::exception& fault) {
+    loop().log().event(Level::Warning, "site.kept").with("version", version_).with("why", fault.what());
+  }
+}
+
+void Server::open_doors(const site::Site& site) {
+  std::vector<Opened> fresh;
+  for (const site::Listener& listener : site.listeners) {
+    auto same = std::find_if(doors_.begin(), doors_.end(),
+                             [&](const Opened& one) { return one.listener.address == listener.address; });
+    if (same != doors_.end()) continue;
+    fresh.push_back({listener, std::make_unique<Door>(loop(), callers_, last_door_ + 1 + int(fresh.size()))});
+    fresh.back().door->open(listener.address);
+  }
+  last_door_ += int(fresh.size());
+  std::move(fresh.begin(), fresh.end(), std::back_inserter(doors_));
+}
+
+void Server::close_doors(const site::Site& site) {
+  for (Opened& one : doors_) {
+    auto same = std::find_if(
+        site.listeners.begin(), site.listeners.end(),
+        [&](const site::Listener& listener) { return listener.address == one.listener.address; });
+    if (same != site.listeners.end()) {
+      one.listener = *same;
+      continue;
+    }
+    loop()
+        .log()
+        .event(Level::Info, "listener.closed")
+        .with("listener", one.listener.name)
+        .with("address", one.listener.address);
+    one.door->close();
+    callers_.close_door(one.door->number());
+    one.door.reset();
+  }
+  std::erase_if(doors_, [](const Opened& one) { return !one.door; });
+}
+
+void Server::set_pools(const site::Site& site) {
+  std::map<std::string, std::unique_ptr<Running>> before = std::exchange(pools_, {});
+  by_place_.clear();
+  for (const site::Pool& pool : site.pools) {
+    Deployment deployment = site::deployment_of(site, pool);
+    std::unique_ptr<Running> running;
+    auto old = before.find(pool.name);
+    bool stays = old != before.end() && old->second->carrier->deployment() == deployment;
+    if (stays) {
+      running = std::move(old->second);
+    } else {
+      running = std::make_unique<Running>();
+      Manner manner{true, site.limits.body, pool.name};
+      running->carrier = std::make_unique<Carrier>(loop(), admission_, deployment, chance_(), make_, manner);
+      if (gone_) running->carrier->leave(*gone_);
+    }
+    list(*running, pool, stays);
+    by_place_.push_back(running.get());
+    pools_.emplace(pool.name, std::move(running));
+  }
+  for (auto& [name, running] : before) {
+    if (running) retire(std::move(running));
+  }
+}
+
+// joins: to a pool that is at work already, whose new endpoints may be cold (rule 4).
+void Server::list(Running& running, const site::Pool& pool, bool joins) {
+  bool same_list =
+      joins && running.pool.discovery == pool.discovery &&
+      std::equal(running.pool.endpoints.begin(), running.pool.endpoints.end(), pool.endpoints.begin(),
+                 pool.endpoints.end(), [](const site::Endpoint& one, const site::Endpoint& other) {
+                   return site::identity_of(one) == site::identity_of(other) && one.zone == other.zone &&
+                          one.cell == other.cell && one.size == other.size;
+                 });
+  running.pool = pool;
+  if (same_list) return;
+  if (pool.discovery.empty()) {
+    running.watch.reset();
+    std::map<std::string, double> since;
+    for (const site::Endpoint& one : pool.endpoints) {
+      auto known = running.since.find(site::identity_of(one));
+      since[site::identity_of(one)] = known != running.since.end() ? known->second : joins ? loop().now() : 0;
+    }
+    running.since = std::move(since);
+    running.carrier->on_list(list_of(pool, running.since));
+    return;
+  }
+  running.since.clear();
+  if (running.watch) return running.watch->move(pool.discovery);
+  running.watch = std::make_unique<Watch>(loop(), *running.carrier, pool.discovery, Loop::unix_offset(), 0);
+  running.watch->open();
+}
+
+void Server::retire(std::unique_ptr<Running> running) {
+  loop().log().event(Level::Info, "pool.ending").with("pool", running->pool.name);
+  running->carrier->retire();
+  retired_.push_back(std::move(running));
+  if (retired_.size() == 1) look_at_retired();
+}
+
+void Server::look_at_retired() {
+  std::erase_if(retired_, [](const std::unique_ptr<Running>& one) { return one->carrier->spent(); });
+  if (!retired_.empty())
+    loop().at(loop().now() + kLookAtRetired, alive_.guard([this] { look_at_retired(); }));
+}
+
+// ---- leaving
+
+Lifecycle::Patience Server::patience() const {
+  Patience patience;
+  for (const PathPrefix& prefix : router_.site().prefixes) {
+    patience.longest = std::max(patience.longest, prefix.client_timeout);
+    patience.target = std::max(patience.target, prefix.target_latency);
+  }
+  return patience;
+}
+
+void Server::leaves(double gone) {
+  loop().log().event(Level::Info, "site.leaving").with("site", router_.site().name);
+  gone_ = gone;
+  for (auto& [name, running] : pools_) running->carrier->leave(gone);
+}
+
+void Server::closes_doors() {
+  for (Opened& one : doors_) one.door->close();
+}
+
+void Server::ends() {
+  for (auto& [name, running] : pools_) {
+    if (running->watch) running->watch->close();
+  }
+  loop().log().event(Level::Info, "site.gone").with("site", router_.site().name);
+}
+
+// ---- visits
+
+std::string_view Server::listener_of(int door) const {
+  for (const Opened& one : doors_) {
+    if (one.door->number() == door) return one.listener.name;
+  }
+  return {};  // closed since: its last visits take the routes that any listener may take
+}
+
+std::string Server::new_visit() {
+  constexpr char kDigits[] = "0123456789abcdef";
+  std::string id;
+  for (int half = 0; half < 2; ++half) {
+    std::uint64_t bits = chance_();
+    for (int i = 0; i < 16; ++i, bits >>= 4) id += kDigits[bits & 15];
+  }
+  return id;
+}
+
+void Server::on_request(Client& client, HttpMessage request) {
+  if (request.method == "CONNECT") return client.answer(405, nullptr, "", "CONNECT is not served\n", true);
+  if (request.count("Host") > 1) return client.answer(400, nullptr, "", "one Host, not two\n", true);
+  fields_.clear();
+  for (const Header& header : request.headers) fields_.push_back({header.name, header.value});
+  routing::Request asked{listener_of(client.door()), request.method, request.header("Host"), request.target,
+                         fields_};
+  routing::Decision decision = router_.decide(asked, double(chance_() >> 11) * 0x1p-53);
+  using Kind = routing::Decision::Kind;
+  switch (decision.kind) {
+    case Kind::BadTarget: return client.answer(400, nullptr, "", "a path with . or .. is not served\n", true);
+    case Kind::NoRoute:
+      if (request.target == "/healthz" && request.method == "GET")
+        return client.answer(gone_ ? 503 : 200, nullptr, "", gone_ ? "leaving\n" : "ready\n", false);
+      return client.answer(404, nullptr, "", "no route leads there\n", false);
+    case Kind::Answer: {
+      const site::Answer& answer = router_.site().routes[std::size_t(decision.route)].answer;
+      std::string headers = answer.location.empty() ? "" : "Location: " + answer.location + "\r\n";
+      return client.answer(answer.status, nullptr, headers, answer.text.empty() ? "" : answer.text + "\n",
+                           false);
+    }
+    case Kind::Fetch: return take(client, std::move(request), decision);
+  }
+}
+
+void Server::take(Client& client, HttpMessage request, const routing::Decision& decision) {
+  Carrier& carrier = *by_place_[std::size_t(decision.pool)]->carrier;
+  const PathPrefix& prefix = *carrier.find_prefix(router_.site().prefixes[std::size_t(decision.prefix)].name);
+  int ids = request.count(kVisitHeader);
+  // Callers that know nothing of ids get one: endpoints tell visits apart by it.
+  if (ids == 0) request.headers.push_back({std::string(kVisitHeader), new_visit()});
+  std::string_view id = request.header(kVisitHeader);
+  if (id.empty() || ids > 1 || carrier.open(id))
+    return client.answer(400, nullptr, "", "X-Correlation-Id has to be new, if it is there\n", true);
+  std::optional<double> time_left = time_left_of(request, prefix.client_timeout);
+  if (!time_left) return client.answer(400, nullptr, "", "X-Time-Left is no number with m or u\n", true);
+  if (decision.target) request.target = *decision.target;
+  carrier.take(client, std::move(request), prefix, *time_left);
+}
+
+// ---- the program
+
+int run_site(const std::string& file, const std::string& level, bool json_log) {
+  Log log(std::cout, read_level(level), json_log ? LogFormat::Json : LogFormat::Plain);
+  auto read = [file, &log](std::string& why) -> std::optional<site::Site> {
+    language::Disk disk;
+    language::Reading reading = language::read_site(file, disk);
+    if (!reading.found) return why = file + ": can't be read", std::nullopt;
+    if (reading.messages.none()) return std::move(reading.site);
+    for (const language::Message& message : reading.messages.in_order()) {
+      log.event(Level::Error, "site.fault")
+          .with("file", reading.sources.path(message.place.file))
+          .with("line", message.place.line)
+          .with("column", message.place.column)
+          .with("text", message.text)
+          .with("fix", message.fix);
+    }
+    why = file + " has " + std::to_string(reading.messages.count()) +
+          (reading.messages.count() == 1 ? " fault" : " faults");
+    return std::nullopt;
+  };
+  return run_program(log, [&](std::unique_ptr<Loop>& loop) -> std::unique_ptr<Lifecycle> {
+    std::string why;
+    std::optional<site::Site> site = read(why);
+    if (!site) throw std::runtime_error(why);
+    loop = std::make_unique<Loop>(log, site->limits.descriptors);
+    return std::make_unique<Server>(*loop, std::move(*site), read, std::random_device()(), make_policy);
+  });
+}
+
+}  // namespace puffinvane::serving
--- /dev/null
+++ b/serving/server.h
@@ -0,0 +1,83 @@
+// A site from start to exit: several doors, many pools, one version of it all at a time.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <pcg_random.hpp>
+#include <string>
+#include <vector>
+
+#include "routing/routing.h"
+#include "sidecar/lifecycle/lifecycle.h"
+#include "sidecar/wire/callers.h"
+#include "sidecar/wire/carrier.h"
+#include "sidecar/wire/watch.h"
+
+namespace puffinvane::serving {
+
+class Server final : public Lifecycle, Callers::Server {
+ public:
+  // Reads the site anew; nothing if it can't be used, with `why` in a few words.
+  using Read = std::function<std::optional<site::Site>(std::string& why)>;
+
+  Server(Loop& loop, site::Site site, Read read, std::uint64_t seed, PolicyMaker make);
+  void start() override;
+
+ private:
+  // A pool at work. Its carrier goes with its deployment: one that changes is replaced, its visits in hand
+  // end under the old one.
+  struct Running {
+    site::Pool pool;
+    std::unique_ptr<Carrier> carrier;
+    std::unique_ptr<Watch> watch;
+    std::map<std::string, double> since;  // when a static endpoint joined; 0: with the pool itself
+  };
+  struct Opened {
+    site::Listener listener;
+    std::unique_ptr<Door> door;
+  };
+
+  void serves() override;
+  void reads_anew() override;
+  Patience patience() const override;
+  void leaves(double gone) override;
+  void closes_doors() override;
+  void last_call() override { callers_.last_call(true); }
+  void close_idle_callers() override { callers_.close_idle(); }
+  bool empty() const override { return callers_.empty(); }
+  void ends() override;
+  void on_request(Client& client, HttpMessage request) override;
+
+  void take(Client& client, HttpMessage request, const routing::Decision& decision);
+  void open_doors(const site::Site& site);  // throws, and has changed nothing
+  void close_doors(const site::Site& site);
+  void set_pools(const site::Site& site);
+  void list(Running& running, const site::Pool& pool, bool joins);
+  void retire(std::unique_ptr<Running> running);
+  void look_at_retired();
+  std::string_view listener_of(int door) const;
+  std::string new_visit();
+
+  Read read_;
+  PolicyMaker make_;
+  pcg64 chance_;
+  routing::Router router_;
+  std::string version_;
+  std::optional<double> gone_;
+  Admission admission_;
+  Callers callers_;
+  std::vector<Opened> doors_;
+  int last_door_ = 0;
+  std::map<std::string, std::unique_ptr<Running>> pools_;
+  std::vector<Running*> by_place_;  // as the router numbers them
+  std::vector<std::unique_ptr<Running>> retired_;
+  std::vector<routing::Field> fields_;
+  Alive alive_;
+};
+
+// `puffinvane serve`. level: the log's. What the program exits with: 1 where the site has faults.
+int run_site(const std::string& file, const std::string& level, bool json_log);
+
+}  // namespace puffinvane::serving
--- /dev/null
+++ b/sidecar/lifecycle/lifecycle.cpp
@@ -0,0 +1,59 @@
+#include "sidecar/lifecycle/lifecycle.h"
+
+namespace puffinvane {
+
+namespace {
+// Callers hear of a planned restart late: they are let in for this long after it was announced.
+constexpr double kDoorTime = 0.42;
+// SIGKILL comes 0.7 s after the longest client timeout at the earliest; being gone before costs nothing.
+constexpr double kGoneBy = 0.6;
+constexpr double kLook = 0.01;
+}  // namespace
+
+const Row<Lifecycle, Lifecycle::Phase, Lifecycle::Event> Lifecycle::kRows[] = {
+    {Phase::Starting, Event::Opened, Phase::Serving, &Lifecycle::serve},
+    {Phase::Starting, Event::Terminate, Phase::Stopped, &Lifecycle::quit},
+    {Phase::Serving, Event::Reload, Phase::Serving, &Lifecycle::read_anew},
+    {Phase::Serving, Event::Terminate, Phase::Leaving, &Lifecycle::leave},
+    {Phase::Leaving, Event::Reload, Phase::Leaving, &Lifecycle::read_anew},
+    {Phase::Leaving, Event::DoorTime, Phase::Staying, &Lifecycle::stay},
+    {Phase::Staying, Event::Reload, Phase::Staying, &Lifecycle::read_anew},
+    {Phase::Staying, Event::Emptied, Phase::Stopped, &Lifecycle::quit},
+    {Phase::Staying, Event::LastCall, Phase::Finishing, &Lifecycle::finish},
+    {Phase::Finishing, Event::Reload, Phase::Finishing, &Lifecycle::read_anew},
+    {Phase::Finishing, Event::Emptied, Phase::Stopped, &Lifecycle::quit},
+    {Phase::Finishing, Event::Overdue, Phase::Stopped, &Lifecycle::quit},
+};
+
+void Lifecycle::turn(Event event) { step(kRows, *this, phase_, event); }
+void Lifecycle::opened() { turn(Event::Opened); }
+void Lifecycle::reload() { turn(Event::Reload); }
+void Lifecycle::terminate() { turn(Event::Terminate); }
+
+void Lifecycle::leave() {
+  Patience their = patience();
+  double gone = loop_.now() + their.longest + kGoneBy;
+  leaves(gone - kLook);
+  loop_.at(loop_.now() + kDoorTime, [this] { turn(Event::DoorTime); });
+  // The others may be away as well: who is connected here is served while an answer in time can be hoped for.
+  loop_.at(gone - their.target, [this] { turn(Event::LastCall); });
+  loop_.at(gone, [this] { turn(Event::Overdue); });
+}
+
+void Lifecycle::stay() {
+  closes_doors();
+  see_if_empty();
+}
+
+void Lifecycle::see_if_empty() {
+  if (phase_ == Phase::Finishing) close_idle_callers();
+  if (empty()) return turn(Event::Emptied);
+  loop_.at(loop_.now() + kLook, [this] { see_if_empty(); });
+}
+
+void Lifecycle::quit() {
+  ends();
+  loop_.quit();
+}
+
+}  // namespace puffinvane
--- /dev/null
+++ b/sidecar/lifecycle/lifecycle.h
@@ -0,0 +1,53 @@
+// The phases of a program that serves, from start to exit: states, and the rows of a table that move it on.
+// What it serves is somebody else's.
+#pragma once
+
+#include "sidecar/loop/loop.h"
+#include "sidecar/loop/table.h"
+
+namespace puffinvane {
+
+class Lifecycle {
+ public:
+  explicit Lifecycle(Loop& loop) : loop_(loop) {}
+  virtual ~Lifecycle() = default;
+
+  virtual void start() = 0;  // throws std::runtime_error if it can't listen
+  void terminate();          // leaves once all that was taken is answered
+  void reload();             // reads its file anew; one that can't be used changes nothing
+
+ protected:
+  struct Patience {
+    double longest = 0, target = 0;  // seconds: the longest client timeout and target latency
+  };
+  void opened();
+  Loop& loop() { return loop_; }
+
+  virtual void serves() = 0;
+  virtual void reads_anew() = 0;
+  virtual Patience patience() const = 0;
+  virtual void leaves(double gone) = 0;  // no visit is given time beyond that
+  virtual void closes_doors() = 0;
+  virtual void last_call() = 0;
+  virtual void close_idle_callers() = 0;
+  virtual bool empty() const = 0;
+  virtual void ends() = 0;
+
+ private:
+  enum class Phase { Starting, Serving, Leaving, Staying, Finishing, Stopped };
+  enum class Event { Opened, Reload, Terminate, DoorTime, LastCall, Emptied, Overdue };
+  static const Row<Lifecycle, Phase, Event> kRows[];
+  void turn(Event event);
+  void serve() { serves(); }
+  void read_anew() { reads_anew(); }
+  void leave();
+  void stay();
+  void finish() { last_call(); }
+  void quit();
+  void see_if_empty();
+
+  Loop& loop_;
+  Phase phase_ = Phase::Starting;
+};
+
+}  // namespace puffinvane
--- a/sidecar/lifecycle/run.cpp
+++ b/sidecar/lifecycle/run.cpp
@@ -15,10 +15,10 @@
 
 struct Heeded {
   int signal;
-  void (Sidecar::*act)();
+  void (Lifecycle::*act)();
 };
 constexpr Heeded kHeeded[] = {
-    {SIGTERM, &Sidecar::terminate}, {SIGINT, &Sidecar::terminate}, {SIGHUP, &Sidecar::reload}};
+    {SIGTERM, &Lifecycle::terminate}, {SIGINT, &Lifecycle::terminate}, {SIGHUP, &Lifecycle::reload}};
 
 // Held back from the very start: one that comes while the program still reads its file would end it.
 sigset_t hold_back() {
@@ -32,14 +32,14 @@
 // Signals as something to read: a handler could interrupt anything, and GLib's own way starts a thread.
 class Signals {
  public:
-  Signals(Loop& loop, Sidecar& sidecar, const sigset_t& heeded) : sidecar_(sidecar) {
+  Signals(Loop& loop, Lifecycle& lifecycle, const sigset_t& heeded) : lifecycle_(lifecycle) {
     descriptor_ = signalfd(-1, &heeded, SFD_NONBLOCK | SFD_CLOEXEC);
     GSource* source = g_unix_fd_source_new(descriptor_, G_IO_IN);
     auto came = [](gint descriptor, GIOCondition, gpointer self) -> gboolean {
       signalfd_siginfo told;
       while (read(descriptor, &told, sizeof told) > 0) {
         for (const Heeded& one : kHeeded) {
-          if (one.signal == int(told.ssi_signo)) (static_cast<Signals*>(self)->sidecar_.*one.act)();
+          if (one.signal == int(told.ssi_signo)) (static_cast<Signals*>(self)->lifecycle_.*one.act)();
         }
       }
       return G_SOURCE_CONTINUE;
@@ -56,32 +56,41 @@
   }
 
  private:
-  Sidecar& sidecar_;
+  Lifecycle& lifecycle_;
   int descriptor_ = -1;
   Source source_;
 };
 
 }  // namespace
 
-int run_sidecar(PolicyMaker make) {
+int run_program(Log& log, const std::function<std::unique_ptr<Lifecycle>(std::unique_ptr<Loop>&)>& prepare) {
   std::signal(SIGPIPE, SIG_IGN);
   const sigset_t heeded = hold_back();
-  const char* level = std::getenv("PUFFINVANE_LOG");
-  Log log(std::cout, read_level(level ? level : "info"));
   try {
-    double offset = Loop::unix_offset();
-    const char* file = std::getenv("BALANCER_CONFIG");
-    Assignment assignment = load_assignment(file, offset);
-    Loop loop(log, assignment.descriptors);
-    Sidecar sidecar(loop, std::move(assignment), offset, file, make);
-    Signals signals(loop, sidecar, heeded);
-    sidecar.start();
-    loop.run();
+    std::unique_ptr<Loop> loop;  // outlives what it carries
+    std::unique_ptr<Lifecycle> lifecycle = prepare(loop);
+    if (!lifecycle) return 1;
+    Signals signals(*loop, *lifecycle, heeded);
+    lifecycle->start();
+    loop->run();
     return 0;
   } catch (const std::exception& fault) {
+    if (log.as_json()) log.event(Level::Error, "program.failed").with("why", fault.what());
     std::cerr << "puffinvane: " << fault.what() << std::endl;
     return 1;
   }
 }
 
+int run_sidecar(PolicyMaker make) {
+  const char* level = std::getenv("PUFFINVANE_LOG");
+  Log log(std::cout, read_level(level ? level : "info"));
+  return run_program(log, [&](std::unique_ptr<Loop>& loop) {
+    double offset = Loop::unix_offset();
+    const char* file = std::getenv("BALANCER_CONFIG");
+    Assignment assignment = load_assignment(file, offset);
+    loop = std::make_unique<Loop>(log, assignment.descriptors);
+    return std::make_unique<Sidecar>(*loop, std::move(assignment), offset, file, make);
+  });
+}
+
 }  // namespace puffinvane
--- a/sidecar/lifecycle/run.h
+++ b/sidecar/lifecycle/run.h
@@ -1,12 +1,20 @@
-// The program from start to exit, with the decisions that it is given: puffinvane's own, or those of a
-// baseline that it is measured against.
+// A program that serves, from start to exit.
 #pragma once
 
+#include <functional>
+#include <memory>
+
+#include "sidecar/lifecycle/lifecycle.h"
 #include "sidecar/wire/carrier.h"
 
 namespace puffinvane {
 
-// Told by BALANCER_CONFIG, logs at PUFFINVANE_LOG's level. What the program exits with.
+// The platform's sidecar with the decisions that it is given: puffinvane's own, or those of a baseline that
+// it is measured against. Told by BALANCER_CONFIG, logs at PUFFINVANE_LOG's level. What the program exits
+// with.
 int run_sidecar(PolicyMaker make);
 
+// Signals are held back while `prepare` reads what it is told, and heeded by what it makes.
+int run_program(Log& log, const std::function<std::unique_ptr<Lifecycle>(std::unique_ptr<Loop>&)>& prepare);
+
 }  // namespace puffinvane
--- a/sidecar/lifecycle/sidecar.h
+++ b/sidecar/lifecycle/sidecar.h
@@ -1,44 +1,40 @@
-// One sidecar from start to exit. Its phases are states; what moves it on are the rows of a table.
+// The platform's sidecar: one pool, whose endpoints discovery lists, behind one door.
 #pragma once
 
 #include <string>
 
+#include "sidecar/lifecycle/lifecycle.h"
 #include "sidecar/lifecycle/start.h"
-#include "sidecar/loop/loop.h"
-#include "sidecar/loop/table.h"
+#include "sidecar/wire/callers.h"
 #include "sidecar/wire/carrier.h"
-#include "sidecar/wire/door.h"
 #include "sidecar/wire/watch.h"
 
 namespace puffinvane {
 
-class Sidecar {
+class Sidecar final : public Lifecycle, Callers::Server {
  public:
   Sidecar(Loop& loop, Assignment assignment, double clock_offset, std::string assigned_in, PolicyMaker make);
-
-  void start();      // throws std::runtime_error if it can't listen
-  void terminate();  // leaves once all that was taken is answered
-  void reload();     // reads its file anew; one that can't be used changes nothing
+  void start() override;
 
  private:
-  enum class Phase { Starting, Serving, Leaving, Staying, Finishing, Stopped };
-  enum class Event { Opened, Reload, Terminate, DoorTime, LastCall, Emptied, Overdue };
-  static const Row<Sidecar, Phase, Event> kRows[];
-  void turn(Event event);
-  void serve();
-  void read_anew();
-  void leave();
-  void stay();
-  void finish();
-  void quit();
-  void see_if_empty();
+  void serves() override;
+  void reads_anew() override;
+  Patience patience() const override;
+  void leaves(double gone) override;
+  void closes_doors() override { door_.close(); }
+  void last_call() override { callers_.last_call(true); }
+  void close_idle_callers() override { callers_.close_idle(); }
+  bool empty() const override { return callers_.empty(); }
+  void ends() override;
+  void on_request(Client& client, HttpMessage request) override;
 
-  Loop& loop_;
   Assignment assignment_;
   const double clock_offset_;
   const std::string assigned_in_;
-  Phase phase_ = Phase::Starting;
+  bool leaving_ = false;
+  Admission admission_;
   Carrier carrier_;
+  Callers callers_;
   Door door_;
   Watch watch_;
 };
--- a/sidecar/loop/log.cpp
+++ b/sidecar/loop/log.cpp
@@ -1,17 +1,65 @@
 #include "sidecar/loop/log.h"
 
+#include <chrono>
+#include <nlohmann/json.hpp>
+
 namespace puffinvane {
 
 namespace {
+
 constexpr std::string_view kLevels[] = {"error", "warning", "info", "debug"};
+
+std::string json(std::string_view text) {
+  return nlohmann::json(text).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+// Unix time in seconds, with milliseconds.
+std::string head(Level level, std::string_view name) {
+  auto now = std::chrono::system_clock::now().time_since_epoch();
+  long long ms = std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+  std::string fraction = std::to_string(ms % 1000);
+  return "{\"time\":" + std::to_string(ms / 1000) + "." + std::string(3 - fraction.size(), '0') + fraction +
+         ",\"level\":\"" + std::string(kLevels[int(level)]) + "\",\"event\":" + json(name);
 }
 
-Log::Line::Line(std::ostream* out, Level level) : out_(out) {
-  if (out_) *out_ << kLevels[static_cast<int>(level)] << ": ";
+}  // namespace
+
+Log::Line::Line(Log* log, Level level) : log_(log), level_(level) {
+  if (log_ && log_->as_json()) text_.emplace();
+  else if (log_) log_->out_ << kLevels[int(level)] << ": ";
 }
 
 Log::Line::~Line() {
-  if (out_) *out_ << std::endl;
+  if (!log_) return;
+  if (text_) log_->out_ << head(level_, "message") << ",\"text\":" << json(text_->str()) << "}";
+  log_->out_ << std::endl;
+}
+
+Log::Event::Event(Log* log, Level level, std::string_view name) : log_(log) {
+  if (!log_) return;
+  line_ = log_->as_json() ? head(level, name) : std::string(kLevels[int(level)]) + ": " + std::string(name);
+}
+
+Log::Event::~Event() {
+  if (log_) log_->out_ << line_ << (log_->as_json() ? "}" : "") << std::endl;
+}
+
+Log::Event& Log::Event::raw(std::string_view field, const std::string& value) {
+  if (!log_) return *this;
+  if (log_->as_json()) line_.append(",").append(json(field)).append(":").append(value);
+  else line_.append(" ").append(field).append("=").append(value);
+  return *this;
+}
+
+Log::Event& Log::Event::with(std::string_view field, std::string_view value) {
+  if (!log_) return *this;
+  // Quoted where a plain line would else not be read apart again.
+  bool bare = !log_->as_json() && !value.empty() && value.find_first_of(" \"=\n") == std::string_view::npos;
+  return raw(field, bare ? std::string(value) : json(value));
+}
+
+Log::Event& Log::Event::with(std::string_view field, double value) {
+  return raw(field, nlohmann::json(value).dump());
 }
 
 Level read_level(std::string_view word) {
--- a/sidecar/memory/idle.h
+++ b/sidecar/memory/idle.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <algorithm>
+#include <limits>
 #include <map>
 #include <memory>
 #include <string>
@@ -39,6 +40,11 @@
     if (oldest == kept_.end() || oldest->second.front().first > before) return {};
     return take_at(oldest, 0);
   }
+  double oldest() const {  // since when the longest idle of all has been so; infinite: there is none
+    double since = std::numeric_limits<double>::infinity();
+    for (const auto& [endpoint, list] : kept_) since = std::min(since, list.front().first);
+    return since;
+  }
   std::size_t count(const std::string& endpoint) const {
     auto found = kept_.find(endpoint);
     return found == kept_.end() ? 0 : found->second.size();
--- a/sidecar/memory/visits.h
+++ b/sidecar/memory/visits.h
@@ -31,6 +31,8 @@
   HttpMessage request;
   double until = 0;
   Client* client = nullptr;  // none: answered or gone
+  const PathPrefix* prefix = nullptr;
+  std::optional<HttpMessage> failed = {};  // the last answer that was one and is no good
   std::vector<FetchInHand> fetches = {};
 
   bool concluded() const { return client == nullptr; }
--- /dev/null
+++ b/sidecar/wire/admission.h
@@ -0,0 +1,48 @@
+// Descriptors and buffers over all pools: who may come in, and whose idle connection makes room for a fetch.
+#pragma once
+
+#include <algorithm>
+#include <cmath>
+#include <vector>
+
+#include "sidecar/loop/loop.h"
+
+namespace puffinvane {
+
+class Admission {
+ public:
+  class Spares {  // somebody's idle connections
+   public:
+    virtual ~Spares() = default;
+    virtual double oldest_idle() const = 0;  // since when it has been idle; infinite: there is none
+    virtual void drop_oldest_idle() = 0;
+  };
+
+  // most_bytes: of buffers lent.
+  Admission(Loop& loop, std::size_t most_bytes) : loop_(loop), most_bytes_(most_bytes) {}
+  void join(Spares& one) { spares_.push_back(&one); }
+  void leave(Spares& one) { std::erase(spares_, &one); }
+
+  // Half of the descriptors are kept for endpoints: a visit taken without one to fetch it with is lost.
+  bool room_for_caller(std::size_t callers) const {
+    return int(callers) < loop_.descriptors().limit() / 2 && loop_.descriptors().left() > 0 &&
+           loop_.pool().lent() * Pool::kSize < most_bytes_;
+  }
+  bool room_for_fetch() {
+    while (loop_.descriptors().left() <= 0) {
+      auto oldest = std::min_element(
+          spares_.begin(), spares_.end(),
+          [](const Spares* one, const Spares* other) { return one->oldest_idle() < other->oldest_idle(); });
+      if (oldest == spares_.end() || std::isinf((*oldest)->oldest_idle())) return false;
+      (*oldest)->drop_oldest_idle();
+    }
+    return true;
+  }
+
+ private:
+  Loop& loop_;
+  const std::size_t most_bytes_;
+  std::vector<Spares*> spares_;
+};
+
+}  // namespace puffinvane
--- a/sidecar/wire/backend.cpp
+++ b/sidecar/wire/backend.cpp
@@ -33,12 +33,12 @@
     {State::Awaiting, Input::Ended, State::Over, &Backend::report_reset},
 };
 
-Backend::Backend(Loop& loop, Owner& owner, std::string endpoint)
+Backend::Backend(Loop& loop, Owner& owner, std::string endpoint, std::size_t most_body)
     : loop_(loop),
       owner_(owner),
       endpoint_(std::move(endpoint)),
       stream_(loop, *this),
-      reader_(HttpReader::Side::Answer, loop.pool()) {}
+      reader_(HttpReader::Side::Answer, loop.pool(), most_body) {}
 
 void Backend::turn(Input input) { step(kRows, *this, state_, input); }
 
@@ -49,8 +49,9 @@
   return true;
 }
 
-void Backend::carry(Carried fetch) {
+void Backend::carry(Carried fetch, bool head) {
   carried_ = fetch;
+  reader_.expect_no_body(head);
   kept_ = state_ == State::Idle;
   answering_ = false, sent_ = loop_.now();
   turn(Input::Fetch);
@@ -88,7 +89,7 @@
 }
 
 void Backend::report_answer() {
-  Outcome outcome = outcome_of(reader_.message());
+  Outcome outcome = owner_.outcome_of(reader_.message());
   if (state_ == State::Over) stream_.close();
   idle_since_ = loop_.now();
   owner_.on_fetched(*this, outcome, reader_.take());
--- a/sidecar/wire/backend.h
+++ b/sidecar/wire/backend.h
@@ -22,13 +22,14 @@
     virtual ~Owner() = default;
     // Called when the connection is up: what to write, with the time that is left by then.
     virtual Chain on_ready(Backend& backend) = 0;
+    virtual Outcome outcome_of(const HttpMessage& answer) const = 0;
     virtual void on_fetched(Backend& backend, Outcome outcome, HttpMessage answer) = 0;
     virtual void on_idle_end(Backend& backend) = 0;
   };
 
-  Backend(Loop& loop, Owner& owner, std::string endpoint);
+  Backend(Loop& loop, Owner& owner, std::string endpoint, std::size_t most_body);
   bool connect(std::string_view address, double timeout);  // false: it can't even begin
-  void carry(Carried fetch);                               // once up, or at once on an idle connection
+  void carry(Carried fetch, bool head);                    // once up, or at once on an idle connection
   void give_up() { stream_.close(), state_ = State::Over; }
   bool idle() const { return state_ == State::Idle; }
   bool connecting() const { return state_ == State::Connecting; }
--- /dev/null
+++ b/sidecar/wire/callers.cpp
@@ -0,0 +1,79 @@
+#include "sidecar/wire/callers.h"
+
+#include <utility>
+#include <vector>
+
+namespace puffinvane {
+
+namespace {
+constexpr double kSweep = 0.25;
+constexpr double kNewcomer = 0.1;  // seconds that a new connection has for its first request when all is full
+}  // namespace
+
+Callers::Callers(Loop& loop, Admission& admission, Server& server, std::size_t most_body)
+    : loop_(loop), admission_(admission), server_(server), most_body_(most_body) {
+  sweep();
+}
+
+bool Callers::on_knock() { return admission_.room_for_caller(clients_.size()) || drop_one(); }
+
+void Callers::on_entered(Ref<GSocket> socket, int door) {
+  auto client = std::make_unique<Client>(loop_, *this, std::move(socket), door, most_body_);
+  const Client* key = client.get();
+  clients_.emplace(key, std::move(client));
+}
+
+void Callers::on_request(Client& client, HttpMessage request) {
+  server_.on_request(client, std::move(request));
+}
+
+void Callers::on_left(Client& client) {
+  std::unique_ptr<Client> owned = std::move(clients_.extract(&client).mapped());
+  if (std::optional<Client::InHand> visit = std::exchange(client.visit, {}))
+    visit->by->on_caller_left(visit->visit);
+  loop_.bury(std::move(owned));
+}
+
+bool Callers::drop_one() {
+  // Nothing was taken from any of them. Those that never sent a whole request go first: crowds that only
+  // connect would else push out callers between two visits.
+  double now = loop_.now();
+  auto before = [](const Client& one, const Client& other) {
+    if (one.newcomer() != other.newcomer()) return one.newcomer();
+    return one.used() < other.used();
+  };
+  Client* oldest = nullptr;
+  for (auto& [key, client] : clients_) {
+    if (oldest && !before(*client, *oldest)) continue;
+    bool spare = client->newcomer() ? now - client->used() > kNewcomer : client->idle();
+    if (spare) oldest = client.get();
+  }
+  if (oldest) oldest->part();
+  return oldest != nullptr;
+}
+
+void Callers::close_idle() {
+  std::vector<Client*> idle;
+  for (auto& [key, client] : clients_) {
+    if (client->idle()) idle.push_back(client.get());
+  }
+  for (Client* client : idle) client->part();
+}
+
+void Callers::close_door(int door) {
+  std::vector<Client*> theirs;
+  for (auto& [key, client] : clients_) {
+    if (client->door() == door) theirs.push_back(client.get());
+  }
+  for (Client* client : theirs) client->idle() ? client->part() : client->part_soon();
+}
+
+void Callers::sweep() {
+  double now = loop_.now();
+  std::vector<Client*> all;
+  for (auto& [key, client] : clients_) all.push_back(client.get());
+  for (Client* client : all) client->look(now);
+  loop_.at(now + kSweep, alive_.guard([this] { sweep(); }));
+}
+
+}  // namespace puffinvane
--- /dev/null
+++ b/sidecar/wire/callers.h
@@ -0,0 +1,47 @@
+// Everybody who is connected, whichever door they came in by.
+#pragma once
+
+#include <memory>
+#include <unordered_map>
+
+#include "sidecar/wire/admission.h"
+#include "sidecar/wire/client.h"
+#include "sidecar/wire/door.h"
+
+namespace puffinvane {
+
+class Callers final : public Client::Owner, public Door::Owner {
+ public:
+  class Server {
+   public:
+    virtual ~Server() = default;
+    virtual void on_request(Client& client, HttpMessage request) = 0;
+  };
+
+  Callers(Loop& loop, Admission& admission, Server& server, std::size_t most_body = HttpReader::kMostBody);
+
+  bool empty() const { return clients_.empty(); }
+  void last_call(bool on) { last_call_ = on; }  // answers are the last on their connections from here on
+  void close_idle();
+  void close_door(int door);  // who came in by it gets the answer in hand, and that is the last
+
+  bool on_knock() override;
+  void on_entered(Ref<GSocket> socket, int door) override;
+
+ private:
+  void on_request(Client& client, HttpMessage request) override;
+  void on_left(Client& client) override;
+  bool last_call() const override { return last_call_; }
+  bool drop_one();
+  void sweep();
+
+  Loop& loop_;
+  Admission& admission_;
+  Server& server_;
+  const std::size_t most_body_;
+  bool last_call_ = false;
+  std::unordered_map<const Client*, std::unique_ptr<Client>> clients_;
+  Alive alive_;
+};
+
+}  // namespace puffinvane
--- a/sidecar/wire/carrier.cpp
+++ b/sidecar/wire/carrier.cpp
@@ -1,6 +1,8 @@
 #include "sidecar/wire/carrier.h"
 
 #include <algorithm>
+#include <cmath>
+#include <limits>
 #include <set>
 #include <utility>
 
@@ -11,19 +13,40 @@
 namespace {
 constexpr double kIdleShare = 0.7;  // of the time after which endpoints close: a fetch must not cross that
 constexpr double kSweep = 0.25;
-constexpr double kNewcomer = 0.1;  // seconds that a new connection has for its first request when all is full
+constexpr double kAfterLast = 0.5;  // seconds, for what is put off to the next turn or the next tick
 }  // namespace
 
-Carrier::Carrier(Loop& loop, Deployment deployment, std::uint64_t seed, std::size_t most_bytes,
-                 PolicyMaker make)
+Carrier::Carrier(Loop& loop, Admission& admission, Deployment deployment, std::uint64_t seed,
+                 PolicyMaker make, Manner manner)
     : loop_(loop),
+      admission_(admission),
       deployment_(std::move(deployment)),
-      most_bytes_(most_bytes),
+      manner_(std::move(manner)),
       policy_(make(loop.now(), deployment_, seed, *this)) {
+  admission_.join(*this);
   sweep();
 }
 
-Carrier::~Carrier() = default;
+Carrier::~Carrier() { admission_.leave(*this); }
+
+void Carrier::retire() {
+  retired_ = loop_.now();
+  while (!std::isinf(idle_.oldest())) drop_oldest_idle();
+}
+
+bool Carrier::spent() const {
+  // Alarms of visits go on until their client timeouts: with none of those to come nobody asks for it.
+  double longest = 0;
+  for (const PathPrefix& prefix : deployment_.path_prefixes)
+    longest = std::max(longest, prefix.client_timeout);
+  return retired_ && visits_.count() == 0 &&
+         loop_.now() > std::max(*retired_, last_visit_ + longest) + kAfterLast;
+}
+
+void Carrier::log(std::string_view text) {
+  if (manner_.pool.empty()) loop_.log().info() << text;
+  else loop_.log().event(Level::Info, "pool.report").with("pool", manner_.pool).with("text", text);
+}
 
 // ---- what the module asks for
 
@@ -39,9 +62,8 @@
 std::unique_ptr<Backend> Carrier::take_kept(Backend::Carried fetch, const std::string& endpoint) {
   while (std::unique_ptr<Backend> kept = idle_.take(endpoint)) {
     double idle = kept->stood_idle(loop_.now());
-    const PathPrefix* prefix = find_prefix(path_prefix_of(visits_.find(fetch.visit)->request.target));
     // Rule 2: a mutating visit that meets a dropped connection can only be errored. The others find out.
-    if (prefix->kind == Kind::Mutating && kept_uses_.doubtful(idle)) {
+    if (visits_.find(fetch.visit)->prefix->kind == Kind::Mutating && kept_uses_.doubtful(idle)) {
       idle_.put(endpoint, std::move(kept), loop_.now() - idle);
       return {};
     }
@@ -53,21 +75,23 @@
 }
 
 bool Carrier::start(Backend::Carried fetch, const std::string& endpoint) {
-  Backend*& used = visits_.find(fetch.visit)->fetches[std::size_t(fetch.number)].backend;
+  VisitInHand& visit = *visits_.find(fetch.visit);
+  Backend*& used = visit.fetches[std::size_t(fetch.number)].backend;
+  bool head = visit.request.method == "HEAD";
   if (std::unique_ptr<Backend> kept = take_kept(fetch, endpoint)) {
-    visits_.find(fetch.visit)->fetches[std::size_t(fetch.number)].stood_idle = kept->stood_idle(loop_.now());
+    visit.fetches[std::size_t(fetch.number)].stood_idle = kept->stood_idle(loop_.now());
     used = kept.get();
     busy_[used] = std::move(kept);
-    used->carry(fetch);
+    used->carry(fetch, head);
     return true;
   }
   const std::string* address = addresses_.find(endpoint);
-  if (!address || !room_for_connection()) return false;
-  auto fresh = std::make_unique<Backend>(loop_, *this, endpoint);
+  if (!address || !admission_.room_for_fetch()) return false;
+  auto fresh = std::make_unique<Backend>(loop_, *this, endpoint, manner_.most_body);
   if (!fresh->connect(*address, deployment_.connect_timeout)) return false;
   used = fresh.get();
   busy_[used] = std::move(fresh);
-  used->carry(fetch);
+  used->carry(fetch, head);
   return true;
 }
 
@@ -85,9 +109,18 @@
   conclude(id, 503, nullptr, advice, "bounced: trying again does no harm\n");
 }
 
-void Carrier::error(VisitId id) { conclude(id, 502, nullptr, "", "errored: it may or may not have run\n"); }
+void Carrier::error(VisitId id) {
+  VisitInHand* visit = visits_.find(id);
+  // Better what the endpoint itself said than that it said something.
+  if (visit && visit->failed) {
+    HttpMessage said = std::move(*visit->failed);
+    return conclude(id, said.status, &said, "", "");
+  }
+  conclude(id, 502, nullptr, "", "errored: it may or may not have run\n");
+}
 
 void Carrier::wake(double at, std::uint64_t token) {
+  if (retired_ && visits_.count() == 0) return;  // there is nothing left to be woken for
   loop_.at(at, [this, token] { policy_->woken(loop_.now(), token); });
 }
 
@@ -97,7 +130,7 @@
   if (!visit || visit->concluded()) return;
   Client& client = *std::exchange(visit->client, nullptr);
   client.visit.reset();
-  client.answer(status, from, more_headers, text, last_call_);
+  client.answer(status, from, more_headers, text, false);
   // Not forgotten here: the module may be in the middle of it, and ask for more cancels.
   loop_.soon([this, id] { visits_.forget_if_over(id); });
 }
@@ -117,6 +150,7 @@
 void Carrier::on_fetched(Backend& backend, Outcome outcome, HttpMessage answer) {
   auto [id, number] = backend.carried();
   std::unique_ptr<Backend> owned = std::move(busy_.extract(&backend).mapped());
+  if (backend.idle() && retired_) backend.give_up();
   if (backend.idle()) idle_.put(backend.endpoint(), std::move(owned), loop_.now());
   else loop_.bury(std::move(owned));
   FetchInHand& fetch = visits_.find(id)->fetches[std::size_t(number)];
@@ -125,6 +159,10 @@
   ended(id, number, outcome, &answer);
 }
 
+Outcome Carrier::outcome_of(const HttpMessage& answer) const {
+  return manner_.any_status ? outcome_of_any(answer) : puffinvane::outcome_of(answer);
+}
+
 void Carrier::on_idle_end(Backend& backend) { loop_.bury(idle_.take(backend.endpoint(), backend)); }
 
 void Carrier::out_of_time(VisitId id, int number) {
@@ -140,13 +178,15 @@
   loop_.soon([this, id, number, outcome] { ended(id, number, outcome, nullptr); });
 }
 
-void Carrier::ended(VisitId id, int number, Outcome outcome, const HttpMessage* answer) {
+void Carrier::ended(VisitId id, int number, Outcome outcome, HttpMessage* answer) {
   VisitInHand* visit = visits_.find(id);
   if (!visit || visit->fetches[std::size_t(number)].reported) return;
   visit->fetches[std::size_t(number)].reported = true;
   double now = loop_.now();
-  if (outcome == Outcome::Delivered) conclude(id, 200, answer, "", "");
+  if (outcome == Outcome::Delivered) conclude(id, manner_.any_status ? answer->status : 200, answer, "", "");
   Load load = answer ? read_load(answer->header("X-Backend-Load")) : Load();
+  if (manner_.any_status && outcome == Outcome::Failed && answer && answer->status > 0 && !visit->concluded())
+    visit->failed = std::move(*answer);
   policy_->fetch_ended(
       now, {id, number, outcome, visit->concluded(), now - visit->fetches[std::size_t(number)].sent, load});
   visits_.forget_if_over(id);
@@ -154,28 +194,10 @@
 
 // ---- callers
 
-bool Carrier::on_knock() {
-  // Half of the descriptors are kept for endpoints: a visit taken without one to fetch it with is lost.
-  bool room = int(clients_.size()) < loop_.descriptors().limit() / 2 && loop_.descriptors().left() > 0 &&
-              loop_.pool().lent() * Pool::kSize < most_bytes_;
-  return room || drop_one_client();
-}
-
-void Carrier::on_entered(Ref<GSocket> socket) {
-  auto client = std::make_unique<Client>(loop_, *this, std::move(socket));
-  const Client* key = client.get();
-  clients_.emplace(key, std::move(client));
-}
-
-void Carrier::on_left(Client& client) {
-  std::unique_ptr<Client> owned = std::move(clients_.extract(&client).mapped());
-  if (client.visit) {
-    VisitId id = *client.visit;
-    visits_.find(id)->client = nullptr;
-    policy_->withdrawn(loop_.now(), id);
-    visits_.forget_if_over(id);
-  }
-  loop_.bury(std::move(owned));
+void Carrier::on_caller_left(VisitId id) {
+  visits_.find(id)->client = nullptr;
+  policy_->withdrawn(loop_.now(), id);
+  visits_.forget_if_over(id);
 }
 
 const PathPrefix* Carrier::find_prefix(std::string_view name) const {
@@ -185,73 +207,23 @@
   return nullptr;
 }
 
-void Carrier::on_request(Client& client, HttpMessage request) {
-  if (request.target == "/healthz" && request.method == "GET")
-    return client.answer(gone_ ? 503 : 200, nullptr, "", gone_ ? "leaving\n" : "ready\n", last_call_);
-  if (request.method == "HEAD" || request.method == "CONNECT")
-    return client.answer(405, nullptr, "Allow: GET, POST\r\n", "", true);
-  if (!find_prefix(path_prefix_of(request.target)))
-    return client.answer(404, nullptr, "", "no such path prefix\n", true);
-  std::string_view id = request.header(kVisitHeader);
-  if (id.empty() || request.count(kVisitHeader) > 1 || visits_.open(id))
-    return client.answer(400, nullptr, "", "X-Correlation-Id has to be there, once and new\n", true);
-  take_visit(client, std::move(request));
-}
-
-void Carrier::take_visit(Client& client, HttpMessage request) {
-  std::string prefix(path_prefix_of(request.target)), customer(request.header("X-Account"));
-  double time_left = find_prefix(prefix)->client_timeout;
-  if (int told = request.count("X-Time-Left"); told > 0) {
-    std::optional<double> read = read_time_left(request.header("X-Time-Left"));
-    if (!read || told > 1)
-      return client.answer(400, nullptr, "", "X-Time-Left is no number with m or u\n", true);
-    // No caller waits longer than its path prefix lets it: a visit of a year would be kept for as long.
-    time_left = std::min(time_left, *read);
-  }
+void Carrier::take(Client& client, HttpMessage request, const PathPrefix& prefix, double time_left) {
   // It may have lain here unread for all of a stall; its caller has counted on meanwhile.
   time_left = std::max(0.0, time_left - loop_.stalled());
   double now = loop_.now();
   if (gone_) time_left = std::clamp(*gone_ - now, 0.0, time_left);
-  VisitId id = visits_.add({std::move(request), now + time_left, &client});
-  client.visit = id;
-  policy_->arrive(now, {id, prefix, customer, time_left});
-}
-
-bool Carrier::drop_one_client() {
-  // Nothing was taken from any of them. Those that never sent a whole request go first: crowds that only
-  // connect would else push out callers between two visits.
-  double now = loop_.now();
-  auto before = [](const Client& one, const Client& other) {
-    if (one.newcomer() != other.newcomer()) return one.newcomer();
-    return one.used() < other.used();
-  };
-  Client* oldest = nullptr;
-  for (auto& [key, client] : clients_) {
-    if (oldest && !before(*client, *oldest)) continue;
-    bool spare = client->newcomer() ? now - client->used() > kNewcomer : client->idle();
-    if (spare) oldest = client.get();
-  }
-  if (oldest) oldest->part();
-  return oldest != nullptr;
-}
-
-void Carrier::close_idle_clients() {
-  std::vector<Client*> idle;
-  for (auto& [key, client] : clients_) {
-    if (client->idle()) idle.push_back(client.get());
-  }
-  for (Client* client : idle) client->part();
+  last_visit_ = now;
+  std::string customer(request.header("X-Account"));
+  VisitId id = visits_.add({std::move(request), now + time_left, &client, &prefix});
+  client.visit = {this, id};
+  policy_->arrive(now, {id, prefix.name, customer, time_left});
 }
 
 // ---- endpoints and their list
 
-bool Carrier::room_for_connection() {
-  while (loop_.descriptors().left() <= 0) {
-    std::unique_ptr<Backend> oldest = idle_.take_oldest(loop_.now());
-    if (!oldest) return false;
-    oldest->give_up(), loop_.bury(std::move(oldest));
-  }
-  return true;
+void Carrier::drop_oldest_idle() {
+  std::unique_ptr<Backend> oldest = idle_.take_oldest(std::numeric_limits<double>::infinity());
+  if (oldest) oldest->give_up(), loop_.bury(std::move(oldest));
 }
 
 void Carrier::drop_connections(const std::string& endpoint) {
@@ -304,9 +276,6 @@
   double now = loop_.now();
   while (std::unique_ptr<Backend> old = idle_.take_oldest(now - kIdleShare * deployment_.idle_time))
     old->give_up(), loop_.bury(std::move(old));
-  std::vector<Client*> all;
-  for (auto& [key, client] : clients_) all.push_back(client.get());
-  for (Client* client : all) client->look(now);
   loop_.at(now + kSweep, alive_.guard([this] { sweep(); }));
 }
 
--- a/sidecar/wire/carrier.h
+++ b/sidecar/wire/carrier.h
@@ -12,9 +12,9 @@
 #include "sidecar/memory/idle.h"
 #include "sidecar/memory/kept_uses.h"
 #include "sidecar/memory/visits.h"
+#include "sidecar/wire/admission.h"
 #include "sidecar/wire/backend.h"
 #include "sidecar/wire/client.h"
-#include "sidecar/wire/door.h"
 #include "sidecar/wire/watch.h"
 
 namespace puffinvane {
@@ -23,24 +23,38 @@
 using PolicyMaker = std::unique_ptr<Policy> (*)(double now, Deployment deployment, std::uint64_t seed,
                                                 Host& host);
 
+// How a pool's endpoints are talked to.
+struct Manner {
+  bool any_status = false;  // they are servers like any other: their statuses reach the callers
+  std::size_t most_body = HttpReader::kMostBody;
+  std::string pool;  // its name in the log; none: there is but one
+};
+
 class Carrier final : public Host,
-                      public Client::Owner,
+                      public Client::Visited,
                       public Backend::Owner,
                       public Watch::Owner,
-                      public Door::Owner {
+                      public Admission::Spares {
  public:
-  Carrier(Loop& loop, Deployment deployment, std::uint64_t seed, std::size_t most_bytes, PolicyMaker make);
+  Carrier(Loop& loop, Admission& admission, Deployment deployment, std::uint64_t seed, PolicyMaker make,
+          Manner manner = {});
   ~Carrier() override;
 
   void know(const EndpointList& known);      // the list as it was had last
   void leave(double gone) { gone_ = gone; }  // no visit is given time beyond that
-  void last_call() { last_call_ = true; }    // answers are the last on their connections from here on
-  void close_idle_clients();
-  bool empty() const { return clients_.empty(); }
+  // Takes no more visits, keeps no connection. Once `spent` it may be let go of: nothing calls it any more.
+  void retire();
+  bool spent() const;
+  const Deployment& deployment() const { return deployment_; }
+  const PathPrefix* find_prefix(std::string_view name) const;
+
+  bool open(std::string_view id) const {
+    return visits_.open(id);
+  }  // a visit with its caller's id is in hand
+  // prefix: of this carrier's deployment. time_left: seconds that its caller still waits.
+  void take(Client& client, HttpMessage request, const PathPrefix& prefix, double time_left);
 
   void on_list(const EndpointList& list) override;
-  bool on_knock() override;
-  void on_entered(Ref<GSocket> socket) override;
 
  private:
   void fetch(VisitId visit, std::string_view endpoint, double abandon_at) override;
@@ -49,40 +63,38 @@
   void error(VisitId visit) override;
   void wake(double at, std::uint64_t token) override;
   void follow_list(bool) override {}  // the watch always stands
-  void log(std::string_view text) override { loop_.log().info() << text; }
+  void log(std::string_view text) override;
 
-  void on_request(Client& client, HttpMessage request) override;
-  void on_left(Client& client) override;
+  void on_caller_left(VisitId visit) override;
   Chain on_ready(Backend& backend) override;
+  Outcome outcome_of(const HttpMessage& answer) const override;
   void on_fetched(Backend& backend, Outcome outcome, HttpMessage answer) override;
   void on_idle_end(Backend& backend) override;
+  double oldest_idle() const override { return idle_.oldest(); }
+  void drop_oldest_idle() override;
 
-  const PathPrefix* find_prefix(std::string_view name) const;
   std::unique_ptr<Backend> take_kept(Backend::Carried fetch, const std::string& endpoint);
-  void take_visit(Client& client, HttpMessage request);
   void conclude(VisitId id, int status, const HttpMessage* from, std::string_view more_headers,
                 std::string_view text);
-  void ended(VisitId id, int number, Outcome outcome, const HttpMessage* answer);
+  void ended(VisitId id, int number, Outcome outcome, HttpMessage* answer);
   void end_soon(VisitId id, int number, Outcome outcome);
   void out_of_time(VisitId id, int number);
   bool start(Backend::Carried fetch, const std::string& endpoint);
-  bool room_for_connection();
-  bool drop_one_client();
   void drop_connections(const std::string& endpoint);
   Backend::Carried let_go(Backend& backend);
   void note_entries(const EndpointList& list, ListScope scope);
   void sweep();
 
   Loop& loop_;
+  Admission& admission_;
   const Deployment deployment_;
-  const std::size_t most_bytes_;
-  std::optional<double> gone_;
-  bool last_call_ = false;
+  const Manner manner_;
+  std::optional<double> gone_, retired_;
+  double last_visit_ = 0;
   Addresses addresses_;
   Visits visits_;
   Idle<Backend> idle_;
   KeptUses kept_uses_;
-  std::unordered_map<const Client*, std::unique_ptr<Client>> clients_;
   std::unordered_map<const Backend*, std::unique_ptr<Backend>> busy_;
   Alive alive_;
   std::unique_ptr<Policy> policy_;
--- a/sidecar/wire/client.cpp
+++ b/sidecar/wire/client.cpp
@@ -31,12 +31,13 @@
     {State::Lingering, Input::Ended, State::Over, &Client::leave},
 };
 
-Client::Client(Loop& loop, Owner& owner, Ref<GSocket> socket)
+Client::Client(Loop& loop, Owner& owner, Ref<GSocket> socket, int door, std::size_t most_body)
     : loop_(loop),
       owner_(owner),
       stream_(loop, *this),
-      reader_(HttpReader::Side::Request, loop.pool()),
+      reader_(HttpReader::Side::Request, loop.pool(), most_body),
       unread_(loop.pool()),
+      door_(door),
       used_(loop.now()),
       heard_(used_) {
   stream_.adopt(std::move(socket));
@@ -81,7 +82,8 @@
 
 void Client::hand_over() {
   HttpMessage request = reader_.take();
-  keep_alive_ = request.keep_alive;
+  keep_alive_ = request.keep_alive && !parts_;
+  to_head_ = request.method == "HEAD";
   continued_ = false, asked_ = true;
   owner_.on_request(*this, std::move(request));
 }
@@ -101,9 +103,9 @@
 void Client::answer(int status, const HttpMessage* from, std::string_view more_headers, std::string_view text,
                     bool last) {
   if (state_ != State::Waiting) return;
-  last = last || !keep_alive_;
+  last = last || !keep_alive_ || owner_.last_call();
   Chain out(loop_.pool());
-  write_answer(out, status, from, more_headers, text, last);
+  write_answer(out, status, from, more_headers, text, last, to_head_);
   used_ = loop_.now();
   turn(last ? Input::LastAnswer : Input::Answer);
   stream_.send(std::move(out));
--- a/sidecar/wire/client.h
+++ b/sidecar/wire/client.h
@@ -17,9 +17,19 @@
     virtual ~Owner() = default;
     virtual void on_request(Client& client, HttpMessage request) = 0;
     virtual void on_left(Client& client) = 0;  // its connection is over; the owner lets go of it
+    virtual bool last_call() const = 0;        // answers are the last on their connections
+  };
+  class Visited {  // who has its visit in hand
+   public:
+    virtual ~Visited() = default;
+    virtual void on_caller_left(std::uint32_t visit) = 0;
+  };
+  struct InHand {
+    Visited* by = nullptr;
+    std::uint32_t visit = 0;
   };
 
-  Client(Loop& loop, Owner& owner, Ref<GSocket> socket);
+  Client(Loop& loop, Owner& owner, Ref<GSocket> socket, int door, std::size_t most_body);
 
   // last: nothing more is read from this connection.
   void answer(int status, const HttpMessage* from, std::string_view more_headers, std::string_view text,
@@ -33,7 +43,9 @@
   // Ends what has stood for longer than is owed to it: half a request, nothing at all, an answer unread.
   void look(double now);
   double used() const { return used_; }
-  std::optional<std::uint32_t> visit;  // the one in hand, for the owner's use
+  int door() const { return door_; }                        // that it came in by
+  void part_soon() { keep_alive_ = false, parts_ = true; }  // the next answer is the last
+  std::optional<InHand> visit;
 
  private:
   enum class State { Reading, Waiting, Answering, Parting, Lingering, Over };
@@ -58,7 +70,8 @@
   HttpReader reader_;
   Chain unread_;
   State state_ = State::Reading;
-  bool keep_alive_ = true, continued_ = false, asked_ = false;
+  bool keep_alive_ = true, continued_ = false, asked_ = false, parts_ = false, to_head_ = false;
+  const int door_;
   double used_, heard_;
   Alive alive_;
 };
--- a/sidecar/wire/door.cpp
+++ b/sidecar/wire/door.cpp
@@ -26,6 +26,7 @@
   if (!socket_ || !g_socket_bind(socket_.get(), at.get(), TRUE, &raw) ||
       !g_socket_listen(socket_.get(), &raw)) {
     Error error(raw);
+    socket_.reset();
     throw std::runtime_error("can't listen at " + std::string(address) + ": " + error->message);
   }
   loop_.descriptors().opened();
@@ -60,7 +61,7 @@
     if (!none && source_) pause();
     return false;
   }
-  owner_.on_entered(std::move(entered));
+  owner_.on_entered(std::move(entered), number_);
   return true;
 }
 
@@ -73,6 +74,12 @@
   return G_SOURCE_CONTINUE;
 }
 
+Door::~Door() {
+  if (!socket_) return;
+  g_socket_close(socket_.get(), nullptr);
+  loop_.descriptors().closed();
+}
+
 void Door::close() {
   if (!socket_) return;
   source_.reset();
--- a/sidecar/wire/door.h
+++ b/sidecar/wire/door.h
@@ -13,12 +13,14 @@
    public:
     virtual ~Owner() = default;
     virtual bool on_knock() = 0;  // whether one more may come in
-    virtual void on_entered(Ref<GSocket> socket) = 0;
+    virtual void on_entered(Ref<GSocket> socket, int door) = 0;
   };
 
-  Door(Loop& loop, Owner& owner) : loop_(loop), owner_(owner) {}
-  void open(std::string_view address);  // throws std::runtime_error
-  void close();                         // takes in those who wait already
+  Door(Loop& loop, Owner& owner, int number = 0) : loop_(loop), owner_(owner), number_(number) {}
+  ~Door();
+  int number() const { return number_; }  // told with each who enters
+  void open(std::string_view address);    // throws std::runtime_error
+  void close();                           // takes in those who wait already
 
  private:
   static gboolean knocked(GSocket*, GIOCondition, gpointer self);
@@ -29,6 +31,7 @@
 
   Loop& loop_;
   Owner& owner_;
+  const int number_;
   Ref<GSocket> socket_;
   Source source_;
   Alive alive_;
--- a/sidecar/wire/headers.cpp
+++ b/sidecar/wire/headers.cpp
@@ -27,6 +27,15 @@
   return std::min(count * units, 3600.0);  // an hour outlasts any client timeout and any clock sum
 }
 
+std::optional<double> time_left_of(const HttpMessage& request, double most) {
+  int told = request.count("X-Time-Left");
+  if (told == 0) return most;
+  std::optional<double> read = read_time_left(request.header("X-Time-Left"));
+  if (!read || told > 1) return {};
+  // No caller waits longer than its path prefix lets it: a visit of a year would be kept for as long.
+  return std::min(most, *read);
+}
+
 std::string write_time_left(double seconds) {
   return std::to_string(std::int64_t(std::max(0.0, seconds) * 1e6)) + "u";
 }
@@ -62,6 +71,10 @@
   return turned_away ? Outcome::Refused : Outcome::Failed;
 }
 
+Outcome outcome_of_any(const HttpMessage& answer) {
+  return answer.status < 500 ? Outcome::Delivered : outcome_of(answer);
+}
+
 Outcome outcome_of_break(bool written) { return written ? Outcome::Broken : Outcome::ConnectFailed; }
 
 }  // namespace puffinvane
--- a/sidecar/wire/headers.h
+++ b/sidecar/wire/headers.h
@@ -16,7 +16,13 @@
 std::string write_wait(double seconds);  // of Retry-After, decimal
 Load read_load(std::string_view value);  // "inflight=7,queue=2"
 
+// What is left of its caller's time, at most 'most'; nothing if a request says it in a way that can't be
+// read.
+std::optional<double> time_left_of(const HttpMessage& request, double most);
+
 Outcome outcome_of(const HttpMessage& answer);
+// Where endpoints are servers like any other: what isn't their fault is their answer, whatever its status.
+Outcome outcome_of_any(const HttpMessage& answer);
 Outcome outcome_of_break(bool written);  // written: the request's last byte
 
 }  // namespace puffinvane
--- a/sidecar/wire/http.cpp
+++ b/sidecar/wire/http.cpp
@@ -48,14 +48,30 @@
 std::string_view reason(int status) {
   switch (status) {
     case 200: return "OK";
+    case 201: return "Created";
+    case 202: return "Accepted";
+    case 204: return "No Content";
+    case 206: return "Partial Content";
+    case 301: return "Moved Permanently";
+    case 302: return "Found";
+    case 303: return "See Other";
+    case 304: return "Not Modified";
+    case 307: return "Temporary Redirect";
+    case 308: return "Permanent Redirect";
     case 400: return "Bad Request";
+    case 401: return "Unauthorized";
+    case 403: return "Forbidden";
     case 404: return "Not Found";
     case 405: return "Method Not Allowed";
     case 408: return "Request Timeout";
+    case 409: return "Conflict";
+    case 410: return "Gone";
     case 413: return "Content Too Large";
     case 431: return "Request Header Fields Too Large";
+    case 500: return "Internal Server Error";
     case 502: return "Bad Gateway";
     case 503: return "Service Unavailable";
+    case 504: return "Gateway Timeout";
     default: return "Answer";
   }
 }
@@ -202,7 +218,7 @@
     state_ = State::Start;
     return;
   }
-  bool bodiless = side_ == Side::Answer && (message_.status == 204 || message_.status == 304);
+  bool bodiless = side_ == Side::Answer && (no_body_ || message_.status == 204 || message_.status == 304);
   if (sized && size > most_body_ && !bodiless) return fail(Fault::BodyTooLarge);
   left_ = size;
   if (bodiless) state_ = State::Whole;
@@ -267,14 +283,19 @@
 }
 
 void write_answer(Chain& out, int status, const HttpMessage* from, std::string_view more_headers,
-                  std::string_view text, bool close) {
+                  std::string_view text, bool close, bool to_head) {
   std::string head = "HTTP/1.1 " + std::to_string(status) + " ";
   head.append(reason(status)).append("\r\n");
   if (from) add_headers(head, *from);
-  std::size_t size = from ? from->body.size() : text.size();
-  head.append("Content-Length: ").append(std::to_string(size)).append("\r\n").append(more_headers);
+  std::string size = std::to_string(from ? from->body.size() : text.size());
+  // To a HEAD the endpoint's own figure, of the body that it would have sent.
+  if (to_head && from) size = from->header("Content-Length");
+  bool sized = !size.empty() && status != 204 && status != 304;
+  if (sized) head.append("Content-Length: ").append(size).append("\r\n");
+  head.append(more_headers);
   if (close) head.append("Connection: close\r\n");
   out.add(head.append("\r\n"));
+  if (!sized || to_head) return;
   from ? out.add(from->body) : out.add(text);
 }
 
--- a/sidecar/wire/http.h
+++ b/sidecar/wire/http.h
@@ -47,6 +47,8 @@
   Fault fault() const { return fault_; }
   const HttpMessage& message() const { return message_; }
   HttpMessage take();
+  // The answer to a HEAD says how long it would be and is not.
+  void expect_no_body(bool none) { no_body_ = none; }
   std::string take_body();  // of an answer that goes on: what has come by now
 
  private:
@@ -71,6 +73,7 @@
   HttpMessage message_;
   State state_ = State::Start;
   Fault fault_ = Fault::None;
+  bool no_body_ = false;
   std::string line_;
   std::size_t head_ = 0, left_ = 0;
 };
@@ -79,6 +82,6 @@
 bool passes_on(std::string_view header);
 void write_request(Chain& out, const HttpMessage& request, std::string_view host, std::string_view time_left);
 void write_answer(Chain& out, int status, const HttpMessage* from, std::string_view more_headers,
-                  std::string_view text, bool close);
+                  std::string_view text, bool close, bool to_head = false);
 
 }  // namespace puffinvane
--- /dev/null
+++ b/site/site.cpp
@@ -0,0 +1,69 @@
+#include "site/site.h"
+
+#include <algorithm>
+#include <numeric>
+#include <set>
+#include <utility>
+
+namespace puffinvane::site {
+
+namespace {
+constexpr double kRound = 0.005;  // seconds that an answer needs to get out
+}
+
+Deployment deployment_of(const Site& site, const Pool& pool) {
+  Deployment deployment;
+  // Only what its visits can be, in one order: another pool's prefix that comes or goes changes nothing here.
+  std::set<std::string> used;
+  for (const Route& route : site.routes) {
+    bool leads = std::any_of(route.targets.begin(), route.targets.end(),
+                             [&](const Target& target) { return target.pool == pool.name; });
+    if (leads) used.insert(route.prefix);
+  }
+  for (const PathPrefix& prefix : site.prefixes) {
+    if (used.contains(prefix.name)) deployment.path_prefixes.push_back(prefix);
+  }
+  auto by_name = [](const auto& one, const auto& other) { return one.name < other.name; };
+  std::sort(deployment.path_prefixes.begin(), deployment.path_prefixes.end(), by_name);
+  for (const Customer& customer : site.customers) {
+    double quota = customer.quota.value_or(customer.share.value_or(0) * site.limits.visits);
+    deployment.customers.push_back({customer.name, quota});
+  }
+  std::sort(deployment.customers.begin(), deployment.customers.end(), by_name);
+  deployment.cold = {pool.cold_share, pool.warm_after};
+  deployment.max_fetches = pool.max_fetches;
+  deployment.parallel_fetches = pool.copies;
+  deployment.may_cancel = pool.cancel;
+  deployment.advises_wait = pool.retry_after > 0;
+  deployment.longest_wait_advice = pool.retry_after;
+  deployment.connect_timeout = pool.connect_timeout;
+  deployment.idle_time = pool.idle_time;
+  deployment.zone = pool.zone;
+  deployment.round = kRound;
+  return deployment;
+}
+
+std::string identity_of(const Endpoint& endpoint) { return endpoint.name + "@" + endpoint.address; }
+
+std::string nearest(const std::string& written, const std::vector<std::string>& known) {
+  constexpr std::size_t kLongest = 64;  // of a name worth comparing: the cost is the product of both lengths
+  std::string best;
+  std::size_t least = std::max<std::size_t>(1, std::min<std::size_t>(2, written.size() / 3)) + 1;
+  if (written.size() > kLongest) return best;
+  for (const std::string& name : known) {
+    if (name.size() > kLongest || name == written) continue;
+    std::vector<std::size_t> row(written.size() + 1);
+    std::iota(row.begin(), row.end(), std::size_t{0});
+    for (std::size_t i = 0; i < name.size(); ++i) {
+      std::size_t corner = std::exchange(row[0], i + 1);
+      for (std::size_t j = 0; j < written.size(); ++j) {
+        std::size_t changed = corner + (name[i] != written[j]);
+        corner = std::exchange(row[j + 1], std::min({row[j] + 1, row[j + 1] + 1, changed}));
+      }
+    }
+    if (row.back() < least) least = row.back(), best = name;
+  }
+  return best;
+}
+
+}  // namespace puffinvane::site
