--- a/language/lexer.cpp
+++ b/language/lexer.cpp
@@ -21,6 +21,9 @@
 }
 
 bool control(char c) { return (static_cast<unsigned char>(c) < 0x20 && c != '\t' && c != '\n') || c == 0x7f; }
+// The byte order mark. Inside a file nobody sees it, and moved to the front it would be gone.
+constexpr std::string_view kMark = "\xef\xbb\xbf";
+
 bool blank(char c) { return c == ' ' || c == '\t'; }
 bool ends_word(char c) {
   return blank(c) || c == '\n' || c == '\r' || c == '{' || c == '}' || c == ',' || c == ';' || c == '"';
@@ -36,7 +39,7 @@
 
 Lexer::Lexer(int file, std::string_view text, Messages& messages)
     : file_(file), text_(text), messages_(messages) {
-  if (text_.starts_with("\xef\xbb\xbf")) at_ = 3;  // the mark that some editors put first
+  if (text_.starts_with(kMark)) at_ = kMark.size();  // some editors put it first
 }
 
 Place Lexer::here() const { return {file_, line_, column_, 1}; }
@@ -52,6 +55,10 @@
 
 bool Lexer::pass_doubtful() {
   bool crlf = peek() == '\r' && at_ + 1 < text_.size() && text_[at_ + 1] == '\n';
+  if (text_.substr(at_).starts_with(kMark)) {
+    messages_.say(here(), "a byte order mark, which only stands first in a file");
+    return pass(), true;
+  }
   bool broken = size_of_character(text_.substr(at_)) == 0;
   if (crlf || (!broken && !control(peek()))) return false;
   Place place = here();
@@ -102,7 +109,8 @@
 Token Lexer::word() {
   Place place = here();
   std::size_t from = at_;
-  while (!at_end() && !ends_word(peek()) && !control(peek()) && size_of_character(text_.substr(at_)) > 0)
+  while (!at_end() && !ends_word(peek()) && !control(peek()) && size_of_character(text_.substr(at_)) > 0 &&
+         !text_.substr(at_).starts_with(kMark))
     pass();
   return made(Token::Kind::Word, from, place);
 }
--- a/language/parser.cpp
+++ b/language/parser.cpp
@@ -29,6 +29,7 @@
     if (!(is(Kind::Word) || is(Kind::Quoted) || is(Kind::Comment))) return;
     if (room_ > 0 && --room_ == 0)
       messages_.say(token_.place, "the site is too large: nothing is read from here on");
+    hopeless_ = hopeless_ || room_ == 0;
     if (room_ == 0) token_ = {Kind::Finish, token_.place, {}, false};
   }
   bool is(Kind kind) const { return token_.kind == kind; }
@@ -49,7 +50,7 @@
           advance();
           break;
         case Kind::Finish:
-          if (open && room_ > 0) messages_.say(open->place, "this `{` is never closed");
+          if (open && !hopeless_) messages_.say(open->place, "this `{` is never closed");
           last = std::move(comments);
           return;
         case Kind::Close:
@@ -71,26 +72,31 @@
           lines = 0;
           break;
         }
-        default: stray(into, depth); lines = 0;
+        default: stray(into); lines = 0;
       }
     }
   }
 
-  void stray(std::vector<Item>& into, int depth) {
+  // What can't begin an item is said once, and passed up to the end of its line.
+  void stray(std::vector<Item>& into) {
     if (is(Kind::Open)) {
       std::string fix =
           into.empty() ? "" : "put the `{` on the line of `" + std::string(into.back().word) + "`";
+      if (!into.empty()) into.back().broken = true;
       messages_.say(token_.place, "a block that belongs to no word", fix);
-      Item unnamed;
-      block(unnamed, depth);
-      return;
+    } else {
+      messages_.say(token_.place, is(Kind::Comma) ? "a comma with nothing before it"
+                                                  : "a text where a word has to stand, as `pool` or `route`");
     }
-    messages_.say(token_.place, is(Kind::Comma) ? "a comma with nothing before it"
-                                                : "a text where a word has to stand, as `pool` or `route`");
-    advance();
+    pass_line();
+  }
+  void pass_line() {
+    while (!is(Kind::End) && !is(Kind::Close) && !is(Kind::Comment) && !is(Kind::Finish))
+      is(Kind::Open) ? skip() : advance();
   }
 
   void read(Item& item, int depth) {
+    std::size_t said = messages_.count();
     item.word = token_.raw, item.place = token_.place;
     advance();
     std::optional<Token> comma;
@@ -121,8 +127,11 @@
     if (comma) messages_.say(comma->place, "nothing comes after this comma");
     if (is(Kind::Open)) block(item, depth);
     if (is(Kind::Comment)) item.after = token_.raw, advance();
-    if (is(Kind::Word) || is(Kind::Quoted) || is(Kind::Open) || is(Kind::Comma))
+    if (is(Kind::Word) || is(Kind::Quoted) || is(Kind::Open) || is(Kind::Comma)) {
       messages_.say(token_.place, "a new line or `;` has to come before this");
+      if (!is(Kind::Word)) pass_line();
+    }
+    item.broken = messages_.count() != said || (depth > 0 && is(Kind::Finish));
   }
 
   void block(Item& item, int depth) {
@@ -130,6 +139,7 @@
     item.has_block = true;
     if (depth + 1 > kDeepest) {
       messages_.say(open.place, "blocks within blocks, deeper than " + std::to_string(kDeepest));
+      hopeless_ = true;
       return skip();
     }
     advance();
@@ -145,6 +155,7 @@
     } while (open > 0 && !is(Kind::Finish));
   }
 
+  bool hopeless_ = false;  // the rest was not read: nothing is said of where it ends
   Lexer lexer_;
   Messages& messages_;
   std::size_t& room_;
--- a/language/read.cpp
+++ b/language/read.cpp
@@ -54,6 +54,10 @@
 constexpr double kDay = 86400, kMuch = 1e9;
 
 std::string ticked(std::string_view word) { return "`" + std::string(word.substr(0, 60)) + "`"; }
+std::string a(std::string_view word) {
+  bool vowel = !word.empty() && std::string_view("aeiou").find(word.front()) != std::string_view::npos;
+  return (vowel ? "an " : "a ") + ticked(word);
+}
 
 // One key of a section: how its value is written, within which bounds, and where it goes.
 template <typename T>
@@ -128,8 +132,11 @@
     defines();
     for (const Item* item : items_) section(*item);
     default_prefixes();
-    for (const Finding& finding : check(reading_.site)) {
-      if ((finding.of_whole && (!sound || !spoilt_.empty())) || doubtful(finding.subject)) continue;
+    std::vector<Finding> findings = check(reading_.site);
+    bool other =
+        std::any_of(findings.begin(), findings.end(), [](const Finding& it) { return !it.of_whole; });
+    for (const Finding& finding : findings) {
+      if ((finding.of_whole && (other || !sound || !spoilt_.empty())) || doubtful(finding.subject)) continue;
       if (!sound && finding.text.starts_with("no ")) continue;
       messages().say(place_of(finding.subject), finding.text, finding.fix);
     }
@@ -158,6 +165,7 @@
            std::to_string(place.column);
   }
   void include(const Item& item, const std::string& from) {
+    if (item.broken) return;
     if (item.arguments.size() != 1 || item.has_block)
       return messages().say(item.place, "`include` takes one file, as include \"pools.site\"");
     const Argument& argument = item.arguments.front();
@@ -192,7 +200,7 @@
   // ---- named values
   void defines() {
     for (const Item* item : items_) {
-      if (item->word != "define") continue;
+      if (item->word != "define" || item->broken) continue;
       if (item->arguments.size() < 2 || item->has_block) {
         messages().say(item->place, "`define` takes a name and a value, as define patience 2s");
         continue;
@@ -251,6 +259,8 @@
         {"listener", &Reader::listener}, {"pool", &Reader::pool},  {"prefix", &Reader::prefix},
         {"customer", &Reader::customer}, {"route", &Reader::route}};
     auto found = kSections.find(item.word);
+    if (item.broken) spoilt_.insert("site");
+    if (item.broken && (!item.has_block || found == kSections.end())) return;
     if (found == kSections.end()) {
       spoilt_.insert("site");
       std::vector<std::string> words{"include"};
@@ -300,7 +310,8 @@
     if (places_.contains(subject))
       note(subject + "#2", item.arguments.empty() ? item.place : item.arguments[0].place);
     note(subject, item.arguments.empty() ? item.place : item.arguments[0].place);
-    if (!item.has_block) {
+    if (item.broken) spoilt_.insert(subject);
+    if (!item.has_block && !item.broken) {
       messages().say(item.place, ticked(item.word) + " has no block", "add `{` and `}` with what it has");
       spoilt_.insert(subject);
     }
@@ -322,7 +333,7 @@
         std::vector<std::string> words = more;
         for (const Key<T>& it : keys) words.emplace_back(it.word);
         spoil(subject);
-        unknown(one, std::string("a `") + std::string(item.word) + "`", words);
+        unknown(one, a(item.word), words);
         continue;
       }
       if (!once(one, seen)) {
@@ -333,8 +344,8 @@
         key->set(into, *value);
     }
     for (const Key<T>& key : keys) {
-      if (!key.required || seen.contains(key.word) || !item.has_block) continue;
-      messages().say(item.place, ticked(item.word) + " needs a `" + key.word + "`");
+      if (!key.required || seen.contains(key.word) || !item.has_block || item.broken) continue;
+      messages().say(item.place, ticked(item.word) + " needs " + a(key.word));
       spoil(subject);
     }
   }
@@ -469,6 +480,10 @@
     std::string of = opened(item, read.name);
     std::map<std::string_view, Place> seen;
     for (const Item& one : item.block) {
+      if (one.broken) {
+        spoil(of);
+        continue;
+      }
       auto key =
           std::find_if(kKeys.begin(), kKeys.end(), [&](const RouteKey& it) { return it.word == one.word; });
       if (key == kKeys.end()) {
--- /dev/null
+++ b/language/tests/stories.cpp
@@ -0,0 +1,152 @@
+// The language's hard cases that need more than a file to look at.
+#undef NDEBUG
+#include <cassert>
+#include <chrono>
+#include <cstdio>
+#include <filesystem>
+#include <map>
+
+#include "language/lexer.h"
+#include "language/quantity.h"
+#include "language/read.h"
+#include "language/tree.h"
+
+using namespace puffinvane;
+using namespace puffinvane::language;
+
+namespace {
+
+class Memory final : public Files {
+ public:
+  std::optional<std::string> read(const std::string& path) override {
+    auto found = files.find(real(path));
+    return found == files.end() ? std::nullopt : std::optional(found->second);
+  }
+  std::string real(const std::string& path) override {
+    return std::filesystem::path(path).lexically_normal().string();
+  }
+  std::map<std::string, std::string> files;
+};
+
+const std::string kBase =
+    "listener main { address 127.0.0.1:5001 }\n"
+    "prefix status { kind read-like; target-latency 750ms; client-timeout 2s }\n"
+    "pool one { endpoint a 127.0.0.1:6000 }\n";
+
+void a_circle_of_three_files_is_shown_whole() {
+  Memory memory;
+  memory.files = {{"/s/a.site", "# a\ninclude \"b.site\"\n"},
+                  {"/s/b.site", "include \"in/c.site\"\n"},
+                  {"/s/in/c.site", "\n\n  include \"../b.site\"\n"}};
+  Reading reading = read_site("/s/a.site", memory);
+  std::vector<Message> said = reading.messages.in_order();
+  assert(said.size() == 1 && where(said[0], reading.sources) == "/s/in/c.site:3:11");
+  assert((said[0].notes == std::vector<std::string>{"b.site includes c.site", "c.site includes b.site"}));
+}
+
+void a_message_shows_its_line_with_a_caret_and_the_fix() {
+  Memory memory;
+  memory.files["/s/a.site"] =
+      kBase + "route all { path /; to one }\nlimits {\n\tbody 64KB  # caf\xc3\xa9\n}\n";
+  Reading reading = read_site("/s/a.site", memory);
+  assert(shown(reading.messages, reading.sources) ==
+         "/s/a.site:6:7: `KB` is no unit here: this has to be a size, as 64KiB\n"
+         "    \tbody 64KB  # caf\xc3\xa9\n"
+         "    \t     ^^^^\n"
+         "    fix: write 64KiB\n");
+}
+
+void a_fix_is_offered_only_where_it_is_sure() {
+  auto fix = [](Shape shape, const char* raw, double least, double most) {
+    return read_value(shape, raw, false, least, most).fix;
+  };
+  assert(fix(Shape::Time, "750", 1e-3, 60) == "write 750ms");    // 750 s is out of bounds
+  assert(fix(Shape::Time, "5", 1e-3, 60) == "write 5ms or 5s");  // either may be meant
+  assert(fix(Shape::Time, "0.5", 0.1, 60) == "write 0.5s");      // half a millisecond is too little
+  assert(fix(Shape::Size, "64KB", 1, 1e9) == "write 64KiB");
+  assert(fix(Shape::Time, "2m", 1e-3, 3600) == "write 2min");
+  assert(fix(Shape::Time, "2parsecs", 1e-3, 3600).empty());
+  assert(fix(Shape::Share, "64", 0, 1) == "write 64%");
+}
+
+void all_faults_of_a_file_are_told_at_once() {
+  Memory memory;
+  memory.files["/s/a.site"] =
+      "prefix a {\n  kind readlike\n  target-latency 5\n}\npool b {\n  endpoint x 1.2.3.4\n}\nroute c {\n  "
+      "too b\n}\n}\n";
+  Reading reading = read_site("/s/a.site", memory);
+  assert(reading.messages.count() == 6);  // kind, unit, client-timeout, port, `too`, the brace
+}
+
+void a_file_with_a_thousand_faults_tells_some_and_counts_the_rest() {
+  Memory memory;
+  for (int i = 0; i < 1000; ++i) memory.files["/s/a.site"] += "nonsense\n";
+  Reading reading = read_site("/s/a.site", memory);
+  assert(reading.messages.count() == 1000 && reading.messages.in_order().size() == Messages::kMost);
+  assert(shown(reading.messages, reading.sources).ends_with("and 800 more\n"));
+}
+
+void a_million_lines_are_read_in_seconds() {
+  Memory memory;
+  std::string& text = memory.files["/s/a.site"] = kBase;
+  for (int i = 0; i < 200000; ++i)
+    text += "route r" + std::to_string(i) + " {\n  path /r" + std::to_string(i) + "\n  to one\n  # end\n}\n";
+  auto began = std::chrono::steady_clock::now();
+  Reading reading = read_site("/s/a.site", memory);
+  assert(reading.messages.none() && reading.site.routes.size() == 200000);
+  Messages none;
+  assert(format(parse(0, text, none)).size() > text.size());
+  double took = std::chrono::duration<double>(std::chrono::steady_clock::now() - began).count();
+  std::printf("a million lines: %.2f s\n", took);
+  assert(took < 20);
+}
+
+void a_site_too_large_for_the_memory_is_refused() {
+  Memory memory;
+  std::string& text = memory.files["/s/a.site"];
+  for (std::size_t i = 0; i < kMostParts + 10; ++i) text += "a\n";
+  Messages messages;
+  Tree tree = parse(0, text, messages);
+  assert(messages.count() == 1 && tree.items.size() <= kMostParts);
+}
+
+void nothing_is_read_from_outside_the_folder_by_a_link_either() {
+  namespace fs = std::filesystem;
+  fs::path folder = fs::temp_directory_path() / ("links-" + std::to_string(std::uint64_t(::time(nullptr))));
+  fs::create_directories(folder / "site");
+  FILE* outside = std::fopen((folder / "outside.inc").c_str(), "w");
+  std::fputs("# secret\n", outside), std::fclose(outside);
+  FILE* main = std::fopen((folder / "site/a.site").c_str(), "w");
+  std::fputs("include \"link.inc\"\n", main), std::fclose(main);
+  fs::create_symlink("../outside.inc", folder / "site/link.inc");
+  Disk disk;
+  Reading reading = read_site((folder / "site/a.site").string(), disk);
+  fs::remove_all(folder);
+  assert(reading.messages.count() == 1 &&
+         reading.messages.in_order()[0].text.find("outside the site's folder") != std::string::npos);
+}
+
+void a_quoted_text_means_the_same_after_both_ways() {
+  for (const char* text : {"", "a", "a \"b\"", "\\", "\\n", "a\nb\tc", "\xc3\xa9"}) {
+    std::string written = quoted(text);
+    Messages none;
+    Tree tree = parse(0, "x " + written, none);
+    (void)tree;
+    assert(none.none() && meaning_of(written) == text);
+  }
+}
+
+}  // namespace
+
+int main() {
+  a_circle_of_three_files_is_shown_whole();
+  a_message_shows_its_line_with_a_caret_and_the_fix();
+  a_fix_is_offered_only_where_it_is_sure();
+  all_faults_of_a_file_are_told_at_once();
+  a_file_with_a_thousand_faults_tells_some_and_counts_the_rest();
+  a_million_lines_are_read_in_seconds();
+  a_site_too_large_for_the_memory_is_refused();
+  nothing_is_read_from_outside_the_folder_by_a_link_either();
+  a_quoted_text_means_the_same_after_both_ways();
+  std::puts("language: all stories hold");
+}
--- a/language/tree.h
+++ b/language/tree.h
@@ -32,6 +32,7 @@
   std::string_view after = {};       // behind all of it
   std::vector<Comment> at_close;     // above its `}`
   bool blank_before = false;
+  bool broken = false;  // the parser has said something of it: what it lacks may only be lost
 };
 
 struct Tree {
--- /dev/null
+++ b/serving/tests/serving.cpp
@@ -0,0 +1,471 @@
+// Stories of a whole site on loopback: reloads while visits are out, doors that can't be opened, pools that
+// come and go, what servers that know nothing of us answer.
+#undef NDEBUG
+#include <cassert>
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+#include "tests/peers.h"
+
+using namespace puffinvane;
+using namespace puffinvane::test;
+
+namespace {
+
+std::string program;  // its path, from the command line
+
+const std::string kPrefixes =
+    "prefix status { kind read-like; target-latency 500ms; client-timeout 1s }\n"
+    "prefix consent { kind mutating; target-latency 500ms; client-timeout 1s }\n";
+
+std::string listener(const std::string& name, const std::string& address) {
+  return "listener " + name + " { address " + address + " }\n";
+}
+std::string pool(const std::string& name, const std::vector<std::pair<std::string, std::string>>& endpoints) {
+  std::string made = "pool " + name + " {\n";
+  for (const auto& [its, address] : endpoints) made += "  endpoint " + its + " " + address + "\n";
+  return made + "}\n";
+}
+std::string route(const std::string& name, const std::string& body) {
+  return "route " + name + " { " + body + " }\n";
+}
+
+class Serving {
+ public:
+  explicit Serving(const std::string& body, const std::vector<std::string>& more = {})
+      : listen(here(1) + ":5001"),
+        file_("/tmp/serving-" + std::to_string(getpid()) + ".site"),
+        log_(file_ + ".log") {
+    write(body);
+    child_ = fork();
+    if (child_ == 0) {
+      prctl(PR_SET_PDEATHSIG, SIGKILL);
+      std::freopen(log_.c_str(), "w", stdout);
+      std::vector<const char*> words{program.c_str(), "serve", file_.c_str()};
+      for (const std::string& word : more) words.push_back(word.c_str());
+      words.push_back(nullptr);
+      execv(program.c_str(), const_cast<char* const*>(words.data()));
+      _exit(127);
+    }
+    wait_for("site.serving");
+  }
+  Serving(const Serving&) = delete;
+  ~Serving() {
+    if (child_ > 0) kill(child_, SIGKILL), waitpid(child_, nullptr, 0);
+    std::remove(file_.c_str()), std::remove(log_.c_str());
+  }
+  void write(const std::string& body) {
+    std::ofstream(file_) << listener("main", listen) << kPrefixes << body;
+  }
+  void write_alone(const std::string& all) { std::ofstream(file_) << all; }
+  std::string log() const {
+    std::ifstream file(log_);
+    std::ostringstream text;
+    text << file.rdbuf();
+    return std::move(text).str();
+  }
+  int count(const std::string& word) const {
+    int found = 0;
+    std::string text = log();
+    for (std::size_t at = text.find(word); at != std::string::npos; at = text.find(word, at + 1)) ++found;
+    return found;
+  }
+  void wait_for(const std::string& word, int times = 1) const {
+    double until = now() + 5;
+    while (count(word) < times && now() < until) sleep_for(0.005);
+    if (now() >= until) std::fputs(log().c_str(), stderr);
+    assert(now() < until);
+  }
+  // Takes the new version, or keeps the old one, whatever `word` says.
+  void reload(const std::string& body, const std::string& word = "site.reloaded") {
+    int before = count(word);
+    write(body);
+    kill(child_, SIGHUP);
+    wait_for(word, before + 1);
+  }
+  void hang_up() { kill(child_, SIGHUP); }
+  void terminate() { kill(child_, SIGTERM); }
+  int exit_code(double within) {
+    int status = 0;
+    for (double until = now() + within; now() < until; sleep_for(0.005)) {
+      if (waitpid(child_, &status, WNOHANG) == child_)
+        return child_ = 0, WIFEXITED(status) ? WEXITSTATUS(status) : 256;
+    }
+    return -1;
+  }
+  int descriptors() const {
+    int count = 0;
+    for ([[maybe_unused]] const auto& one :
+         std::filesystem::directory_iterator("/proc/" + std::to_string(child_) + "/fd"))
+      ++count;
+    return count;
+  }
+  const std::string listen;
+
+ private:
+  std::string file_, log_;
+  pid_t child_ = 0;
+};
+
+std::string get(const std::string& target, const std::string& more = "", const std::string& method = "GET") {
+  return method + " " + target + " HTTP/1.1\r\nHost: a.example.org\r\n" + more + "\r\n";
+}
+std::string post(const std::string& target, const std::string& body) {
+  return get(target, "Content-Length: " + std::to_string(body.size()) + "\r\n", "POST") + body;
+}
+std::string answer(const std::string& status, const std::string& body, const std::string& more = "") {
+  return "HTTP/1.1 " + status + "\r\n" + more + "Content-Length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + body;
+}
+
+void each_route_leads_to_its_pool_and_status_and_headers_pass() {
+  Listener one(2), two(3);
+  Serving site(pool("a", {{"one", one.address}}) + pool("b", {{"two", two.address}}) +
+               route("a", "path /a; to a; as status") +
+               route("b", "path /b; rewrite /v2; method POST; to b; as consent") +
+               route("gone", "exact /gone; answer 410 \"no more\""));
+  Line caller(site.listen);
+  caller.say(get("/a/1?x"));
+  auto [fetch, request] = one.take_request();
+  assert(request.target == "/a/1?x" && request.header("X-Correlation-Id").size() == 32);
+  fetch.say(answer("404 Not Found", "none", "X-Own: 1\r\n"));
+  auto heard = caller.hear(HttpReader::Side::Answer);
+  assert(heard && heard->status == 404 && heard->header("X-Own") == "1" && heard->body.text() == "none");
+  caller.say(post("/b/x", "effect"));
+  auto [second, changed] = two.take_request();
+  assert(changed.target == "/v2/x" && changed.body.text() == "effect");
+  second.say(answer("201 Created", ""));
+  assert(caller.answer_status() == 201);
+  caller.say(get("/gone"));
+  heard = caller.hear(HttpReader::Side::Answer);
+  assert(heard->status == 410 && heard->body.text() == "no more\n");
+  caller.say(get("/elsewhere"));
+  assert(caller.answer_status() == 404);
+  caller.say(get("/b/x"));  // not POST
+  assert(caller.answer_status() == 404);
+  caller.say(get("/a/%2e%2e/b"));
+  assert(caller.answer_status() == 400);
+}
+
+void an_endpoint_s_own_error_reaches_the_caller_of_a_mutating_visit() {
+  Listener one(2), two(3);
+  Serving site(pool("a", {{"one", one.address}, {"two", two.address}}) +
+               route("a", "path /; to a; as consent"));
+  Line caller(site.listen);
+  caller.say(post("/x", "effect"));
+  while (!one.knocked(0) && !two.knocked(0)) sleep_for(0.001);
+  Listener &first = one.knocked(0) ? one : two, &other = &first == &one ? two : one;
+  auto [fetch, request] = first.take_request();
+  fetch.say(answer("500 Oops", "the reason", "X-Own: 1\r\n"));
+  auto heard = caller.hear(HttpReader::Side::Answer);
+  assert(heard && heard->status == 500 && heard->body.text() == "the reason" &&
+         heard->header("X-Own") == "1");
+  assert(!other.knocked(0.1));  // rule 2
+}
+
+void a_head_is_answered_without_its_body_and_the_connection_goes_on() {
+  Listener one(2);
+  Serving site(pool("a", {{"one", one.address}}) + route("a", "path /; to a; as status"));
+  Line caller(site.listen);
+  caller.say(get("/x", "", "HEAD"));
+  auto [fetch, request] = one.take_request();
+  assert(request.method == "HEAD");
+  fetch.say("HTTP/1.1 200 OK\r\nContent-Length: 1234\r\n\r\n");
+  sleep_for(0.05);
+  caller.say(get("/y"));
+  auto second =
+      fetch.hear(HttpReader::Side::Request);  // on the same connection: nothing of a body was waited for
+  assert(second && second->target == "/y");
+  fetch.say(answer("204 No Content", ""));
+  std::string text = caller.text_until("204", 3);
+  assert(text.find("Content-Length: 1234\r\n") != std::string::npos);
+  assert(text.find("\r\n\r\nHTTP/1.1 204") != std::string::npos);
+}
+
+void a_version_with_a_fault_changes_nothing() {
+  Listener one(2);
+  const std::string good = pool("a", {{"one", one.address}}) + route("a", "path /; to a; as status");
+  Serving site(good);
+  site.reload(good + "route b { path /b; to nowhere }\n", "site.kept");
+  assert(site.count("site.fault") == 1 && site.count("no pool `nowhere`") == 1);
+  Line caller(site.listen);
+  caller.say(get("/b"));
+  auto [fetch, request] = one.take_request();
+  fetch.say(answer("200 OK", "x"));
+  assert(caller.answer_status() == 200);
+}
+
+void a_listener_that_can_t_be_bound_keeps_the_old_version_serving() {
+  Listener one(2), taken(8);
+  const std::string good = pool("a", {{"one", one.address}}) + route("a", "path /; to a; as status");
+  Serving site(good);
+  int before = site.descriptors();
+  // The first new one can be opened: it must not stay so.
+  site.reload(good + listener("free", here(7) + ":5007") + listener("taken", taken.address), "site.kept");
+  assert(site.count("Error binding") == 1);
+  assert(site.descriptors() == before && !Line(here(7) + ":5007").connected);
+  Line caller(site.listen);
+  caller.say(get("/x"));
+  auto [fetch, request] = one.take_request();
+  fetch.say(answer("200 OK", "x"));
+  assert(caller.answer_status() == 200);
+}
+
+void a_door_that_goes_lets_its_callers_have_their_answers() {
+  Listener one(2);
+  const std::string base = pool("a", {{"one", one.address}}) + route("a", "path /; to a; as status");
+  const std::string second = here(7) + ":5007";
+  Serving site(base + listener("second", second));
+  Line waiting(second), idle(second);
+  assert(waiting.connected && idle.connected);
+  idle.say(get("/healthz-is-routed"));
+  auto [first, ignored] = one.take_request();
+  first.say(answer("200 OK", "x"));
+  assert(idle.answer_status() == 200);
+  waiting.say(get("/x"));
+  auto request = first.hear(HttpReader::Side::Request);
+  assert(request);
+  site.reload(base);
+  assert(idle.ended(1) && !Line(second).connected);
+  first.say(answer("200 OK", "in time"));
+  auto heard = waiting.hear(HttpReader::Side::Answer);
+  assert(heard && heard->body.text() == "in time" && heard->header("Connection") == "close" &&
+         waiting.ended(2));
+}
+
+// Rules 2 and 3 over a reload: what is out ends where it is, once; what comes after goes by the new version.
+void two_pools_swap_endpoints_while_mutating_visits_are_out() {
+  Listener one(2), two(3);
+  auto body = [&](const std::string& a, const std::string& b) {
+    return pool("a", {{"x", a}}) + pool("b", {{"x", b}}) + route("a", "path /a; to a; as consent") +
+           route("b", "path /b; to b; as consent");
+  };
+  Serving site(body(one.address, two.address));
+  Line out(site.listen), other(site.listen);
+  out.say(post("/a/1", "effect"));
+  auto [fetch, request] = one.take_request();
+  site.reload(body(two.address, one.address));
+  other.say(post("/a/2", "effect"));
+  auto [next, second] = two.take_request();
+  assert(second.target == "/a/2");
+  fetch.say(answer("200 OK", "first"));
+  next.say(answer("200 OK", "second"));
+  assert(out.hear(HttpReader::Side::Answer)->body.text() == "first");
+  assert(other.hear(HttpReader::Side::Answer)->body.text() == "second");
+  assert(!one.knocked(0.1) && !two.knocked(0) && !next.anything(0));
+  other.say(post("/b/3", "effect"));
+  auto [last, third] = one.take_request();
+  assert(third.target == "/b/3");
+  last.say(answer("200 OK", "third"));
+  assert(other.answer_status() == 200);
+}
+
+void a_pool_that_stays_keeps_its_connections_and_one_that_goes_ends_its_visits() {
+  Listener one(2), two(3);
+  const std::string a = pool("a", {{"one", one.address}}) + route("a", "path /a; to a; as status");
+  Serving site(a + pool("b", {{"two", two.address}}) + route("b", "path /b; to b; as consent"));
+  Line caller(site.listen), out(site.listen);
+  caller.say(get("/a"));
+  auto [fetch, request] = one.take_request();
+  fetch.say(answer("200 OK", "x"));
+  assert(caller.answer_status() == 200);
+  out.say(post("/b", "effect"));
+  auto [last, its] = two.take_request();
+  site.reload(a);
+  caller.say(get("/a"));
+  auto again = fetch.hear(HttpReader::Side::Request);  // on the connection that it had
+  assert(again && !one.knocked(0));
+  fetch.say(answer("200 OK", "y"));
+  assert(caller.answer_status() == 200);
+  caller.say(get("/b"));
+  assert(caller.answer_status() == 404);
+  last.say(answer("200 OK", "ended under its own version"));
+  assert(out.hear(HttpReader::Side::Answer)->body.text() == "ended under its own version");
+  assert(last.ended(2));  // and its connection is not kept
+}
+
+void a_pool_whose_values_change_ends_its_visits_under_the_old_ones() {
+  Listener one(2);
+  auto body = [&](const std::string& copies) {
+    return "pool a { endpoint one " + one.address + "; copies " + copies + " }\n" +
+           route("a", "path /; to a; as consent");
+  };
+  Serving site(body("on"));
+  Line out(site.listen);
+  out.say(post("/x", "effect"));
+  auto [fetch, request] = one.take_request();
+  site.reload(body("off"));
+  assert(site.count("pool.ending pool=a") == 1);
+  fetch.say(answer("200 OK", "x"));
+  assert(out.answer_status() == 200);
+}
+
+void a_static_endpoint_that_refuses_is_left_alone_and_found_again() {
+  Listener one(2);
+  const std::string dead = here(5) + ":5005";
+  Serving site(pool("a", {{"one", one.address}, {"two", dead}}) + route("a", "path /; to a; as status"));
+  Line caller(site.listen);
+  std::optional<Line> fetch;
+  auto served = [&] {
+    caller.say(get("/x"));
+    if (!fetch) fetch = one.take();
+    auto request = fetch->hear(HttpReader::Side::Request);
+    assert(request);
+    fetch->say(answer("200 OK", "x"));
+    return caller.answer_status();
+  };
+  // Whichever is tried first: connecting fails, nothing ran, the other serves.
+  for (int i = 0; i < 20; ++i) assert(served() == 200);
+  Listener back(5);
+  std::optional<Line> found;
+  for (double until = now() + 20; !found && now() < until;) {
+    caller.say(get("/x"));
+    while (!back.knocked(0.002) && !fetch->anything(0.002)) {
+    }
+    if (back.knocked(0)) {
+      found = back.take();
+      assert(found->hear(HttpReader::Side::Request));
+      found->say(answer("200 OK", "back"));
+    } else {
+      assert(fetch->hear(HttpReader::Side::Request));
+      fetch->say(answer("200 OK", "x"));
+    }
+    assert(caller.answer_status() == 200);
+  }
+  assert(found);
+}
+
+void ten_reloads_a_second_lose_no_visit() {
+  Listener one(2);
+  auto body = [&](int version) {
+    std::string name = version % 2 ? "a" : "b";
+    return "pool " + name + " { endpoint one " + one.address + "; max-fetches " +
+           std::to_string(1 + version % 3) + " }\n" + route("a", "path /; to " + name + "; as consent");
+  };
+  Serving site(body(0));
+  Line caller(site.listen);
+  int before = site.descriptors(), served = 0;
+  double until = now() + 3;
+  std::vector<Line> fetches;
+  for (int version = 1; now() < until; ++version) {
+    site.write(body(version));
+    site.hang_up();
+    double next = now() + 0.1;
+    while (now() < next) {
+      caller.say(post("/x", "effect"));
+      std::optional<HttpMessage> request;
+      while (!request) {
+        if (one.knocked(0.001)) fetches.push_back(one.take());
+        for (std::size_t i = 0; i < fetches.size() && !request; ++i) {
+          if (!fetches[i].anything(0)) continue;
+          request = fetches[i].hear(HttpReader::Side::Request);
+          if (request) fetches[i].say(answer("200 OK", "x"));
+          else fetches.erase(fetches.begin() + std::ptrdiff_t(i)), --i;
+        }
+      }
+      assert(caller.answer_status() == 200);
+      ++served;
+    }
+  }
+  std::printf("%d visits over %d reloads\n", served, site.count("site.reloaded"));
+  assert(site.count("site.reloaded") >= 20 && site.count("site.kept") == 0);
+  fetches.clear();
+  sleep_for(2.2);  // pools that ended are gone by now, with all that they had open
+  assert(site.descriptors() <= before + 3);
+}
+
+void a_new_static_endpoint_of_a_busy_pool_is_not_pushed_over() {
+  Listener one(2), fresh(3);
+  auto body = [&](bool both) {
+    std::string made = "pool a { endpoint one " + one.address + "; warm-after 30s; cold-share 5%";
+    return made + (both ? "; endpoint two " + fresh.address : "") + " }\n" +
+           route("a", "path /; to a; as status");
+  };
+  Serving site(body(false));
+  Line caller(site.listen);
+  std::optional<Line> fetch;
+  int there = 0, all = 0;
+  auto visit = [&] {
+    caller.say(get("/x"));
+    ++all;
+    while (true) {
+      if (fresh.knocked(0)) {
+        Line cold = fresh.take();
+        assert(cold.hear(HttpReader::Side::Request));
+        cold.say_last(answer("200 OK", "x", "Connection: close\r\n"));
+        ++there;
+        break;
+      }
+      if (!fetch && one.knocked(0)) fetch = one.take();
+      if (fetch && fetch->anything(0.001)) {
+        assert(fetch->hear(HttpReader::Side::Request));
+        fetch->say(answer("200 OK", "x"));
+        break;
+      }
+    }
+    assert(caller.answer_status() == 200);
+  };
+  for (double until = now() + 0.5; now() < until;) visit();
+  site.reload(body(true));
+  all = 0;
+  for (double until = now() + 2; now() < until;) visit();
+  std::printf("%d of %d visits to the cold one\n", there, all);
+  assert(all > 100 && there < all / 8);
+}
+
+void a_line_of_the_json_log_is_an_object_with_its_fields() {
+  Listener one(2);
+  const std::string good = pool("a", {{"one", one.address}}) + route("a", "path /; to a; as status");
+  Serving site(good, {"--log-format", "json"});
+  site.reload(good + "route \"b\" { path /b; answer 404 }\n");
+  site.terminate();
+  assert(site.exit_code(4) == 0);
+  std::istringstream lines(site.log());
+  std::string line;
+  std::vector<std::string> events;
+  while (std::getline(lines, line)) {
+    nlohmann::json told = nlohmann::json::parse(line);
+    assert(told["time"].is_number() && told["level"].is_string());
+    events.push_back(told["event"]);
+    if (events.back() == "site.reloaded")
+      assert(told["changes"] == 3 && told["version"].get<std::string>().size() == 16);
+  }
+  std::erase(events, "pool.report");
+  assert((events == std::vector<std::string>{"listener.opened", "site.serving", "site.reloaded",
+                                             "site.leaving", "site.gone"}));
+}
+
+void a_site_with_faults_is_not_begun() {
+  const std::string file = "/tmp/serving-bad-" + std::to_string(getpid()) + ".site";
+  std::ofstream(file) << "nonsense\n";
+  int status = std::system((program + " serve " + file + " > /dev/null 2>&1").c_str());
+  std::remove(file.c_str());
+  assert(WIFEXITED(status) && WEXITSTATUS(status) == 1);
+}
+
+}  // namespace
+
+int main(int count, char** words) {
+  assert(count == 2);
+  signal(SIGPIPE, SIG_IGN);
+  program = words[1];
+  each_route_leads_to_its_pool_and_status_and_headers_pass();
+  an_endpoint_s_own_error_reaches_the_caller_of_a_mutating_visit();
+  a_head_is_answered_without_its_body_and_the_connection_goes_on();
+  a_version_with_a_fault_changes_nothing();
+  a_listener_that_can_t_be_bound_keeps_the_old_version_serving();
+  a_door_that_goes_lets_its_callers_have_their_answers();
+  two_pools_swap_endpoints_while_mutating_visits_are_out();
+  a_pool_that_stays_keeps_its_connections_and_one_that_goes_ends_its_visits();
+  a_pool_whose_values_change_ends_its_visits_under_the_old_ones();
+  a_static_endpoint_that_refuses_is_left_alone_and_found_again();
+  ten_reloads_a_second_lose_no_visit();
+  a_new_static_endpoint_of_a_busy_pool_is_not_pushed_over();
+  a_line_of_the_json_log_is_an_object_with_its_fields();
+  a_site_with_faults_is_not_begun();
+  std::puts("serving: all stories hold");
+}
--- a/site/site.h
+++ b/site/site.h
@@ -16,16 +16,16 @@
 };
 
 struct Endpoint {
-  std::string name, address, zone;
+  std::string name, address, zone = {};
   std::int64_t cell = 0;
   double size = 1;  // against the others'
 };
 
 struct Pool {
   std::string name;
-  std::vector<Endpoint> endpoints;  // a list that holds; or
-  std::string discovery;            // the address of who lists them
-  std::string zone;                 // of this program, for pools over several
+  std::vector<Endpoint> endpoints = {};  // a list that holds; or
+  std::string discovery = {};            // the address of who lists them
+  std::string zone = {};                 // of this program, for pools over several
   double connect_timeout = 0.25, idle_time = 10;
   int max_fetches = 3;
   bool copies = true, cancel = true;
--- /dev/null
+++ b/site/tests/site.cpp
@@ -0,0 +1,154 @@
+// The model on its own: what is checked, what makes two versions differ, what a pool's module is told.
+#undef NDEBUG
+#include "site/site.h"
+
+#include <cassert>
+#include <cstdio>
+
+using namespace puffinvane;
+using namespace puffinvane::site;
+
+namespace {
+
+Route route(std::string name, std::string path, std::string pool) {
+  Route made;
+  made.name = std::move(name), made.match = Route::Path::Prefix, made.path = std::move(path);
+  made.prefix = "status", made.targets = {{std::move(pool), 1}};
+  return made;
+}
+
+Site sample() {
+  Site site;
+  site.listeners = {{"main", "127.0.0.1:1"}, {"second", "127.0.0.1:2"}};
+  site.prefixes = {{"status", Kind::ReadLike, Group::Cell, 0, 0.5, 1, 2},
+                   {"consent", Kind::Mutating, Group::Cell, 0, 0.5, 1, 2}};
+  site.pools = {{"one", {{"a", "127.0.0.1:3"}, {"b", "127.0.0.1:4"}}}, {"two", {{"c", "127.0.0.1:5"}}}};
+  site.customers = {{"x", 0.25, {}}, {"y", {}, 10}};
+  site.limits.visits = 100;
+  site.routes = {route("r", "/a", "one"), route("s", "/b", "two")};
+  return site;
+}
+
+bool says(const Site& site, const std::string& subject, const std::string& text) {
+  for (const Finding& finding : check(site)) {
+    if (finding.subject == subject && finding.text.find(text) != std::string::npos) return true;
+  }
+  return false;
+}
+
+void a_sound_model_has_no_findings() { assert(check(sample()).empty()); }
+
+void a_model_from_anywhere_is_checked_without_a_language() {
+  Site site = sample();
+  site.routes[0].targets[0].pool = "onne";
+  assert(says(site, "route r/to onne", "no pool `onne`"));
+  site = sample();
+  site.customers[0].share = 0.6, site.customers[1] = {"y", 0.5, {}};
+  assert(says(site, "customer y/share", "110%, over 100%"));
+  site = sample();
+  site.prefixes[0].client_timeout = 0.4;
+  assert(says(site, "prefix status/client-timeout", "under the target latency"));
+  site = sample();
+  site.pools[1].endpoints[0].address = "127.0.0.1:5", site.pools[1].discovery = "127.0.0.1:9";
+  assert(says(site, "pool two/discovery", "one of them has to go"));
+}
+
+void an_order_that_says_nothing_makes_no_difference() {
+  Site one = sample(), other = sample();
+  std::swap(other.listeners[0], other.listeners[1]);
+  std::swap(other.pools[0], other.pools[1]);
+  std::swap(other.pools[1].endpoints[0], other.pools[1].endpoints[1]);
+  std::swap(other.prefixes[0], other.prefixes[1]);
+  std::swap(other.customers[0], other.customers[1]);
+  std::swap(other.routes[0], other.routes[1]);
+  assert(differences(one, other).empty() && version(one) == version(other));
+  for (const Pool& pool : one.pools) {
+    for (const Pool& same : other.pools) {
+      if (pool.name == same.name) assert(deployment_of(one, pool) == deployment_of(other, same));
+    }
+  }
+}
+
+void the_order_of_two_that_nothing_tells_apart_is_a_difference() {
+  Site one = sample();
+  one.routes[1].path = "/a";
+  one.routes[0].conditions = {{"X", Condition::Test::Present, ""}};
+  one.routes[1].conditions = {{"Y", Condition::Test::Present, ""}};
+  Site other = one;
+  std::swap(other.routes[0], other.routes[1]);
+  assert(!differences(one, other).empty() && version(one) != version(other));
+  // On hosts that no request can share it is none.
+  one.routes[0].hosts = {"a.org"}, one.routes[1].hosts = {"b.org"};
+  other = one;
+  std::swap(other.routes[0], other.routes[1]);
+  assert(differences(one, other).empty());
+}
+
+void each_value_that_changes_is_one_difference() {
+  Site before = sample(), after = sample();
+  after.pools[0].endpoints[1].address = "127.0.0.1:6";
+  after.prefixes[1].client_timeout = 1.5;
+  after.routes.push_back(route("t", "/c", "two"));
+  after.routes[2].conditions = {{"X", Condition::Test::Is, "1"}};
+  after.pools[1].copies = false;
+  std::vector<std::string> said;
+  for (const Difference& one : differences(before, after)) {
+    constexpr const char* kSigns[] = {"+", "-", "~"};
+    said.push_back(kSigns[int(one.kind)] + one.subject + " " + one.before + ">" + one.after);
+  }
+  const std::vector<std::string> wanted = {"~pool one/endpoint b/address 127.0.0.1:4>127.0.0.1:6",
+                                           "~pool two/copies on>off",
+                                           "~prefix consent/client-timeout 2s>1.5s",
+                                           "+route t >",
+                                           "+route t/as >status",
+                                           "+route t/header >X is \"1\"",
+                                           "+route t/path >/c",
+                                           "+route t/to two >100%"};
+  assert(said == wanted);
+  assert(version(before) != version(after));
+}
+
+void facts_that_run_together_are_told_apart() {
+  Site one = sample(), other = sample();
+  one.routes[0].conditions = {{"X", Condition::Test::Is, "a"}, {"X", Condition::Test::IsNot, "b"}};
+  other.routes[0].conditions = {{"X", Condition::Test::Is, "a\" is-not \"b"}};
+  assert(version(one) != version(other));
+}
+
+void another_pool_s_prefix_changes_nothing_for_a_pool() {
+  Site before = sample(), after = sample();
+  after.routes[1].prefix = "consent";
+  after.prefixes[1].client_timeout = 3;
+  assert(deployment_of(before, before.pools[0]) == deployment_of(after, after.pools[0]));
+  assert(!(deployment_of(before, before.pools[1]) == deployment_of(after, after.pools[1])));
+  Deployment told = deployment_of(after, after.pools[0]);
+  assert(told.path_prefixes.size() == 1 && told.customers.size() == 2);
+  assert(told.customers[0].quota_per_s == 25 && told.customers[1].quota_per_s == 10);
+}
+
+void an_endpoint_that_moved_is_another_one() {
+  assert(identity_of({"a", "127.0.0.1:1"}) != identity_of({"a", "127.0.0.1:2"}));
+}
+
+void the_nearest_name_is_near() {
+  const std::vector<std::string> names{"status", "consent", "upload"};
+  assert(nearest("consnet", names) == "consent" && nearest("statsu", names) == "status");
+  assert(nearest("payment", names).empty() && nearest("consent", {"consent"}).empty());
+  assert(nearest("a", {"b"}) == "b");  // one letter off is the least there is
+  assert(nearest(std::string(1 << 20, 'a'), names).empty());
+}
+
+}  // namespace
+
+int main() {
+  a_sound_model_has_no_findings();
+  a_model_from_anywhere_is_checked_without_a_language();
+  an_order_that_says_nothing_makes_no_difference();
+  the_order_of_two_that_nothing_tells_apart_is_a_difference();
+  each_value_that_changes_is_one_difference();
+  facts_that_run_together_are_told_apart();
+  another_pool_s_prefix_changes_nothing_for_a_pool();
+  an_endpoint_that_moved_is_another_one();
+  the_nearest_name_is_near();
+  std::puts("site: all stories hold");
+}
--- a/tests/serving.cpp
+++ b/tests/serving.cpp
@@ -1,174 +1,20 @@
 // Short stories of the whole program on loopback. The test itself stands in for callers, endpoints and
 // discovery, step by step and with blocking sockets, so that each story is read from top to bottom.
 #undef NDEBUG
-#include <arpa/inet.h>
-#include <fcntl.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <poll.h>
-#include <signal.h>
-#include <sys/prctl.h>
-#include <sys/socket.h>
-#include <sys/wait.h>
-#include <unistd.h>
-
 #include <cassert>
-#include <chrono>
 #include <cstdio>
 #include <cstdlib>
 #include <fstream>
 #include <functional>
-#include <optional>
-#include <thread>
-#include <utility>
 
 #include "sidecar/wire/headers.h"
-#include "sidecar/wire/http.h"
+#include "tests/peers.h"
 
 using namespace puffinvane;
+using namespace puffinvane::test;
 
 namespace {
 
-double now() {
-  return std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch()).count();
-}
-void sleep_for(double seconds) { std::this_thread::sleep_for(std::chrono::duration<double>(seconds)); }
-
-sockaddr_in address_of(const std::string& text) {
-  sockaddr_in made{};
-  made.sin_family = AF_INET;
-  std::size_t colon = text.find(':');
-  made.sin_port = htons(std::uint16_t(std::stoi(text.substr(colon + 1))));
-  assert(inet_pton(AF_INET, text.substr(0, colon).c_str(), &made.sin_addr) == 1);
-  return made;
-}
-
-// A blocking socket that gives up after three seconds.
-class Line {
- public:
-  explicit Line(int descriptor) : descriptor_(descriptor) {
-    timeval most{3, 0};
-    setsockopt(descriptor_, SOL_SOCKET, SO_RCVTIMEO, &most, sizeof most);
-  }
-  explicit Line(const std::string& to) : Line(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
-    sockaddr_in address = address_of(to);
-    int small = 4096;  // so that an answer of 64 KiB can't be written in one go
-    setsockopt(descriptor_, SOL_SOCKET, SO_RCVBUF, &small, sizeof small);
-    connected = connect(descriptor_, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0;
-  }
-  Line(Line&& other) noexcept
-      : connected(other.connected),
-        descriptor_(std::exchange(other.descriptor_, -1)),
-        held_(std::move(other.held_)) {}
-  Line& operator=(Line&& other) noexcept {
-    std::swap(descriptor_, other.descriptor_), std::swap(held_, other.held_);
-    return *this;
-  }
-  ~Line() { shut(); }
-
-  void shut() {
-    if (descriptor_ >= 0) close(std::exchange(descriptor_, -1));
-  }
-  void reset() {
-    linger hard{1, 0};
-    setsockopt(descriptor_, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
-    shut();
-  }
-  bool say(const std::string& text) {
-    std::size_t sent = 0;
-    while (sent < text.size()) {
-      ssize_t count = send(descriptor_, text.data() + sent, text.size() - sent, MSG_NOSIGNAL);
-      if (count <= 0) return false;
-      sent += std::size_t(count);
-    }
-    return true;
-  }
-  // Says it and closes, all in one packet.
-  void say_last(const std::string& text) {
-    int yes = 1;
-    setsockopt(descriptor_, IPPROTO_TCP, TCP_CORK, &yes, sizeof yes);
-    say(text), shut();
-  }
-  // The next whole message, if one comes.
-  std::optional<HttpMessage> hear(HttpReader::Side side) {
-    HttpReader reader(side, pool());
-    while (true) {
-      held_.erase(0, reader.feed(held_));
-      if (reader.whole()) return reader.take();
-      char bytes[4096];
-      ssize_t count = recv(descriptor_, bytes, sizeof bytes, 0);
-      if (count <= 0) return {};
-      held_.append(bytes, std::size_t(count));
-    }
-  }
-  int answer_status() {
-    auto answer = hear(HttpReader::Side::Answer);
-    return answer ? answer->status : 0;
-  }
-  bool ended(double within = 3) {
-    pollfd one{descriptor_, POLLIN, 0};
-    char byte;
-    double until = now() + within;
-    while (now() < until) {
-      if (poll(&one, 1, int((until - now()) * 1000) + 1) > 0 && recv(descriptor_, &byte, 1, 0) <= 0)
-        return true;
-    }
-    return false;
-  }
-  bool anything(double within) const {
-    pollfd one{descriptor_, POLLIN, 0};
-    return poll(&one, 1, int(within * 1000)) > 0;
-  }
-  bool connected = false;
-
- private:
-  static Pool& pool() {
-    static Pool pool;
-    return pool;
-  }
-  int descriptor_;
-  std::string held_;
-};
-
-std::string here(int last) {
-  int mine = getpid();  // an address of this run's own, so that runs side by side don't meet
-  return "127." + std::to_string(1 + mine / 250 % 250) + "." + std::to_string(mine % 250) + "." +
-         std::to_string(last);
-}
-
-class Listener {
- public:
-  explicit Listener(int last, int backlog = 16) : address(here(last) + ":" + std::to_string(5000 + last)) {
-    descriptor_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    int yes = 1;
-    setsockopt(descriptor_, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
-    sockaddr_in at = address_of(address);
-    assert(bind(descriptor_, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0 &&
-           listen(descriptor_, backlog) == 0);
-  }
-  ~Listener() { close(descriptor_); }
-  Listener(const Listener&) = delete;
-  bool knocked(double within) const {
-    pollfd one{descriptor_, POLLIN, 0};
-    return poll(&one, 1, int(within * 1000)) > 0;
-  }
-  Line take() {
-    assert(knocked(3));
-    return Line(accept4(descriptor_, nullptr, nullptr, SOCK_CLOEXEC));
-  }
-  // A connection and the request on it.
-  std::pair<Line, HttpMessage> take_request() {
-    Line line = take();
-    auto request = line.hear(HttpReader::Side::Request);
-    assert(request);
-    return {std::move(line), std::move(*request)};
-  }
-  const std::string address;
-
- private:
-  int descriptor_;
-};
-
 std::string entry(const std::string& name, const std::string& address, const std::string& status = "active") {
   return R"({"name":")" + name + R"(","address":")" + address + R"(","zone":"z","group":1,"status":")" +
          status + R"(","weight":1,"since_ms":0})";
