--- a/Makefile
+++ b/Makefile
@@ -33,4 +33,17 @@
 rehearse-cost: build
 	$(BUILD)/puffinvane_rehearse cost --pairs 3
 
-.PHONY: build test lint run toy rehearse-table rehearse-steady rehearse-hunt rehearse-cost
+# Ten minutes of libFuzzer on the language; needs clang and its runtime (libclang-rt-14-dev).
+FUZZ_SECONDS ?= 600
+fuzz:
+	mkdir -p $(BUILD)-fuzz/corpus
+	clang++ -std=c++20 -g -O1 -fsanitize=fuzzer,address,undefined -DPUFFINVANE_LIBFUZZER -I. -Iinclude \
+	  language/*.cpp site/*.cpp routing/*.cpp language/tests/fuzz.cpp -o $(BUILD)-fuzz/language
+	$(BUILD)-fuzz/language -max_total_time=$(FUZZ_SECONDS) -max_len=4096 -dict=language/corpus/words.dict \
+	  -print_final_stats=1 $(BUILD)-fuzz/corpus language/corpus/good language/corpus/bad
+
+# What finding a route costs, from 10 routes to 10,000.
+routing-cost: build
+	$(BUILD)/routing/tests/routing_cost --benchmark_repetitions=5 --benchmark_report_aggregates_only=true
+
+.PHONY: build test lint run toy rehearse-table rehearse-steady rehearse-hunt rehearse-cost fuzz routing-cost
--- a/include/puffinvane/policy.h
+++ b/include/puffinvane/policy.h
@@ -122,6 +122,9 @@
   virtual void fetch_ended(double now, const FetchEnd& end) = 0;
   virtual void withdrawn(double now, VisitId visit) = 0;
   virtual void woken(double now, std::uint64_t token) = 0;
+  // Takes over what an earlier one has learned: of endpoints and path prefixes that both have, and of its
+  // rates the share that this one's visits will be. May be called once for each of several.
+  virtual void inherit(double, const Policy&, double /*share*/) {}
 };
 
 std::unique_ptr<Policy> make_policy(double now, Deployment deployment, std::uint64_t seed, Host& host);
--- a/language/read.cpp
+++ b/language/read.cpp
@@ -76,6 +76,7 @@
      [](Limits& it, const Value& v) { it.memory = std::size_t(v.number); }},
     {"body", Shape::Size, 1024, 16 << 20,
      [](Limits& it, const Value& v) { it.body = std::size_t(v.number); }},
+    {"instances", Shape::Count, 1, 1000, [](Limits& it, const Value& v) { it.instances = int(v.number); }},
     {"visits", Shape::Rate, 0.001, kMuch, [](Limits& it, const Value& v) { it.visits = v.number; }},
 });
 constexpr auto kListenerKeys = std::to_array<Key<Listener>>({
--- a/rehearsal/run.cpp
+++ b/rehearsal/run.cpp
@@ -124,6 +124,10 @@
                                     {"cpu_s", sidecar->cpu()},
                                     {"memory_mb", sidecar->most().memory / 1048576},
                                     {"descriptors", sidecar->most().descriptors}});
+      if (script.sites) {
+        result["sidecars"].back()["reloads"] = sidecar->logged("site.reloaded");
+        result["sidecars"].back()["kept"] = sidecar->logged("site.kept");
+      }
       cpu += sidecar->tier() == 0 ? sidecar->cpu() : 0;
     }
     result["cpu_us_a_visit"] = cpu * 1e6 / std::max(1, result["tries"].get<int>());
--- a/rehearsal/script/script.cpp
+++ b/rehearsal/script/script.cpp
@@ -36,7 +36,8 @@
       {Trouble::SidecarTerm, "sidecar-term", "SIGTERM, started again once it has left"},
       {Trouble::SidecarKill, "sidecar-kill", "SIGKILL, started again after 'for'"},
       {Trouble::SidecarStop, "sidecar-stop", "SIGSTOP, SIGCONT after 'for'"},
-      {Trouble::SidecarHup, "sidecar-hup", "discovery moves and its file says so, SIGHUP"}};
+      {Trouble::SidecarHup, "sidecar-hup", "discovery moves and its file says so, SIGHUP"},
+      {Trouble::SiteReload, "site-reload", "its site is written anew in another version, SIGHUP"}};
   return kNames;
 }
 
@@ -240,6 +241,7 @@
   Table table(parsed, path, "a script");
   table.read("title", script.title), table.read("length", script.length, 0.5, 3600);
   table.read("sidecars", script.sidecars, 1, 32), table.read("max_fetches", script.max_fetches, 1, 10);
+  table.read("sites", script.sites);
   table.read("descriptors", script.descriptors, 32, 65536),
       table.read("memory_mb", script.memory_mb, 16, 4096);
   table.read("list_delay", script.list_delay), table.read("grace", script.grace);
@@ -293,6 +295,9 @@
     if (prefix.client_timeout < prefix.target_latency)
       throw Unusable("the client timeout of '" + prefix.name + "' is under its target latency");
   }
+  bool reloads = std::any_of(script.faults.begin(), script.faults.end(),
+                             [](const Fault& fault) { return fault.kind == Trouble::SiteReload; });
+  if (reloads && !script.sites) throw Unusable("fault 'site-reload' needs sites = true");
   auto sidecar_trouble = [](Trouble kind) { return kind >= Trouble::ListSilent; };
   for (const Fault& fault : script.faults) {
     if (fault.kind == Trouble::Burst) continue;
@@ -341,10 +346,10 @@
 std::string write_script(const Script& script) {
   std::ostringstream out;
   out << "title = \"" << script.title << "\"\nlength = " << script.length
-      << "\nsidecars = " << script.sidecars << "\n\n[clients]\nrate = " << script.clients.rate
-      << "\nretries = " << script.clients.retries << "\nheavy = " << script.clients.heavy
-      << "\nleaves = " << script.clients.leaves << "\nobeys = " << (script.clients.obeys ? "true" : "false")
-      << "\n";
+      << "\nsidecars = " << script.sidecars << "\nsites = " << (script.sites ? "true" : "false")
+      << "\n\n[clients]\nrate = " << script.clients.rate << "\nretries = " << script.clients.retries
+      << "\nheavy = " << script.clients.heavy << "\nleaves = " << script.clients.leaves
+      << "\nobeys = " << (script.clients.obeys ? "true" : "false") << "\n";
   for (const TierPlan& tier : script.tiers) {
     out << "\n[[tier]]\nname = \"" << tier.name << "\"\nendpoints = " << tier.endpoints
         << "\ncores = " << tier.cores << "\nspeed = [" << tier.speed.low << ", " << tier.speed.high
--- a/rehearsal/script/script.h
+++ b/rehearsal/script/script.h
@@ -87,7 +87,8 @@
   SidecarTerm,
   SidecarKill,
   SidecarStop,
-  SidecarHup
+  SidecarHup,
+  SiteReload
 };
 
 struct Fault {
@@ -103,8 +104,9 @@
 
 struct Script {
   std::string name, title;
-  double length = 8;  // of load; after it all that is out is waited for
-  int sidecars = 2;   // before the first tier
+  double length = 8;   // of load; after it all that is out is waited for
+  int sidecars = 2;    // before the first tier
+  bool sites = false;  // sidecars serve sites of their own, with pools and routes, in the platform's place
   int max_fetches = 3;
   int descriptors = 512;  // of each sidecar
   int memory_mb = 64;
--- a/rehearsal/world/fleet.cpp
+++ b/rehearsal/world/fleet.cpp
@@ -4,7 +4,9 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <nlohmann/json.hpp>
+#include <sstream>
 
 namespace rehearsal {
 
@@ -58,6 +60,52 @@
   return settings.dump();
 }
 
+std::string site_text(const Script& script, int version, const std::string& listen, const std::string& second,
+                      const std::string& discovery, std::size_t instances) {
+  enum Shape { OnePool, PoolEach, Shared, Unusable, OtherValues, OneMore, kShapes };
+  auto shape = Shape(version % kShapes);
+  std::ostringstream out;
+  auto ms = [](double seconds) { return std::to_string(std::lround(seconds * 1000)) + "ms"; };
+  out << "site rehearsed\nlimits { descriptors " << std::max(64, script.descriptors) << "; memory "
+      << script.memory_mb << "MiB; instances " << instances << " }\nlistener main { address " << listen
+      << " }\n";
+  if (shape == OneMore) out << "listener second { address " << second << " }\n";
+  static constexpr const char* kKinds[] = {"read-like", "tagged", "mutating"};
+  for (const PrefixPlan& prefix : script.prefixes) {
+    out << "prefix " << prefix.name << " {\n  kind " << kKinds[int(prefix.repeat)] << "\n";
+    if (prefix.repeat == Repeat::Tagged)
+      out << "  group " << (prefix.grouped ? "cell" : "all") << "\n  memory " << ms(prefix.memory) << "\n";
+    out << "  target-latency " << ms(prefix.target_latency) << "\n  client-timeout "
+        << ms(prefix.client_timeout) << "\n  credit " << prefix.credit << "\n}\n";
+  }
+  for (const CustomerPlan& customer : script.customers)
+    out << "customer " << customer.name << " { quota "
+        << std::max(0.001, customer.share * script.clients.rate * 1.5) << "/s }\n";
+  auto pool = [&](const std::string& name) {
+    out << "pool " << name << " {\n  discovery " << discovery << "\n  zone here\n  max-fetches "
+        << (shape == OtherValues ? std::max(1, script.max_fetches - 1) : script.max_fetches)
+        << "\n  connect-timeout " << ms(script.connect_timeout) << "\n  idle-time " << ms(script.idle_time)
+        << "\n  retry-after " << ms(script.longest_wait_advice) << "\n  cold-share "
+        << script.cold_share * 100 << "%\n  warm-after " << ms(script.warm_after) << "\n}\n";
+  };
+  bool each = shape == PoolEach || shape == OneMore;
+  if (each) {
+    for (const PrefixPlan& prefix : script.prefixes) pool("for-" + prefix.name);
+  } else {
+    pool("all");
+    if (shape == Shared) pool("half");
+  }
+  for (const PrefixPlan& prefix : script.prefixes) {
+    out << "route " << prefix.name << " {\n  path /" << prefix.name << "\n  to ";
+    if (each) out << "for-" << prefix.name;
+    else if (shape == Shared) out << "all 50%, half 50%";
+    else out << "all";
+    out << "\n}\n";
+  }
+  if (shape == Unusable) out << "route broken { path /broken; to nowhere }\nlimits {\n";
+  return out.str();
+}
+
 const Fleet::Row Fleet::kRows[] = {{Trouble::Slow, &Fleet::on_condition},
                                    {Trouble::Hang, &Fleet::on_condition},
                                    {Trouble::Errors, &Fleet::on_condition},
@@ -80,7 +128,8 @@
                                    {Trouble::SidecarTerm, &Fleet::term},
                                    {Trouble::SidecarKill, &Fleet::kill},
                                    {Trouble::SidecarStop, &Fleet::stop},
-                                   {Trouble::SidecarHup, &Fleet::hup}};
+                                   {Trouble::SidecarHup, &Fleet::hup},
+                                   {Trouble::SiteReload, &Fleet::reload_site}};
 
 Address Fleet::new_address() { return {host_, next_port_++}; }
 
@@ -97,6 +146,8 @@
     int number = int(processes_.size());
     processes_.push_back(std::make_unique<Process>(world_, *this, number, tier, command_, folder_));
     listens_.push_back(new_address());
+    second_listens_.push_back(new_address());
+    versions_.push_back(0);
     agents_.push_back(std::make_unique<Agent>(world_, number, new_address()));
     me_.push_back(me), of_tier_.push_back(tier);
     back_after_leaving_.push_back(true);
@@ -152,7 +203,7 @@
 void Fleet::start(Process& process) {
   if (process.phase() != Process::Phase::Down) return;
   process.start(told_to(process.sidecar()));
-  agents_[std::size_t(process.sidecar())]->told_at_start();
+  if (!world_.script.sites) agents_[std::size_t(process.sidecar())]->told_at_start();
 }
 
 Told Fleet::told_to(int sidecar) {
@@ -160,6 +211,12 @@
   Told told;
   told.name = "s" + std::to_string(sidecar);
   told.listen = listens_[at].text(), told.discovery = agents_[at]->address().text();
+  if (world_.script.sites) {
+    told.site = site_text(world_.script, versions_[at], told.listen, second_listens_[at].text(),
+                          told.discovery, tiers_[std::size_t(of_tier_[at])].sidecars.size());
+    told.descriptors = world_.script.descriptors;
+    return told;
+  }
   told.known = agents_[at]->known_json();
   told.settings = settings_json(world_.script, of_tier_[at], me_[at],
                                 int(tiers_[std::size_t(of_tier_[at])].sidecars.size()));
@@ -404,4 +461,15 @@
   }
 }
 
+void Fleet::reload_site(const Fault& fault, bool begins) {
+  if (!begins) return;
+  for (int sidecar : chosen_sidecars(fault)) {
+    auto at = std::size_t(sidecar);
+    if (processes_[at]->phase() != Process::Phase::Ready) continue;
+    ++versions_[at];
+    processes_[at]->write_file(told_to(sidecar));
+    processes_[at]->hang_up();
+  }
+}
+
 }  // namespace rehearsal
--- a/rehearsal/world/fleet.h
+++ b/rehearsal/world/fleet.h
@@ -16,6 +16,9 @@
 
 // How a program is told of its deployment: the platform's settings as JSON.
 std::string settings_json(const Script& script, int tier, int me, int sidecars);
+// The same as a site. Its versions differ in pools, routes, values and listeners; some can't be used.
+std::string site_text(const Script& script, int version, const std::string& listen, const std::string& second,
+                      const std::string& discovery, std::size_t instances);
 
 class Fleet final : public Process::Owner {
  public:
@@ -61,6 +64,7 @@
   void kill(const Fault& fault, bool begins);
   void stop(const Fault& fault, bool begins);
   void hup(const Fault& fault, bool begins);
+  void reload_site(const Fault& fault, bool begins);
 
   void on_ready(Process& process) override;
   void on_left(Process& process) override;
@@ -82,12 +86,13 @@
   std::vector<Tier> tiers_;
   std::vector<std::unique_ptr<Process>> processes_;  // by sidecar
   std::vector<std::unique_ptr<Agent>> agents_;       // by sidecar
-  std::vector<Address> listens_;
+  std::vector<Address> listens_, second_listens_;
   std::vector<int> me_, of_tier_;  // by sidecar
   std::map<std::pair<int, std::size_t>, Below> below_;
   std::map<std::pair<int, std::size_t>, std::int64_t> since_ms_;
   std::map<std::pair<int, std::size_t>, Event::State> states_;
   std::vector<bool> back_after_leaving_;
+  std::vector<int> versions_;  // of the site that each sidecar serves
   Clients* clients_ = nullptr;
   std::string host_;
   int next_port_ = 10000, next_endpoint_ = 0;
--- a/rehearsal/world/process.cpp
+++ b/rehearsal/world/process.cpp
@@ -98,7 +98,20 @@
   world_.did(event);
 }
 
+int Process::logged(const std::string& event) const {
+  std::ifstream log(folder_ + "/s" + std::to_string(sidecar_) + ".log");
+  int count = 0;
+  for (std::string line; std::getline(log, line);) count += line.find(event) != std::string::npos;
+  return count;
+}
+
 void Process::write_file(const Told& told) const {
+  if (!told.site.empty()) {
+    std::string path = folder_ + "/" + told.name + ".site", fresh = path + ".new";
+    std::ofstream(fresh) << told.site;
+    std::rename(fresh.c_str(), path.c_str());
+    return;
+  }
   std::string path = folder_ + "/" + told.name + ".json", fresh = path + ".new";
   char seed[24];
   std::snprintf(seed, sizeof seed, "%llx", static_cast<unsigned long long>(told.seed));
@@ -131,6 +144,7 @@
     setenv("BALANCER_LISTEN", told.listen.c_str(), 1);
     setenv("BALANCER_DISCOVERY", told.discovery.c_str(), 1);
     std::string line = "exec " + command_;
+    if (!told.site.empty()) line += " serve '" + folder_ + "/" + told.name + ".site'";
     execl("/bin/sh", "sh", "-c", line.c_str(), nullptr);
     _exit(127);
   }
--- a/rehearsal/world/process.h
+++ b/rehearsal/world/process.h
@@ -23,6 +23,7 @@
 
 struct Told {  // to one sidecar, in its file
   std::string name, listen, discovery, known, settings;
+  std::string site;  // not empty: it serves this, and is told nothing else
   std::uint64_t seed = 1;
   int descriptors = 512, memory_mb = 64;
 };
@@ -59,6 +60,7 @@
   const Usage& most() const { return most_; }
   double cpu() const { return cpu_before_ + last_.cpu; }
   const std::string& listen() const { return listen_; }
+  int logged(const std::string& event) const;  // lines of its log with that in them, over all its starts
 
  private:
   class Probe;
--- a/serving/server.cpp
+++ b/serving/server.cpp
@@ -31,6 +31,24 @@
 }
 }  // namespace
 
+void Server::Running::on_list(const EndpointList& list) {
+  if (list.whole) listed.clear();
+  for (std::size_t i = 0; i < list.entries.size(); ++i) {
+    const ListEntry& entry = list.entries[i];
+    if (entry.state == Listed::Gone) listed.erase(entry.endpoint);
+    else listed.insert_or_assign(entry.endpoint, std::pair(entry, list.addresses[i]));
+  }
+  carrier->on_list(list);
+}
+
+EndpointList Server::Running::known() const {
+  EndpointList list;
+  list.whole = true;
+  for (const auto& [name, one] : listed)
+    list.entries.push_back(one.first), list.addresses.push_back(one.second);
+  return list;
+}
+
 Server::Server(Loop& loop, site::Site site, Read read, std::uint64_t seed, PolicyMaker make)
     : Lifecycle(loop),
       read_(std::move(read)),
@@ -130,13 +148,14 @@
 }
 
 void Server::set_pools(const site::Site& site) {
-  std::map<std::string, std::unique_ptr<Running>> before = std::exchange(pools_, {});
+  before_ = std::exchange(pools_, {});
   by_place_.clear();
+  std::vector<Running*> fresh;
   for (const site::Pool& pool : site.pools) {
     Deployment deployment = site::deployment_of(site, pool);
     std::unique_ptr<Running> running;
-    auto old = before.find(pool.name);
-    bool stays = old != before.end() && old->second->carrier->deployment() == deployment;
+    auto old = before_.find(pool.name);
+    bool stays = old != before_.end() && old->second->carrier->deployment() == deployment;
     if (stays) {
       running = std::move(old->second);
     } else {
@@ -146,12 +165,15 @@
       if (gone_) running->carrier->leave(*gone_);
     }
     list(*running, pool, stays);
+    if (!stays) fresh.push_back(running.get());
     by_place_.push_back(running.get());
     pools_.emplace(pool.name, std::move(running));
   }
-  for (auto& [name, running] : before) {
-    if (running) retire(std::move(running));
+  inherit(fresh);
+  for (auto& [name, running] : before_) {
+    if (running) retire(std::move(running), fresh);
   }
+  before_.clear();
 }
 
 // joins: to a pool that is at work already, whose new endpoints may be cold (rule 4).
@@ -183,13 +205,40 @@
   }
   running.since.clear();
   if (running.watch) return running.watch->move(pool.discovery);
-  running.watch = std::make_unique<Watch>(loop(), *running.carrier, pool.discovery, Loop::unix_offset(), 0);
+  // Until discovery has answered, what it told another pool holds: visits needn't wait for it.
+  for (const auto* all : {&before_, &pools_}) {
+    for (const auto& [name, other] : *all) {
+      if (running.listed.empty() && other && other->pool.discovery == pool.discovery)
+        running.listed = other->listed;
+    }
+  }
+  if (!running.listed.empty()) running.carrier->know(running.known());
+  running.watch = std::make_unique<Watch>(loop(), running, pool.discovery, Loop::unix_offset(), 0);
   running.watch->open();
 }
 
-void Server::retire(std::unique_ptr<Running> running) {
+// Else every change of a value, and every pool that is split or renamed, would find out anew who is ill and
+// how much is too much. What an ending pool carried is dealt evenly to the new ones that share its endpoints.
+void Server::inherit(const std::vector<Running*>& fresh) {
+  for (const auto& [name, old] : before_) {
+    if (!old) continue;
+    auto heirs = std::count_if(fresh.begin(), fresh.end(), [&](const Running* one) {
+      return site::share_endpoints(one->pool, old->pool);
+    });
+    for (Running* one : fresh) {
+      if (site::share_endpoints(one->pool, old->pool))
+        one->carrier->inherit(*old->carrier, 1.0 / double(heirs));
+    }
+  }
+}
+
+void Server::retire(std::unique_ptr<Running> running, const std::vector<Running*>& fresh) {
   loop().log().event(Level::Info, "pool.ending").with("pool", running->pool.name);
-  running->carrier->retire();
+  std::vector<Carrier*> heirs;
+  for (Running* one : fresh) {
+    if (site::share_endpoints(one->pool, running->pool)) heirs.push_back(one->carrier.get());
+  }
+  running->carrier->retire(heirs);
   retired_.push_back(std::move(running));
   if (retired_.size() == 1) look_at_retired();
 }
--- a/serving/server.h
+++ b/serving/server.h
@@ -28,10 +28,13 @@
  private:
   // A pool at work. Its carrier goes with its deployment: one that changes is replaced, its visits in hand
   // end under the old one.
-  struct Running {
+  struct Running : Watch::Owner {
+    void on_list(const EndpointList& list) override;
+    EndpointList known() const;  // what discovery has said, all in all
     site::Pool pool;
     std::unique_ptr<Carrier> carrier;
     std::unique_ptr<Watch> watch;
+    std::map<std::string, std::pair<ListEntry, std::string>> listed;  // by discovery, with addresses
     std::map<std::string, double> since;  // when a static endpoint joined; 0: with the pool itself
   };
   struct Opened {
@@ -55,7 +58,8 @@
   void close_doors(const site::Site& site);
   void set_pools(const site::Site& site);
   void list(Running& running, const site::Pool& pool, bool joins);
-  void retire(std::unique_ptr<Running> running);
+  void inherit(const std::vector<Running*>& fresh);
+  void retire(std::unique_ptr<Running> running, const std::vector<Running*>& fresh);
   void look_at_retired();
   std::string_view listener_of(int door) const;
   std::string new_visit();
@@ -70,8 +74,8 @@
   Callers callers_;
   std::vector<Opened> doors_;
   int last_door_ = 0;
-  std::map<std::string, std::unique_ptr<Running>> pools_;
-  std::vector<Running*> by_place_;  // as the router numbers them
+  std::map<std::string, std::unique_ptr<Running>> pools_, before_;  // before_: only while a version changes
+  std::vector<Running*> by_place_;                                  // as the router numbers them
   std::vector<std::unique_ptr<Running>> retired_;
   std::vector<routing::Field> fields_;
   Alive alive_;
--- a/serving/tests/serving.cpp
+++ b/serving/tests/serving.cpp
@@ -338,6 +338,15 @@
   assert(site.count("pool.ending pool=a") == 1);
   fetch.say(answer("200 OK", "x"));
   assert(out.answer_status() == 200);
+  out.say(post("/y", "effect"));  // and its connection is the next pool's
+  assert(fetch.hear(HttpReader::Side::Request) && !one.knocked(0));
+  fetch.say(answer("200 OK", "y"));
+  assert(out.answer_status() == 200);
+  site.reload(body("on"));  // that stood idle this time
+  out.say(post("/z", "effect"));
+  assert(fetch.hear(HttpReader::Side::Request) && !one.knocked(0));
+  fetch.say(answer("200 OK", "z"));
+  assert(out.answer_status() == 200);
 }
 
 void a_static_endpoint_that_refuses_is_left_alone_and_found_again() {
--- a/sidecar/loop/loop.h
+++ b/sidecar/loop/loop.h
@@ -31,6 +31,7 @@
 // What was put off by an object that is gone by then is dropped.
 class Alive {
  public:
+  std::weak_ptr<int> watch() const { return life_; }
   std::function<void()> guard(std::function<void()> what) const {
     return [life = std::weak_ptr<int>(life_), what = std::move(what)] {
       if (!life.expired()) what();
--- a/sidecar/wire/backend.cpp
+++ b/sidecar/wire/backend.cpp
@@ -35,7 +35,7 @@
 
 Backend::Backend(Loop& loop, Owner& owner, std::string endpoint, std::size_t most_body)
     : loop_(loop),
-      owner_(owner),
+      owner_(&owner),
       endpoint_(std::move(endpoint)),
       stream_(loop, *this),
       reader_(HttpReader::Side::Answer, loop.pool(), most_body) {}
@@ -58,7 +58,7 @@
 }
 
 void Backend::write() {
-  stream_.send(owner_.on_ready(*this));
+  stream_.send(owner_->on_ready(*this));
   if (stream_.written()) turn(Input::Written);
 }
 
@@ -89,10 +89,10 @@
 }
 
 void Backend::report_answer() {
-  Outcome outcome = owner_.outcome_of(reader_.message());
+  Outcome outcome = owner_->outcome_of(reader_.message());
   if (state_ == State::Over) stream_.close();
   idle_since_ = loop_.now();
-  owner_.on_fetched(*this, outcome, reader_.take());
+  owner_->on_fetched(*this, outcome, reader_.take());
 }
 void Backend::report_nonsense() { report(Outcome::Failed); }
 void Backend::report_unsent() { report(outcome_of_break(false)); }
@@ -103,12 +103,12 @@
 }
 void Backend::report_idle_end() {
   stream_.close();
-  owner_.on_idle_end(*this);
+  owner_->on_idle_end(*this);
 }
 
 void Backend::report(Outcome outcome) {
   stream_.close();
-  owner_.on_fetched(*this, outcome, HttpMessage(loop_.pool()));
+  owner_->on_fetched(*this, outcome, HttpMessage(loop_.pool()));
 }
 
 }  // namespace puffinvane
--- a/sidecar/wire/backend.h
+++ b/sidecar/wire/backend.h
@@ -31,6 +31,7 @@
   bool connect(std::string_view address, double timeout);  // false: it can't even begin
   void carry(Carried fetch, bool head);                    // once up, or at once on an idle connection
   void give_up() { stream_.close(), state_ = State::Over; }
+  void pass_to(Owner& owner) { owner_ = &owner; }  // only while idle
   bool idle() const { return state_ == State::Idle; }
   bool connecting() const { return state_ == State::Connecting; }
   bool quiet() const { return stream_.quiet(); }
@@ -59,7 +60,7 @@
   void on_ended() override;
 
   Loop& loop_;
-  Owner& owner_;
+  Owner* owner_;
   std::string endpoint_;
   Stream stream_;
   HttpReader reader_;
--- a/sidecar/wire/carrier.cpp
+++ b/sidecar/wire/carrier.cpp
@@ -29,9 +29,26 @@
 
 Carrier::~Carrier() { admission_.leave(*this); }
 
-void Carrier::retire() {
+void Carrier::retire(const std::vector<Carrier*>& heirs) {
   retired_ = loop_.now();
-  while (!std::isinf(idle_.oldest())) drop_oldest_idle();
+  for (Carrier* heir : heirs) heirs_.push_back({heir, heir->alive_.watch()});
+  for (double since = idle_.oldest(); !std::isinf(since); since = idle_.oldest())
+    pass_on(idle_.take_oldest(since), since);
+}
+
+// A new connection costs its endpoint a handshake: a version that only words things anew must not cost that.
+void Carrier::pass_on(std::unique_ptr<Backend> idle, double since) {
+  const std::string* address = addresses_.find(idle->endpoint());
+  for (std::size_t i = 0; i < heirs_.size(); ++i) {
+    const Heir& heir = heirs_[next_heir_++ % heirs_.size()];
+    if (heir.alive.expired() || heir.carrier->retired_) continue;
+    const std::string* theirs = heir.carrier->addresses_.find(idle->endpoint());
+    if (!address || !theirs || *theirs != *address) continue;
+    idle->pass_to(*heir.carrier);
+    std::string endpoint = idle->endpoint();
+    return heir.carrier->idle_.put(endpoint, std::move(idle), since);
+  }
+  idle->give_up(), loop_.bury(std::move(idle));
 }
 
 bool Carrier::spent() const {
@@ -150,8 +167,8 @@
 void Carrier::on_fetched(Backend& backend, Outcome outcome, HttpMessage answer) {
   auto [id, number] = backend.carried();
   std::unique_ptr<Backend> owned = std::move(busy_.extract(&backend).mapped());
-  if (backend.idle() && retired_) backend.give_up();
-  if (backend.idle()) idle_.put(backend.endpoint(), std::move(owned), loop_.now());
+  if (backend.idle() && retired_) pass_on(std::move(owned), loop_.now());
+  else if (backend.idle()) idle_.put(backend.endpoint(), std::move(owned), loop_.now());
   else loop_.bury(std::move(owned));
   FetchInHand& fetch = visits_.find(id)->fetches[std::size_t(number)];
   fetch.backend = nullptr;
--- a/sidecar/wire/carrier.h
+++ b/sidecar/wire/carrier.h
@@ -42,9 +42,12 @@
 
   void know(const EndpointList& known);      // the list as it was had last
   void leave(double gone) { gone_ = gone; }  // no visit is given time beyond that
-  // Takes no more visits, keeps no connection. Once `spent` it may be let go of: nothing calls it any more.
-  void retire();
+  // Takes no more visits and keeps no connection: those that stand idle, and later those that still carry a
+  // fetch, go to its heirs in turn. Once `spent` it may be let go of: nothing calls it any more.
+  void retire(const std::vector<Carrier*>& heirs);
   bool spent() const;
+  // What an earlier one's module has learned, and that share of its rates.
+  void inherit(const Carrier& earlier, double share) { policy_->inherit(loop_.now(), *earlier.policy_, share); }
   const Deployment& deployment() const { return deployment_; }
   const PathPrefix* find_prefix(std::string_view name) const;
 
@@ -73,6 +76,7 @@
   double oldest_idle() const override { return idle_.oldest(); }
   void drop_oldest_idle() override;
 
+  void pass_on(std::unique_ptr<Backend> idle, double since);
   std::unique_ptr<Backend> take_kept(Backend::Carried fetch, const std::string& endpoint);
   void conclude(VisitId id, int status, const HttpMessage* from, std::string_view more_headers,
                 std::string_view text);
@@ -89,7 +93,13 @@
   Admission& admission_;
   const Deployment deployment_;
   const Manner manner_;
+  struct Heir {
+    Carrier* carrier;
+    std::weak_ptr<int> alive;
+  };
   std::optional<double> gone_, retired_;
+  std::vector<Heir> heirs_;
+  std::size_t next_heir_ = 0;
   double last_visit_ = 0;
   Addresses addresses_;
   Visits visits_;
--- a/site/site.cpp
+++ b/site/site.cpp
@@ -25,9 +25,18 @@
   }
   auto by_name = [](const auto& one, const auto& other) { return one.name < other.name; };
   std::sort(deployment.path_prefixes.begin(), deployment.path_prefixes.end(), by_name);
+  // Each pool's module counts as one sidecar of all that send to these endpoints: their small allowances
+  // would else add up to a crowd there.
+  int before = 0, sharing = 0;
+  for (const Pool& other : site.pools) {
+    if (!share_endpoints(pool, other)) continue;
+    ++sharing, before += other.name < pool.name;
+  }
+  deployment.sidecars = site.limits.instances * sharing;
+  deployment.me = before;
   for (const Customer& customer : site.customers) {
     double quota = customer.quota.value_or(customer.share.value_or(0) * site.limits.visits);
-    deployment.customers.push_back({customer.name, quota});
+    deployment.customers.push_back({customer.name, quota * sharing});  // it may come by one pool only
   }
   std::sort(deployment.customers.begin(), deployment.customers.end(), by_name);
   deployment.cold = {pool.cold_share, pool.warm_after};
@@ -43,6 +52,14 @@
   return deployment;
 }
 
+bool share_endpoints(const Pool& one, const Pool& other) {
+  if (!one.discovery.empty() || !other.discovery.empty()) return one.discovery == other.discovery;
+  std::set<std::string> theirs;
+  for (const Endpoint& endpoint : other.endpoints) theirs.insert(endpoint.address);
+  return std::any_of(one.endpoints.begin(), one.endpoints.end(),
+                     [&](const Endpoint& endpoint) { return theirs.contains(endpoint.address); });
+}
+
 std::string identity_of(const Endpoint& endpoint) { return endpoint.name + "@" + endpoint.address; }
 
 std::string nearest(const std::string& written, const std::vector<std::string>& known) {
--- a/site/site.h
+++ b/site/site.h
@@ -76,6 +76,7 @@
   int descriptors = 1024;
   std::size_t memory = std::size_t{192} << 20, body = std::size_t{64} << 10;
   double visits = 0;  // a second; what the customers' shares are of
+  int instances = 1;  // of this program that serve the site side by side
 };
 
 struct Site {
@@ -113,6 +114,7 @@
 
 // What the decision module of one pool is told.
 Deployment deployment_of(const Site& site, const Pool& pool);
+bool share_endpoints(const Pool& one, const Pool& other);
 // An endpoint's name within its pool: one that moved to another address is another endpoint.
 std::string identity_of(const Endpoint& endpoint);
 
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -207,6 +207,41 @@
     pump();
   }
 
+  void inherit(double now, const Policy& earlier, double share) override {
+    now_ = now;
+    const auto* from = dynamic_cast<const Module*>(&earlier);
+    if (!from) return;
+    for (Endpoint& endpoint : endpoints_) {
+      for (const Endpoint& known : from->endpoints_) {
+        bool same = known.name == endpoint.name && known.online_since == endpoint.online_since;
+        if (!same || endpoint.health == Health::Gone || known.health == Health::Gone) continue;
+        endpoint.health = known.health, endpoint.allowance = known.allowance;
+        endpoint.hold = known.hold, endpoint.hold_until = known.hold_until;
+        endpoint.answers = known.answers, endpoint.slowness.until = 0;
+        endpoint.last_answer = known.last_answer;
+        if (known.reported >= 0) endpoint.reported = from->depth(known);
+      }
+    }
+    const auto& theirs = from->deployment_.path_prefixes;
+    for (std::size_t i = 0; i < deployment_.path_prefixes.size(); ++i) {
+      for (std::size_t k = 0; k < theirs.size(); ++k) {
+        if (theirs[k].name != deployment_.path_prefixes[i].name) continue;
+        latencies_[i] = from->latencies_[k], thresholds_[i] = from->thresholds_[k];
+        means_[i] = from->means_[k];
+      }
+    }
+    paces_ = from->paces_, crowded_ = from->crowded_, late_ = from->late_, lost_ = from->lost_;
+    // Its first seconds are over: nobody knows less of the endpoints than a sidecar that has just started.
+    started_ = std::min(started_, from->started_);
+    auto add = [share](std::deque<double>& to, const std::deque<double>& rates) {
+      while (to.size() < rates.size()) to.push_front(0);
+      for (std::size_t i = 0; i < rates.size(); ++i)
+        to[to.size() - 1 - i] += share * rates[rates.size() - 1 - i];
+    };
+    add(rates_, from->rates_), add(rates_each_, from->rates_each_);
+    recent_rate_ += share * from->recent_rate_, calm_rate_ += share * from->calm_rate_;
+  }
+
   void woken(double now, std::uint64_t token) override {
     now_ = now;
     if (token == kTickToken) return tick();
@@ -731,7 +766,7 @@
   Host& host_;
   Chance chance_;
   double now_;
-  const double started_;
+  double started_;
   std::vector<Endpoint> endpoints_;
   std::vector<int> ring_, dealt_;  // the listed endpoints in this sidecar's order, and its part of them
   std::map<VisitId, Taken> visits_;
--- a/tests/stories.cpp
+++ b/tests/stories.cpp
@@ -667,7 +667,34 @@
 
 }  // namespace
 
+// One that stands in an earlier one's place sends nothing at first to whom that had set aside, and knows its
+// percentiles: a late visit has its copy at once.
+void what_was_learned_passes_to_the_heir() {
+  FakeHost before(deployment()), heir(deployment()), stranger(deployment());
+  before.ready(4);
+  before.calm(40, 0.01);
+  for (int i = 0; i < 8; ++i) before.visit();
+  for (std::size_t i = before.sent.size() - 8, end = before.sent.size(); i < end; ++i) {
+    Sent fetch = before.sent[i];
+    before.end(fetch, fetch.endpoint == "a0" ? Outcome::Broken : Outcome::Delivered);
+  }
+  assert(before.sent_to("a0", before.now) > 0);
+  heir.now = stranger.now = before.now;
+  heir.ready(4), stranger.ready(4);
+  heir.inherit(before, 1);
+  auto first_ones = [](FakeHost& host) {
+    for (int i = 0; i < 8; ++i) host.visit();
+    int there = host.sent_to("a0");
+    for (int i = 0; i < 8; ++i) host.end(host.sent[std::size_t(i)], Outcome::Delivered);
+    return there;
+  };
+  assert(first_ones(heir) == 0 && first_ones(stranger) > 0);
+  for (FakeHost* host : {&heir, &stranger}) host->visit(), host->run(0.1);
+  assert(heir.fetches(9) == 2 && stranger.fetches(9) == 1);
+}
+
 int main() {
+  what_was_learned_passes_to_the_heir();
   a_lost_fetch_goes_on_only_where_rule_two_lets_it();
   a_tier_that_turns_most_away_is_not_sent_each_visit_again_and_again();
   a_tagged_visit_that_may_have_run_stays_in_its_group_and_memory();
