--- a/language/tests/fuzz.cpp
+++ b/language/tests/fuzz.cpp
@@ -44,7 +44,6 @@
     std::string formatted = format(tree);
     Messages again;
     Tree back = parse(0, formatted, again);
-    if (!again.none() || !same_meaning(tree, back)) std::fprintf(stderr, "%s\n----\n%s\n", text.c_str(), formatted.c_str());
     assert(again.none() && same_meaning(tree, back));
     assert(format(back) == formatted);
   }
--- a/serving/tests/serving.cpp
+++ b/serving/tests/serving.cpp
@@ -1,9 +1,11 @@
 // Stories of a whole site on loopback: reloads while visits are out, doors that can't be opened, pools that
 // come and go, what servers that know nothing of us answer.
 #undef NDEBUG
+#include <algorithm>
 #include <cassert>
 #include <cstdio>
 #include <cstdlib>
+#include <deque>
 #include <filesystem>
 #include <fstream>
 #include <nlohmann/json.hpp>
@@ -429,6 +431,43 @@
   assert(all > 100 && endpoints.delivered[1] > 0 && endpoints.delivered[1] < all / 8);
 }
 
+// Descriptors are one matter of all pools: what stands idle in one makes room for a fetch of another.
+void a_pool_s_idle_connections_give_way_to_another_pool_s_fetches() {
+  std::deque<Listener> listeners;
+  std::vector<Listener*> all;
+  std::vector<std::pair<std::string, std::string>> endpoints;
+  for (int i = 2; i < 10; ++i) {
+    all.push_back(&listeners.emplace_back(i));
+    endpoints.emplace_back("e" + std::to_string(i), listeners.back().address);
+  }
+  std::vector<std::pair<std::string, std::string>> last{endpoints.back()};
+  endpoints.pop_back();
+  Serving site("limits { descriptors 64 }\n" + pool("a", endpoints) + pool("b", last) +
+               route("a", "path /a; to a; as status") + route("b", "path /b; to b; as status"));
+  // 40 may be open: a listener, 18 callers and 18 fetches for them.
+  std::vector<Line> callers, fetches;
+  for (int i = 0; i < 18; ++i) {
+    callers.emplace_back(site.listen);
+    callers.back().say(get("/a"));
+    while (std::none_of(all.begin(), all.end(), [](Listener* one) { return one->knocked(0); }))
+      sleep_for(0.001);
+    for (Listener* one : all) {
+      if (one->knocked(0)) fetches.push_back(one->take());
+    }
+  }
+  for (Line& fetch : fetches) assert(fetch.hear(HttpReader::Side::Request)), fetch.say(answer("200 OK", "x"));
+  for (Line& caller : callers) assert(caller.answer_status() == 200);
+  for (int i = 0; i < 6; ++i) callers[std::size_t(i)].say(get("/b"));
+  std::vector<Line> others;
+  for (int i = 0; i < 6; ++i) {
+    others.push_back(listeners.back().take());
+    assert(others.back().hear(HttpReader::Side::Request));
+  }
+  for (Line& fetch : others) fetch.say(answer("200 OK", "x"));
+  for (int i = 0; i < 6; ++i) assert(callers[std::size_t(i)].answer_status() == 200);
+  assert(std::any_of(fetches.begin(), fetches.end(), [](Line& fetch) { return fetch.ended(0.01); }));
+}
+
 void a_version_read_while_leaving_opens_no_door() {
   Listener one(2);
   const std::string good = pool("a", {{"one", one.address}}) + route("a", "path /; to a; as consent");
@@ -495,6 +534,7 @@
   a_static_endpoint_that_refuses_is_left_alone_and_found_again();
   ten_reloads_a_second_lose_no_visit();
   a_new_static_endpoint_of_a_busy_pool_is_not_pushed_over();
+  a_pool_s_idle_connections_give_way_to_another_pool_s_fetches();
   a_version_read_while_leaving_opens_no_door();
   a_line_of_the_json_log_is_an_object_with_its_fields();
   a_site_with_faults_is_not_begun();
--- a/sidecar/wire/carrier.h
+++ b/sidecar/wire/carrier.h
@@ -47,7 +47,9 @@
   void retire(const std::vector<Carrier*>& heirs);
   bool spent() const;
   // What an earlier one's module has learned, and that share of its rates.
-  void inherit(const Carrier& earlier, double share) { policy_->inherit(loop_.now(), *earlier.policy_, share); }
+  void inherit(const Carrier& earlier, double share) {
+    policy_->inherit(loop_.now(), *earlier.policy_, share);
+  }
   const Deployment& deployment() const { return deployment_; }
   const PathPrefix* find_prefix(std::string_view name) const;
 
