Where answers tell load: own calls are the depth, room closes only in a crowd that is told

The room by own rates bounced 48% at a load of 0.6: a few visits a second give no rate. Lines: fetch_ended's reported, room, deal. Change: reports no longer are a depth there; by Little's law they tell whether the whole fleet is crowded, and only then the room limits; a dealt part is as wide as the own rate can keep known.

--- a/deployment/deployment.cpp
+++ b/deployment/deployment.cpp
@@ -80,6 +80,9 @@
   element fees;
   if (!options["Fees"].get(fees)) deployment.crossing_priced = option(fees, "CrossZone", 0.0) > 0;
   deployment.zone = option<std::string>(options, "Zone", "");
+  element report;
+  if (!options["Report"].get(report))
+    deployment.answers_tell_load = option<std::string>(report, "Via", "") == "piggyback";
   element rules = child(options, "Rules");
   deployment.cold.share = option(rules, "ColdShare", deployment.cold.share);
   deployment.cold.warm_after = option(rules, "ColdS", deployment.cold.warm_after);
--- a/include/puffinvane/policy.h
+++ b/include/puffinvane/policy.h
@@ -48,6 +48,7 @@
   int tier = 0;
   int max_fetches = 1;
   bool parallel_fetches = false;
+  bool answers_tell_load = false;  // endpoints report it with answers, so it holds all sidecars' fetches
   bool may_cancel = false;
   bool advises_wait = false;
   double connect_timeout = 0.25;
@@ -88,8 +89,11 @@
 // endpoint.
 enum class Outcome { Delivered, Failed, Refused, TimedOut, ConnectFailed, Broken, Stale, Cancelled, NotSent };
 
+// What an answer says of its endpoint's load; below 0: not reported.
 struct Load {
-  double depth = -1;  // visits in hand as the endpoint reported them; below 0: not reported
+  double depth = -1;   // visits in hand
+  double served = -1;  // visits a second
+  double busy = -1;    // share of its cores that work
 };
 
 struct FetchEnd {
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -34,6 +34,7 @@
 constexpr double kUnsuspected = 2, kHopeless = 3;  // thresholds: with nothing against the endpoint; for any
 constexpr double kCrossing = 0.3;  // visits of depth that crossing zones counts for, where it has a price
 constexpr double kBack = 100;      // and going back to the same endpoint: for want of any other
+constexpr double kReportAge = 3, kBusy = 0.9, kCrowdStretch = 2;
 constexpr double kTick = 0.1, kFirstOfAll = -1e9;
 constexpr double kFirstHold = 1, kLongestHold = 8;  // seconds set aside, doubling
 constexpr int kTrickleDone = 8;  // fetches at a time that a trickle has to bear before it is over
@@ -96,6 +97,8 @@
   double online_since = 0, hold = kFirstHold, hold_until = 0, last_answer = -1e9;
   double cold_credit = 0;  // fetches that the cold rule still leaves this sidecar
   int allowance = 0, since_report = 0;
+  Load load;
+  double load_at = -1e9;
   double reported = -1, units = 1, dealt = 0;      // dealt: the part of its units that is ours
   std::set<std::pair<double, std::uint64_t>> out;  // by time of sending
   std::deque<Answer> answers;
@@ -191,7 +194,9 @@
     endpoint.out.erase({fetch.sent, key(visit.id, end.number)});
     fetch.may_have_run = end.outcome != Outcome::Refused && end.outcome != Outcome::ConnectFailed &&
                          end.outcome != Outcome::NotSent;
-    if (end.load.depth >= 0) endpoint.reported = end.load.depth, endpoint.since_report = 0;
+    if (end.load.served >= 0) endpoint.load = end.load, endpoint.load_at = now;
+    if (end.load.depth >= 0 && !deployment_.answers_tell_load)
+      endpoint.reported = end.load.depth, endpoint.since_report = 0;
     judge(endpoint, visit, fetch, end);
     if (visit.state != State::Done) turn(visit, end.concluded ? Input::Over : after_loss(visit));
     forget_if_over(found);
@@ -444,6 +449,7 @@
   void shuffle() {
     // Cut anew only for a list that is clearly another: each new cut is a round of new connections for all.
     int parts = std::max(1, std::min(listed(), deployment_.sidecars) / kDealt);
+
     if (parts > parts_ * 1.25 || parts < parts_ * 0.75) parts_ = parts;
     std::vector<std::pair<std::uint64_t, int>> order;
     for (int i = 0; i < int(endpoints_.size()); ++i) {
@@ -461,6 +467,9 @@
     double whole = 0, at = 0;
     for (int i : ring_) whole += endpoints_[i].units, endpoints_[i].dealt = 0;
     double from = whole * (deployment_.me / turns % cuts) / cuts, to = from + whole / cuts;
+    // As wide as it can know: enough visits a second for each endpoint to keep its samples young.
+    double known = recent_rate_ * kSampleAge / double(kEndpointSamples) / std::max(1.0, double(ring_.size()));
+    if (deployment_.answers_tell_load) to = from + whole * std::clamp(known, 1.0 / cuts, 1.0);
     dealt_.clear();
     for (std::size_t n = 0; n < 2 * ring_.size() && at < to && dealt_.size() < ring_.size(); ++n) {
       int i = ring_[n % ring_.size()];
@@ -558,6 +567,8 @@
   bool room(const Taken& visit) const {
     // The floor is shared: many sidecars' own small allowances would add up to a crowd on every endpoint.
     if (deployment_.tier > 0 || visit.place.rank == kFirstOfAll) return true;
+    // What is told of all visits knows a crowd; the few visits of one sidecar only seem to.
+    if (deployment_.answers_tell_load && !crowd_told_) return true;
     // Before any rate is known twice C's first value stands in: with C itself the first seconds bounced a
     // tenth.
     double each = now_ < started_ + kFirstSeconds ? 2 * kFirstCapacity : kFloor;
@@ -688,8 +699,21 @@
     ask_back_off_ = std::min(ask_back_off_ * 2, deployment_.ask_within);
   }
 
+  // Little's law over the whole fleet, by its own reports: how long a visit stays, against calm.
+  void hear_crowd() {
+    double depth = 0, served = 0, busy = 0, heard = 0;
+    for (const Endpoint& endpoint : endpoints_) {
+      if (now_ - endpoint.load_at > kReportAge) continue;
+      depth += endpoint.load.depth, served += endpoint.load.served, busy += endpoint.load.busy, ++heard;
+    }
+    crowd_told_ = heard > 0 && busy > kBusy * heard;
+    if (depth <= 0 || served <= 0) return;
+    keep(sojourns_, depth / served, std::size_t(kCalmSeconds / kTick));
+    crowd_told_ = sojourns_.back() > kCrowdStretch * percentile(sojourns_, 0.05);
+  }
   void tick() {
     host_.wake(now_ + kTick, kTickToken);
+    hear_crowd();
     if (ask_at_ > 0 && now_ >= ask_at_) {
       ask_at_ = 0;
       asked_until_ = now_ + deployment_.ask_within;
@@ -777,6 +801,8 @@
   std::deque<bool> late_, lost_, crowded_;
   std::deque<double> rates_, rates_each_;
   std::deque<std::pair<double, double>> stretches_;  // of the last answers against calm, with their times
+  bool crowd_told_ = false;
+  std::deque<double> sojourns_;
   double answers_ = 0, recent_rate_ = 0, calm_rate_ = 0, load_ = 0, calm_load_ = 0;
   int in_flight_ = 0, copy_to_ = -1, parts_ = 1;
   double ask_at_ = 0, asked_until_ = 0, ask_back_off_ = 0.5, report_at_ = 0, means_at_ = 0;
--- a/wirehost/codec.cpp
+++ b/wirehost/codec.cpp
@@ -31,6 +31,8 @@
   for (std::string_view field : {"busy_reqs", "pending"}) {
     if (load.depth < 0 && report[field].get(load.depth)) load.depth = -1;
   }
+  if (report["served_ps"].get(load.served)) load.served = -1;
+  if (report["cpu_share"].get(load.busy)) load.busy = -1;
   return load;
 }
 
