--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -34,7 +34,8 @@
 constexpr double kUnsuspected = 2, kHopeless = 3;  // thresholds: with nothing against the endpoint; for any
 constexpr double kCrossing = 0.3;  // visits of depth that crossing zones counts for, where it has a price
 constexpr double kBack = 100;      // and going back to the same endpoint: for want of any other
-constexpr double kReportAge = 3, kBusy = 0.9, kCrowdStretch = 2;
+constexpr double kReportAge = 3, kFull = 0.9, kMend = 0.7;
+constexpr std::size_t kPassTicks = 15;
 constexpr double kTick = 0.1, kFirstOfAll = -1e9;
 constexpr double kFirstHold = 1, kLongestHold = 8;  // seconds set aside, doubling
 constexpr int kTrickleDone = 8;  // fetches at a time that a trickle has to bear before it is over
@@ -127,7 +128,7 @@
   int prefix = 0;
   State state = State::Held;
   bool over_share = false, counted = false;
-  double until = 0, held_until = 0, weight = 0, calm_weight = 0;
+  double until = 0, held_until = 0, standing = 0, weight = 0, calm_weight = 0;
   Held place;
   std::vector<Fetch> fetches;
 };
@@ -172,12 +173,17 @@
     taken.until = now + visit.time_left;
     taken.held_until = now + std::min(patience(taken), visit.time_left / 2);
     taken.place = {rank(taken), ++turns_};
+    double worse = 0, mine = taken.place.rank + 1e-3 * chance_.share();
+    for (double other : ranks_) worse += other > mine;
+    taken.standing = worse / double(std::max<std::size_t>(1, ranks_.size()));
+    keep(ranks_, mine, kLatencies);
     held_.emplace(taken.place, taken.id);
     // Rule 1: the answer has to be out before the client timeout, whatever has been sent.
     host_.wake(std::max(now, taken.until - 2 * deployment_.round), kUntilToken | taken.id);
     // Behind more than can be sent in its patience it would only wait to be turned away: better at once.
     double ahead = double(std::distance(held_.begin(), held_.find(taken.place)));
-    bool hopeless = recent_rate_ > 0 && ahead > recent_rate_ * (taken.held_until - now);
+    bool hopeless = deployment_.answers_tell_load ||
+                    (recent_rate_ > 0 && ahead > recent_rate_ * (taken.held_until - now));
     Taken& held = visits_[visit.id] = std::move(taken);
     if (hopeless && !room(held)) turn(held, gave_up(held)), visits_.erase(visit.id);
     pump();
@@ -488,7 +494,11 @@
     return found < 0 && dealt_.size() < ring_.size() ? choose_among(visit, at_random, ring_) : found;
   }
   int choose_among(const Taken& visit, bool at_random, const std::vector<int>& among) {
-    std::vector<std::pair<double, int>> ready;
+    struct Ready {
+      double ahead, weight;
+      int endpoint;
+    };
+    std::vector<Ready> ready;
     for (int i : among) {
       const Endpoint& endpoint = endpoints_[i];
       bool again = tried(visit, i);
@@ -497,14 +507,25 @@
       if (endpoint.health == Health::Trickle && prefix(visit).kind == Kind::Mutating) continue;
       // A crossing is priced: zones are crossed for shorter queues, not by chance.
       double crossing = !deployment_.crossing_priced || endpoint.zone == deployment_.zone ? 0 : kCrossing;
-      double size = endpoint.dealt > 0 ? endpoint.dealt : endpoint.units;
-      double ahead = (depth(endpoint) + 1 + crossing + (again ? kBack : 0)) * slowness(endpoint) / size;
-      ready.emplace_back(at_random ? 0 : ahead, i);
+      double weight = (endpoint.dealt > 0 ? endpoint.dealt : endpoint.units) / slowness(endpoint);
+      if (now_ - endpoint.load_at < kReportAge && endpoint.load.busy > 0)
+        weight *= 1.3 - std::min(endpoint.load.busy, 1.0);
+      double first = deployment_.answers_tell_load ? 0 : 1;
+      double ahead = (depth(endpoint) + first + crossing + (again ? kBack : 0)) / weight;
+      ready.push_back({at_random ? 0 : ahead, weight, i});
     }
     if (ready.empty()) return -1;
-    double lowest = std::min_element(ready.begin(), ready.end())->first;
-    std::erase_if(ready, [&](const auto& one) { return one.first > lowest * 1.2; });
-    return ready[chance_.below(std::uint32_t(ready.size()))].second;
+    double lowest = std::min_element(ready.begin(), ready.end(), [](auto& a, auto& b) {
+                      return a.ahead < b.ahead;
+                    })->ahead;
+    std::erase_if(ready, [&](const auto& one) { return one.ahead > lowest * 1.2; });
+    if (!deployment_.answers_tell_load) return ready[chance_.below(std::uint32_t(ready.size()))].endpoint;
+    double sum = 0;
+    for (const Ready& one : ready) sum += one.weight;
+    double at = chance_.share() * sum;
+    for (const Ready& one : ready)
+      if ((at -= one.weight) <= 0) return one.endpoint;
+    return ready.back().endpoint;
   }
   void send(Taken& visit, int to) {
     Endpoint& endpoint = endpoints_[to];
@@ -568,7 +589,7 @@
     // The floor is shared: many sidecars' own small allowances would add up to a crowd on every endpoint.
     if (deployment_.tier > 0 || visit.place.rank == kFirstOfAll) return true;
     // What is told of all visits knows a crowd; the few visits of one sidecar only seem to.
-    if (deployment_.answers_tell_load && !crowd_told_) return true;
+    if (deployment_.answers_tell_load) return visit.standing >= 1 - pass_;
     // Before any rate is known twice C's first value stands in: with C itself the first seconds bounced a
     // tenth.
     double each = now_ < started_ + kFirstSeconds ? 2 * kFirstCapacity : kFloor;
@@ -606,6 +627,12 @@
     for (std::size_t i = 0; i < deployment_.customers.size(); ++i) {
       const Customer& customer = deployment_.customers[i];
       if (customer.name != name) continue;
+      if (deployment_.answers_tell_load) {
+        keep(customers_, int(i), kLatencies);
+        double part =
+            double(std::count(customers_.begin(), customers_.end(), int(i))) / double(customers_.size());
+        return chance_.share() * part * fleet_rate_ > customer.quota_per_s;
+      }
       auto& times = customer_arrivals_[i];
       while (!times.empty() && now_ - times.front() > 2) times.pop_front();
       if (double(times.size()) >= 2 * customer.quota_per_s / deployment_.sidecars) return true;
@@ -699,17 +726,29 @@
     ask_back_off_ = std::min(ask_back_off_ * 2, deployment_.ask_within);
   }
 
-  // Little's law over the whole fleet, by its own reports: how long a visit stays, against calm.
+  // How full the fleet is against how full it may be, as told: by its cores' use, or by Little's law from how
+  // long visits stay there. What passes now is what passed when that was so, mended by it.
   void hear_crowd() {
     double depth = 0, served = 0, busy = 0, heard = 0;
     for (const Endpoint& endpoint : endpoints_) {
       if (now_ - endpoint.load_at > kReportAge) continue;
       depth += endpoint.load.depth, served += endpoint.load.served, busy += endpoint.load.busy, ++heard;
     }
-    crowd_told_ = heard > 0 && busy > kBusy * heard;
-    if (depth <= 0 || served <= 0) return;
-    keep(sojourns_, depth / served, std::size_t(kCalmSeconds / kTick));
-    crowd_told_ = sojourns_.back() > kCrowdStretch * percentile(sojourns_, 0.05);
+    if (heard == 0) return;
+    double use = busy / heard / kFull, sum = 0, count = 0;
+    if (depth > 0 && served > 0) {
+      for (const auto& each : latencies_)
+        sum += std::accumulate(each.begin(), each.end(), 0.0), count += double(each.size());
+      for (std::size_t i = 0; i < latencies_.size(); ++i) {
+        if (latencies_[i].empty()) continue;
+        double stay = depth / served * mean(latencies_[i]) / (sum / count);
+        use = std::max(use, stay / (kRoom * deployment_.path_prefixes[i].target_latency));
+      }
+    }
+    double passed = passes_.empty() ? 1 : mean(passes_);
+    pass_ = std::clamp(passed * std::clamp(1 + kMend * (1 - use), 0.7, 1.3), 0.1, 1.0);
+    keep(passes_, pass_, kPassTicks);
+    fleet_rate_ = served / heard * listed() / passed;
   }
   void tick() {
     host_.wake(now_ + kTick, kTickToken);
@@ -801,7 +840,10 @@
   std::deque<bool> late_, lost_, crowded_;
   std::deque<double> rates_, rates_each_;
   std::deque<std::pair<double, double>> stretches_;  // of the last answers against calm, with their times
-  bool crowd_told_ = false;
+  double pass_ = 1, fleet_rate_ = 0;
+  std::deque<double> passes_;
+  std::deque<double> ranks_;
+  std::deque<int> customers_;
   std::deque<double> sojourns_;
   double answers_ = 0, recent_rate_ = 0, calm_rate_ = 0, load_ = 0, calm_load_ = 0;
   int in_flight_ = 0, copy_to_ = -1, parts_ = 1;
