--- a/deployment/deployment.cpp
+++ b/deployment/deployment.cpp
@@ -96,6 +96,8 @@
   deployment.me = option(options, "Me", 0);
   deployment.sidecars = std::max(1, option(options, "PeersTotal", 1));
   deployment.tier = option(options, "Layer", 0);
+  simdjson::dom::array tiers;
+  if (!options["Tiers"].get(tiers)) deployment.last_tier = deployment.tier + 1 == int(tiers.size());
   deployment.round = option(options, "RoundS", 0.0);
   deployment.list_on_request = option<std::string>(options, "RegistryMode", "pushed") == "on_request";
   return deployment;
--- a/include/puffinvane/policy.h
+++ b/include/puffinvane/policy.h
@@ -46,6 +46,7 @@
   int me = 0;
   int sidecars = 1;
   int tier = 0;
+  bool last_tier = false;  // nothing behind its endpoints: what they fail is their own doing
   int max_fetches = 1;
   bool parallel_fetches = false;
   bool answers_tell_load = false;  // endpoints report it with answers, so it holds all sidecars' fetches
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -91,19 +91,26 @@
   double until = 0, figure = 1;  // worked out anew from then on, or after an answer
 };
 
-struct Endpoint {
+// What is known and thought of an endpoint as a whole, and of one path prefix's visits there.
+struct Lane {
+  Health health = Health::Gone;
+  double hold = kFirstHold, hold_until = 0, last_answer = -1e9;
+  int allowance = 0;
+  std::set<std::pair<double, std::uint64_t>> out;  // by time of sending
+  std::deque<Answer> answers;
+  mutable Slowness slowness = {};
+};
+
+struct Endpoint : Lane {
   std::string name, zone;
   std::int64_t cell = 0;
-  Health health = Health::Gone;
-  double online_since = 0, hold = kFirstHold, hold_until = 0, last_answer = -1e9;
+  double online_since = 0;
   double cold_credit = 0;  // fetches that the cold rule still leaves this sidecar
-  int allowance = 0, since_report = 0;
+  int since_report = 0;
   Load load;
   double load_at = -1e9;
-  double reported = -1, units = 1, dealt = 0;      // dealt: the part of its units that is ours
-  std::set<std::pair<double, std::uint64_t>> out;  // by time of sending
-  std::deque<Answer> answers;
-  mutable Slowness slowness = {};
+  double reported = -1, units = 1, dealt = 0;  // dealt: the part of its units that is ours
+  std::vector<Lane> lanes;                     // by path prefix
 };
 
 enum class State { Held, Out, Paired, Done };
@@ -153,7 +160,7 @@
     std::set<std::string_view> seen;
     for (const ListEntry& entry : entries) seen.insert(entry.endpoint), note_listed(entry);
     for (Endpoint& endpoint : endpoints_) {
-      if (scope != ListScope::Changes && !seen.contains(endpoint.name)) turn_health(endpoint, Sign::Unlisted);
+      if (scope != ListScope::Changes && !seen.contains(endpoint.name)) turn_all(endpoint, Sign::Unlisted);
       // Names are ever new on long days: what is gone leaves its place to the next once nothing is out there.
       if (endpoint.health == Health::Gone && endpoint.out.empty()) endpoint = Endpoint();
     }
@@ -198,6 +205,7 @@
     if (!std::exchange(fetch.out, false)) return;
     Endpoint& endpoint = endpoints_[fetch.endpoint];
     endpoint.out.erase({fetch.sent, key(visit.id, end.number)});
+    endpoint.lanes[visit.prefix].out.erase({fetch.sent, key(visit.id, end.number)});
     fetch.may_have_run = end.outcome != Outcome::Refused && end.outcome != Outcome::ConnectFailed &&
                          end.outcome != Outcome::NotSent;
     if (end.load.served >= 0) endpoint.load = end.load, endpoint.load_at = now;
@@ -280,7 +288,7 @@
     void (Module::*effect)(Subject&);
   };
   static const std::array<Row<State, Input, Taken>, 13> kVisitRows;
-  static const std::array<Row<Health, Sign, Endpoint>, 10> kHealthRows;
+  static const std::array<Row<Health, Sign, Lane>, 10> kHealthRows;
 
   template <typename Rows, typename State, typename Input, typename Subject>
   void step(const Rows& rows, State& from, Input input, Subject& subject) {
@@ -289,7 +297,11 @@
     }
   }
   void turn(Taken& visit, Input input) { step(kVisitRows, visit.state, input, visit); }
-  void turn_health(Endpoint& endpoint, Sign sign) { step(kHealthRows, endpoint.health, sign, endpoint); }
+  void turn_health(Lane& lane, Sign sign) { step(kHealthRows, lane.health, sign, lane); }
+  void turn_all(Endpoint& endpoint, Sign sign) {
+    turn_health(endpoint, sign);
+    for (Lane& lane : endpoint.lanes) turn_health(lane, sign);
+  }
 
   // ---- effects of the visit table
   void nothing(Taken&) {}
@@ -317,17 +329,17 @@
   void fail(Taken& visit) { host_.error(visit.id), finish(visit); }
 
   // ---- effects of the health table
-  void nothing(Endpoint&) {}
-  void set_aside(Endpoint& endpoint) {
-    endpoint.hold_until = now_ + endpoint.hold * (0.75 + 0.5 * chance_.share());
-    endpoint.hold = std::min(endpoint.hold * 2, kLongestHold);
-    forget_answers(endpoint);
+  void nothing(Lane&) {}
+  void set_aside(Lane& lane) {
+    lane.hold_until = now_ + lane.hold * (0.75 + 0.5 * chance_.share());
+    lane.hold = std::min(lane.hold * 2, kLongestHold);
+    forget_answers(lane);
     // What is lost there must not fill the room of the living until its client timeout.
-    for (const auto& [sent, what] : endpoint.out) leave_count(visits_.at(VisitId(what >> 8)));
+    for (const auto& [sent, what] : lane.out) leave_count(visits_.at(VisitId(what >> 8)));
   }
-  void open_trickle(Endpoint& endpoint) { endpoint.allowance = 1, forget_answers(endpoint); }
-  void double_trickle(Endpoint& endpoint) { endpoint.allowance *= 2; }
-  void restore(Endpoint& endpoint) { endpoint.hold = kFirstHold; }
+  void open_trickle(Lane& lane) { lane.allowance = 1, forget_answers(lane); }
+  void double_trickle(Lane& lane) { lane.allowance *= 2; }
+  void restore(Lane& lane) { lane.hold = kFirstHold; }
 
   const PathPrefix& prefix(const Taken& visit) const { return deployment_.path_prefixes[visit.prefix]; }
   static std::uint64_t key(VisitId id, int number) { return std::uint64_t{id} << 8 | unsigned(number); }
@@ -369,7 +381,9 @@
     // A tier that loses most would be sent each visit as often as is allowed, by every tier above times that.
     if (share_of(lost_) > kMostLost && lost_.size() >= kFewLatencies) return gave_up(visit);
     for (int i = 0; i < int(endpoints_.size()) && now_ < visit.until - 2 * deployment_.round; ++i) {
-      bool usable = endpoints_[i].health == Health::Steady && (!tried(visit, i) || may_go_back(visit));
+      bool usable = endpoints_[i].health == Health::Steady &&
+                    endpoints_[i].lanes[visit.prefix].health == Health::Steady &&
+                    (!tried(visit, i) || may_go_back(visit));
       if (usable && may_fetch(visit, endpoints_[i])) return Input::Again;
     }
     return gave_up(visit);
@@ -399,11 +413,11 @@
   double depth(const Endpoint& endpoint) const {
     return endpoint.reported >= 0 ? endpoint.reported + endpoint.since_report : double(endpoint.out.size());
   }
-  static void note_answer(Endpoint& endpoint, const Answer& answer) {
-    keep(endpoint.answers, answer, kEndpointSamples);
-    endpoint.slowness.until = 0;
+  static void note_answer(Lane& lane, const Answer& answer) {
+    keep(lane.answers, answer, kEndpointSamples);
+    lane.slowness.until = 0;
   }
-  static void forget_answers(Endpoint& endpoint) { endpoint.answers.clear(), endpoint.slowness.until = 0; }
+  static void forget_answers(Lane& lane) { lane.answers.clear(), lane.slowness.until = 0; }
   // Against calm: a usual that moves with a jam makes those in it look no worse than those left out of use.
   // Kept until an answer comes or one grows old: each choice asks it of every endpoint.
   double slowness(const Endpoint& endpoint) const {
@@ -432,20 +446,22 @@
     }
     return capacity;
   }
-  static double failures(const Endpoint& endpoint) {
-    return double(std::count_if(endpoint.answers.begin(), endpoint.answers.end(),
+  static double failures(const Lane& lane) {
+    return double(std::count_if(lane.answers.begin(), lane.answers.end(),
                                 [](const Answer& answer) { return answer.failed; }));
   }
-  static double error_share(const Endpoint& endpoint) {
-    return failures(endpoint) / std::max(1.0, double(endpoint.answers.size()));
+  static double error_share(const Lane& lane) {
+    return failures(lane) / std::max(1.0, double(lane.answers.size()));
   }
   bool cold(const Endpoint& endpoint) const {
     return endpoint.online_since > 0 && now_ < endpoint.online_since + deployment_.cold.warm_after;
   }
-  bool open_to(const Endpoint& endpoint) const {
-    if (endpoint.health == Health::Trickle && int(endpoint.out.size()) >= endpoint.allowance) return false;
-    if (endpoint.health != Health::Steady && endpoint.health != Health::Trickle) return false;
-    return !cold(endpoint) || endpoint.cold_credit >= 1;
+  static bool open(const Lane& lane) {
+    if (lane.health == Health::Trickle) return int(lane.out.size()) < lane.allowance;
+    return lane.health == Health::Steady;
+  }
+  bool open_to(const Endpoint& endpoint, int prefix) const {
+    return open(endpoint) && open(endpoint.lanes[prefix]) && (!cold(endpoint) || endpoint.cold_credit >= 1);
   }
   // Many sidecars with few visits each: with the whole list for all, connections are opened everywhere, no
   // endpoint is known, and some become everyone's and others nobody's. So a ring of the list, shuffled alike
@@ -502,7 +518,8 @@
     for (int i : among) {
       const Endpoint& endpoint = endpoints_[i];
       bool again = tried(visit, i);
-      if ((again && !may_go_back(visit)) || !open_to(endpoint) || !may_fetch(visit, endpoint)) continue;
+      if ((again && !may_go_back(visit)) || !open_to(endpoint, visit.prefix) || !may_fetch(visit, endpoint))
+        continue;
       // A trickle is a test: a mutating visit, which could not be sent again, is no stake for it.
       if (endpoint.health == Health::Trickle && prefix(visit).kind == Kind::Mutating) continue;
       // A crossing is priced: zones are crossed for shorter queues, not by chance.
@@ -534,6 +551,7 @@
     if (cold(endpoint)) endpoint.cold_credit -= 1;
     ++endpoint.since_report;
     endpoint.out.insert({now_, key(visit.id, number)});
+    endpoint.lanes[visit.prefix].out.insert({now_, key(visit.id, number)});
     visit.fetches.push_back(fetch);
     if (!std::exchange(visit.counted, true)) {
       visit.weight = 1 / (kRoom * prefix(visit).target_latency);
@@ -648,10 +666,11 @@
     double whole = now_ - visit.fetches.front().sent;
     if (end.outcome != Outcome::Cancelled)
       keep(lost_, end.outcome == Outcome::Failed || end.outcome == Outcome::Refused, std::size_t{40});
+    Lane& lane = endpoint.lanes[visit.prefix];
     switch (end.outcome) {
       case Outcome::Delivered:
-        endpoint.last_answer = now_;
-        note_answer(endpoint, answer);
+        endpoint.last_answer = lane.last_answer = now_;
+        note_answer(endpoint, answer), note_answer(lane, answer);
         if (visit.state != State::Done) {
           stretches_.emplace_back(now_, whole / calm(visit.prefix));
           keep(late_, whole > threshold(visit.prefix), std::size_t{40});
@@ -659,13 +678,18 @@
           // Worked out here, once: it is asked for several times a visit, and was a tenth of a visit's cost.
           thresholds_[visit.prefix] = percentile(latencies_[visit.prefix], kHedgePercentile);
         }
-        ++answers_, turn_health(endpoint, Sign::Good);
-        if (endpoint.allowance >= kTrickleDone) turn_health(endpoint, Sign::Restored);
+        ++answers_;
+        for (Lane* each : {static_cast<Lane*>(&endpoint), &lane}) {
+          turn_health(*each, Sign::Good);
+          if (each->allowance >= kTrickleDone) turn_health(*each, Sign::Restored);
+        }
         return;
       case Outcome::Failed:
-        endpoint.last_answer = now_;
+        endpoint.last_answer = lane.last_answer = now_;
         answer.failed = true;
-        note_answer(endpoint, answer);
+        note_answer(endpoint, answer), note_answer(lane, answer);
+        // With nothing behind it an error is the endpoint's own, and may be this path prefix's alone.
+        if (deployment_.last_tier) note_lane_failing(endpoint, visit.prefix);
         if (fails_alone(endpoint)) note_failing(endpoint);
         return;
       case Outcome::ConnectFailed:
@@ -684,11 +708,19 @@
     if (endpoint.health == Health::Trickle || 2 * (count(Health::Aside) + 1) <= listed())
       turn_health(endpoint, Sign::Failing);
   }
-  bool silent(const Endpoint& endpoint) const {
+  // Of one path prefix most endpoints may fail at once: a quarter is always left to it.
+  void note_lane_failing(Endpoint& endpoint, int prefix) {
+    auto aside = std::count_if(endpoints_.begin(), endpoints_.end(), [&](const Endpoint& other) {
+      return other.health != Health::Gone && other.lanes[prefix].health == Health::Aside;
+    });
+    Lane& lane = endpoint.lanes[prefix];
+    if (lane.health == Health::Trickle || 4 * (aside + 1) <= 3 * listed()) turn_health(lane, Sign::Failing);
+  }
+  bool silent(const Lane& lane) const {
     int overdue = 0;
-    for (const auto& [sent, what] : endpoint.out) {
+    for (const auto& [sent, what] : lane.out) {
       auto visit = visits_.find(VisitId(what >> 8));
-      if (visit == visits_.end() || sent <= endpoint.last_answer) continue;
+      if (visit == visits_.end() || sent <= lane.last_answer) continue;
       double late = (now_ - sent) / threshold(visit->second.prefix);
       if (late > 2) return true;
       overdue += late > 1;
@@ -706,7 +738,8 @@
     if (found == endpoints_.end()) found = endpoints_.insert(found, Endpoint());
     Endpoint& endpoint = *found;
     endpoint.name = entry.endpoint;
-    if (entry.state != Listed::Ready) return turn_health(endpoint, Sign::Unlisted);
+    endpoint.lanes.resize(deployment_.path_prefixes.size());
+    if (entry.state != Listed::Ready) return turn_all(endpoint, Sign::Unlisted);
     endpoint.zone = entry.zone;
     endpoint.cell = entry.cell;
     endpoint.units = entry.units;
@@ -714,10 +747,11 @@
       // Restarted: nothing learned holds. Rule 4: by their numbers sidecars' first fetches come in turn.
       endpoint.online_since = entry.online_since;
       endpoint.reported = -1, forget_answers(endpoint);
+      for (Lane& lane : endpoint.lanes) forget_answers(lane);
       endpoint.cold_credit = double(deployment_.me % deployment_.sidecars) / deployment_.sidecars;
-      turn_health(endpoint, Sign::Unlisted);
+      turn_all(endpoint, Sign::Unlisted);
     }
-    turn_health(endpoint, Sign::Listed);
+    turn_all(endpoint, Sign::Listed);
   }
   void ask_again_later() {
     // The list service is one for all: without spread and back-off every sidecar would knock at once.
@@ -806,6 +840,12 @@
       }
       bool used = endpoint.health == Health::Steady || endpoint.health == Health::Trickle;
       if (used && silent(endpoint)) note_failing(endpoint);
+      for (std::size_t i = 0; i < endpoint.lanes.size(); ++i) {
+        Lane& lane = endpoint.lanes[i];
+        if (lane.health == Health::Aside && now_ >= lane.hold_until) turn_health(lane, Sign::HoldOver);
+        bool shared = share_of(late_) > kSharedLate;
+        if (deployment_.last_tier && !shared && silent(lane)) note_lane_failing(endpoint, int(i));
+      }
     }
     std::vector<VisitId> over;
     for (const auto& [place, id] : held_) {
@@ -868,7 +908,7 @@
     {State::Paired, Input::Over, State::Done, &Module::finish},
 }};
 
-const std::array<Module::Row<Health, Sign, Endpoint>, 10> Module::kHealthRows = {{
+const std::array<Module::Row<Health, Sign, Lane>, 10> Module::kHealthRows = {{
     {Health::Gone, Sign::Listed, Health::Steady, &Module::restore},
     {Health::Steady, Sign::Failing, Health::Aside, &Module::set_aside},
     {Health::Steady, Sign::Unlisted, Health::Gone, &Module::nothing},
