--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -714,6 +714,8 @@
       return other.health != Health::Gone && other.lanes[prefix].health == Health::Aside;
     });
     Lane& lane = endpoint.lanes[prefix];
+    // Its trickle is mutating visits, which are lost where it still fails.
+    if (deployment_.path_prefixes[prefix].kind == Kind::Mutating) lane.hold = kLongestHold * 2;
     if (lane.health == Health::Trickle || 4 * (aside + 1) <= 3 * listed()) turn_health(lane, Sign::Failing);
   }
   bool silent(const Lane& lane) const {
