--- a/deployment/deployment.cpp
+++ b/deployment/deployment.cpp
@@ -78,7 +78,9 @@
   deployment.idle_time = option(limits, "ConnIdleS", deployment.idle_time);
   deployment.longest_wait_advice = option(limits, "MaxRetryAfterS", 0.0);
   element fees;
-  if (!options["Fees"].get(fees)) deployment.crossing_priced = option(fees, "CrossZone", 0.0) > 0;
+  if (!options["Fees"].get(fees)) deployment.crossing_price = option(fees, "CrossZone", 0.0);
+  element extra;
+  if (!options["Extra"].get(extra)) deployment.warm_keys = option(extra, "WarmKeys", false);
   deployment.zone = option<std::string>(options, "Zone", "");
   element report;
   if (!options["Report"].get(report))
--- a/include/puffinvane/policy.h
+++ b/include/puffinvane/policy.h
@@ -55,7 +55,8 @@
   double connect_timeout = 0.25;
   double idle_time = 10;  // an endpoint closes a connection that has stood idle for longer
   bool list_on_request = false;
-  bool crossing_priced = false;  // fetches into another zone cost the deployment
+  double crossing_price = 0;  // of the whole service, were each visit fetched into another zone
+  bool warm_keys = false;     // endpoints of a cell do less work for a key that one of them met lately
   std::string zone;
   bool credit_by_work = false;  // else by visit
   double weight_whole = 1;      // how the day is judged: by the whole,
@@ -84,6 +85,7 @@
   std::string_view path_prefix;
   std::string_view customer;
   double time_left = 0;
+  std::string_view key = {};  // what it is about; empty: not told
 };
 
 // Stale: broken at once on a connection that had stood idle. It may have run, but it says nothing of the
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <deque>
 #include <map>
 #include <numeric>
@@ -32,8 +33,9 @@
 constexpr double kLeastPatience = 0.2, kMostPatience = 0.8;  // of the target latency that a visit may be held
 constexpr double kSlowEndpoint = 1.5;                        // times calm: lateness may be the endpoint's own
 constexpr double kUnsuspected = 2, kHopeless = 3;  // thresholds: with nothing against the endpoint; for any
-constexpr double kCrossing = 0.3;  // visits of depth that crossing zones counts for, where it has a price
-constexpr double kBack = 100;      // and going back to the same endpoint: for want of any other
+constexpr double kCrossing = 30;  // visits of depth that crossing zones counts for, times its price
+constexpr double kWarm = 5;
+constexpr double kBack = 100;  // and going back to the same endpoint: for want of any other
 constexpr double kReportAge = 3, kFull = 0.9, kMend = 0.7;
 constexpr std::size_t kPassTicks = 15;
 constexpr double kTick = 0.1, kFirstOfAll = -1e9;
@@ -136,6 +138,7 @@
   State state = State::Held;
   bool over_share = false, counted = false;
   double until = 0, held_until = 0, standing = 0, weight = 0, calm_weight = 0;
+  std::uint64_t key = 0;  // 0: none that counts
   Held place;
   std::vector<Fetch> fetches;
 };
@@ -177,6 +180,7 @@
     }
     taken.over_share = over_share(visit.customer);
 
+    if (deployment_.warm_keys && !visit.key.empty()) taken.key = mixed(kMixer, visit.key);
     taken.until = now + visit.time_left;
     taken.held_until = now + std::min(patience(taken), visit.time_left / 2);
     taken.place = {rank(taken), ++turns_};
@@ -468,6 +472,11 @@
   // at all, is cut evenly among as many sidecars as it gives parts; the next cut a ring shuffled in another
   // way.
   int rings() const { return deployment_.sidecars / parts_; }
+  static std::uint64_t mixed(std::uint64_t at, std::string_view name) {
+    for (char each : name) at = (at ^ std::uint8_t(each)) * kMixer, at ^= at >> 29;
+    return at;
+  }
+  static double to_share(std::uint64_t mixed) { return double(mixed >> 11) / double(1ULL << 53); }
   void shuffle() {
     // Cut anew only for a list that is clearly another: each new cut is a round of new connections for all.
     int parts = std::max(1, std::min(listed(), deployment_.sidecars) / kDealt);
@@ -475,8 +484,7 @@
     if (parts > parts_ * 1.25 || parts < parts_ * 0.75) parts_ = parts;
     std::vector<std::pair<std::uint64_t, int>> order;
     for (int i = 0; i < int(endpoints_.size()); ++i) {
-      std::uint64_t at = kMixer * std::uint64_t(deployment_.me % rings() + 1);
-      for (char each : endpoints_[i].name) at = (at ^ std::uint8_t(each)) * kMixer, at ^= at >> 29;
+      std::uint64_t at = mixed(kMixer * std::uint64_t(deployment_.me % rings() + 1), endpoints_[i].name);
       if (endpoints_[i].health != Health::Gone) order.emplace_back(at, i);
     }
     std::sort(order.begin(), order.end());
@@ -510,39 +518,28 @@
     return found < 0 && dealt_.size() < ring_.size() ? choose_among(visit, at_random, ring_) : found;
   }
   int choose_among(const Taken& visit, bool at_random, const std::vector<int>& among) {
-    struct Ready {
-      double ahead, weight;
-      int endpoint;
-    };
-    std::vector<Ready> ready;
+    int found = -1;
+    double lowest = 0;
     for (int i : among) {
       const Endpoint& endpoint = endpoints_[i];
-      bool again = tried(visit, i);
+      bool again = tried(visit, i), told = deployment_.answers_tell_load;
       if ((again && !may_go_back(visit)) || !open_to(endpoint, visit.prefix) || !may_fetch(visit, endpoint))
         continue;
       // A trickle is a test: a mutating visit, which could not be sent again, is no stake for it.
       if (endpoint.health == Health::Trickle && prefix(visit).kind == Kind::Mutating) continue;
       // A crossing is priced: zones are crossed for shorter queues, not by chance.
-      double crossing = !deployment_.crossing_priced || endpoint.zone == deployment_.zone ? 0 : kCrossing;
+      double crossing = endpoint.zone == deployment_.zone ? 0 : kCrossing * deployment_.crossing_price;
       double weight = (endpoint.dealt > 0 ? endpoint.dealt : endpoint.units) / slowness(endpoint);
-      if (now_ - endpoint.load_at < kReportAge && endpoint.load.busy > 0)
-        weight *= 1.3 - std::min(endpoint.load.busy, 1.0);
-      double first = deployment_.answers_tell_load ? 0 : 1;
-      double ahead = (depth(endpoint) + first + crossing + (again ? kBack : 0)) / weight;
-      ready.push_back({at_random ? 0 : ahead, weight, i});
+      // Ties break at random, in proportion to what each can do (the least of such draws is so spread); with
+      // a key they break alike at all sidecars, and an endpoint that met it lately is worth some depth.
+      double draw =
+          -std::log(1e-9 + (visit.key ? to_share(mixed(visit.key, endpoint.name)) : chance_.share()));
+      double tie = !told || at_random ? 0 : (visit.key ? kWarm : 0.01) * draw;
+      double ahead = depth(endpoint) + (told ? 0 : 1) + crossing + (again ? kBack : 0);
+      ahead = at_random ? draw : told ? (ahead + tie) / weight : ahead * (1 + 0.2 * chance_.share()) / weight;
+      if (found < 0 || ahead < lowest) found = i, lowest = ahead;
     }
-    if (ready.empty()) return -1;
-    double lowest = std::min_element(ready.begin(), ready.end(), [](auto& a, auto& b) {
-                      return a.ahead < b.ahead;
-                    })->ahead;
-    std::erase_if(ready, [&](const auto& one) { return one.ahead > lowest * 1.2; });
-    if (!deployment_.answers_tell_load) return ready[chance_.below(std::uint32_t(ready.size()))].endpoint;
-    double sum = 0;
-    for (const Ready& one : ready) sum += one.weight;
-    double at = chance_.share() * sum;
-    for (const Ready& one : ready)
-      if ((at -= one.weight) <= 0) return one.endpoint;
-    return ready.back().endpoint;
+    return found;
   }
   void send(Taken& visit, int to) {
     Endpoint& endpoint = endpoints_[to];
