--- a/deployment/deployment.cpp
+++ b/deployment/deployment.cpp
@@ -93,7 +93,7 @@
   element parts;
   if (!options["ScoreParts"].get(parts)) {
     deployment.weight_whole = option(parts, "Whole", 0.0);
-    deployment.weight_evenness = option(parts, "WorstClass", 0.0) + option(parts, "Tail", 0.0);
+    deployment.weight_evenness = option(parts, "WorstClass", 0.0);
   }
   deployment.me = option(options, "Me", 0);
   deployment.sidecars = std::max(1, option(options, "PeersTotal", 1));
--- a/include/puffinvane/policy.h
+++ b/include/puffinvane/policy.h
@@ -60,7 +60,7 @@
   std::string zone;
   bool credit_by_work = false;  // else by visit
   double weight_whole = 1;      // how the day is judged: by the whole,
-  double weight_evenness = 0;   // or by its worst-served path prefix and its tail
+  double weight_evenness = 0;   // or by its worst-served path prefix
   double ask_within = 10;
   double longest_wait_advice = 0;
   double round = 0;
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -767,15 +767,16 @@
       if (now_ - endpoint.load_at > kReportAge) continue;
       depth += endpoint.load.depth, served += endpoint.load.served, busy += endpoint.load.busy, ++heard;
     }
-    // Rates that have only begun to be counted tell of a jam that is none.
-    if (heard == 0 || now_ < started_ + kFirstSeconds) return;
+    if (heard == 0) return;
     double use = busy / heard / kFull, sum = 0, count = 0;
     if (depth > 0 && served > 0) {
       for (const auto& each : latencies_)
         sum += std::accumulate(each.begin(), each.end(), 0.0), count += double(each.size());
       for (std::size_t i = 0; i < latencies_.size(); ++i) {
         if (latencies_[i].empty()) continue;
-        double stay = depth / served * mean(latencies_[i]) / (sum / count);
+        double own = mean(latencies_[i]), stay = depth / served * own / (sum / count);
+        // Rates that have only begun to be counted tell of a jam that is none.
+        if (now_ < started_ + kFirstSeconds) stay = std::min(stay, own);
         use = std::max(use, stay / (kRoom * deployment_.path_prefixes[i].target_latency));
       }
     }
