--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -498,8 +498,10 @@
     for (int i : ring_) whole += endpoints_[i].units, endpoints_[i].dealt = 0;
     double from = whole * (deployment_.me / turns % cuts) / cuts, to = from + whole / cuts;
     // As wide as it can know: enough visits a second for each endpoint to keep its samples young.
-    double known = recent_rate_ * kSampleAge / double(kEndpointSamples) / std::max(1.0, double(ring_.size()));
-    if (deployment_.answers_tell_load) to = from + whole * std::clamp(known, 1.0 / cuts, 1.0);
+    double known =
+        0.5 * recent_rate_ * kSampleAge / double(kEndpointSamples) / std::max(1.0, double(ring_.size()));
+    if (deployment_.answers_tell_load)
+      to = from + whole * std::clamp(deployment_.warm_keys ? 1 : known, 1.0 / cuts, 1.0);
     dealt_.clear();
     for (std::size_t n = 0; n < 2 * ring_.size() && at < to && dealt_.size() < ring_.size(); ++n) {
       int i = ring_[n % ring_.size()];
