--- a/include/puffinvane/policy.h
+++ b/include/puffinvane/policy.h
@@ -86,6 +86,7 @@
   std::string_view customer;
   double time_left = 0;
   std::string_view key = {};  // what it is about; empty: not told
+  double work = 0;            // expected, in seconds of a standard core, roughly; 0: not told
 };
 
 // Stale: broken at once on a connection that had stood idle. It may have run, but it says nothing of the
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -34,7 +34,7 @@
 constexpr double kSlowEndpoint = 1.5;                        // times calm: lateness may be the endpoint's own
 constexpr double kUnsuspected = 2, kHopeless = 3;  // thresholds: with nothing against the endpoint; for any
 constexpr double kCrossing = 30;  // visits of depth that crossing zones counts for, times its price
-constexpr double kWarm = 5;
+constexpr double kWarm = 5, kHeaviest = 4;
 constexpr double kBack = 100;  // and going back to the same endpoint: for want of any other
 constexpr double kReportAge = 3, kFull = 0.9, kMend = 0.7;
 constexpr std::size_t kPassTicks = 15;
@@ -139,6 +139,7 @@
   bool over_share = false, counted = false;
   double until = 0, held_until = 0, standing = 0, weight = 0, calm_weight = 0;
   std::uint64_t key = 0;  // 0: none that counts
+  double heavy = 1;       // its work against a quarter of its target latency, as far as told
   Held place;
   std::vector<Fetch> fetches;
 };
@@ -181,6 +182,7 @@
     taken.over_share = over_share(visit.customer);
 
     if (deployment_.warm_keys && !visit.key.empty()) taken.key = mixed(kMixer, visit.key);
+    taken.heavy = std::clamp(4 * visit.work / prefix(taken).target_latency, 1.0, kHeaviest);
     taken.until = now + visit.time_left;
     taken.held_until = now + std::min(patience(taken), visit.time_left / 2);
     taken.place = {rank(taken), ++turns_};
@@ -532,6 +534,8 @@
       // A crossing is priced: zones are crossed for shorter queues, not by chance.
       double crossing = endpoint.zone == deployment_.zone ? 0 : kCrossing * deployment_.crossing_price;
       double weight = (endpoint.dealt > 0 ? endpoint.dealt : endpoint.units) / slowness(endpoint);
+      // A heavy visit's own work is most of its latency: it goes the more to the fast.
+      if (visit.heavy > 1) weight = std::pow(weight, visit.heavy);
       // Ties break at random, in proportion to what each can do (the least of such draws is so spread); with
       // a key they break alike at all sidecars, and an endpoint that met it lately is worth some depth.
       double draw =
--- a/wirehost/codec.cpp
+++ b/wirehost/codec.cpp
@@ -72,6 +72,11 @@
   return value;
 }
 
+double Message::number_or_none(std::size_t place) const {
+  double value;
+  return place >= values_.size() || values_[place].get(value) ? 0 : value;
+}
+
 std::vector<ListEntry> read_entries(element entries) {
   simdjson::dom::array rows;
   if (entries.get(rows)) throw Malformed("event CATALOG has no proper Entries");
--- a/wirehost/codec.h
+++ b/wirehost/codec.h
@@ -23,6 +23,7 @@
   bool flag(std::size_t place, const char* what) const;
   std::string_view text(std::size_t place, const char* what) const;
   std::string_view text_or_none(std::size_t place) const;
+  double number_or_none(std::size_t place) const;
   simdjson::dom::element at(std::size_t place, const char* what) const;
   Load load(std::size_t place) const;  // no load report, none in it that counts: nothing reported
 
