Own answers' lag tells of the queue behind full cores; a stall of its own says nothing

The last 16 answers' latency against their target now count as well (older than 3 s not; four at least).

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -36,9 +36,9 @@
 constexpr double kCrossing = 30;  // visits of depth that crossing zones counts for, times its price
 constexpr double kWarm = 5, kHeaviest = 4;
 constexpr double kBack = 100;  // and going back to the same endpoint: for want of any other
-constexpr double kReportAge = 3, kFull = 0.9, kMend = 0.7;
+constexpr double kReportAge = 3, kFull = 0.9, kMend = 0.7, kFewLags = 4;
 constexpr std::size_t kPassTicks = 15;
-constexpr double kTick = 0.1, kFirstOfAll = -1e9;
+constexpr double kTick = 0.1, kStoodStill = 0.35, kFirstOfAll = -1e9;
 constexpr double kFirstHold = 1, kLongestHold = 8;  // seconds set aside, doubling
 constexpr int kTrickleDone = 8;  // fetches at a time that a trickle has to bear before it is over
 
@@ -158,7 +158,7 @@
   }
 
   void list(double now, ListScope scope, std::span<const ListEntry> entries) override {
-    now_ = now;
+    pass_time(now);
     if (scope == ListScope::Failed) return ask_again_later();
     if (scope != ListScope::Cached) asked_until_ = 0, ask_back_off_ = 0.5;
     std::set<std::string_view> seen;
@@ -172,7 +172,7 @@
   }
 
   void arrive(double now, const Visit& visit) override {
-    now_ = now;
+    pass_time(now);
     Taken taken;
     taken.id = visit.id;
     while (taken.prefix + 1 < int(deployment_.path_prefixes.size()) &&
@@ -203,7 +203,7 @@
   }
 
   void fetch_ended(double now, const FetchEnd& end) override {
-    now_ = now;
+    pass_time(now);
     auto found = visits_.find(end.visit);
     if (found == visits_.end() || end.number >= int(found->second.fetches.size())) return;
     Taken& visit = found->second;
@@ -224,7 +224,7 @@
   }
 
   void withdrawn(double now, VisitId id) override {
-    now_ = now;
+    pass_time(now);
     auto found = visits_.find(id);
     if (found == visits_.end()) return;
     if (found->second.state != State::Done) turn(found->second, Input::Over);
@@ -233,7 +233,7 @@
   }
 
   void inherit(double now, const Policy& earlier, double share) override {
-    now_ = now;
+    pass_time(now);
     const auto* from = dynamic_cast<const Module*>(&earlier);
     if (!from) return;
     for (Endpoint& endpoint : endpoints_) {
@@ -268,7 +268,7 @@
   }
 
   void woken(double now, std::uint64_t token) override {
-    now_ = now;
+    pass_time(now);
     if (token == kTickToken) return tick();
     auto found = visits_.find(static_cast<VisitId>(token));
     if (found == visits_.end()) return;
@@ -286,6 +286,11 @@
   static constexpr const char* kCounted[] = {"copies sent",     "suppressed by depth", "errors",
                                              "shared lateness", "no endpoint",         "weight"};
 
+  // A sidecar that stood still itself finds all late at once: that says nothing of who it waited for.
+  void pass_time(double now) {
+    if (now - std::exchange(now_, now) > kStoodStill) awake_ = now;
+  }
+
   template <typename State, typename Input, typename Subject>
   struct Row {
     State state;
@@ -570,7 +575,7 @@
     if (int(visit.fetches.size()) >= deployment_.max_fetches || !visit.fetches.back().out) return;
     // A wake of an earlier fetch of the same visit is not this one's threshold.
     const Fetch& first = visit.fetches.back();
-    double due = threshold(visit.prefix), waited = now_ - first.sent;
+    double due = threshold(visit.prefix), waited = now_ - std::max(first.sent, awake_);
     if (waited < due - deployment_.round) return;
     // A heavy visit is late anywhere, and its copy doubles the heaviest work on every tier behind: an
     // endpoint that answers what came later is believed, and one with nothing against it gets as long again.
@@ -670,11 +675,14 @@
     if (end.outcome != Outcome::Cancelled)
       keep(lost_, end.outcome == Outcome::Failed || end.outcome == Outcome::Refused, std::size_t{40});
     Lane& lane = endpoint.lanes[visit.prefix];
+    bool slept = fetch.sent < awake_, told = deployment_.answers_tell_load && !slept;
+    if (told && (end.outcome == Outcome::Delivered || end.outcome == Outcome::TimedOut))
+      keep(lags_, {now_, end.took / prefix(visit).target_latency}, kEndpointSamples);
     switch (end.outcome) {
       case Outcome::Delivered:
         endpoint.last_answer = lane.last_answer = now_;
-        note_answer(endpoint, answer), note_answer(lane, answer);
-        if (visit.state != State::Done) {
+        if (!slept) note_answer(endpoint, answer), note_answer(lane, answer);
+        if (visit.state != State::Done && !slept) {
           stretches_.emplace_back(now_, whole / calm(visit.prefix));
           keep(late_, whole > threshold(visit.prefix), std::size_t{40});
           keep(latencies_[visit.prefix], whole, kLatencies);
@@ -726,7 +734,7 @@
     for (const auto& [sent, what] : lane.out) {
       auto visit = visits_.find(VisitId(what >> 8));
       if (visit == visits_.end() || sent <= lane.last_answer) continue;
-      double late = (now_ - sent) / threshold(visit->second.prefix);
+      double late = (now_ - std::max(sent, awake_)) / threshold(visit->second.prefix);
       if (late > 2) return true;
       overdue += late > 1;
     }
@@ -786,6 +794,12 @@
         use = std::max(use, stay / (kRoom * deployment_.path_prefixes[i].target_latency));
       }
     }
+    // Full cores can't tell of the queue behind them; own answers do.
+    double lag = 0, lags = 0;
+    for (const auto& [at, share] : lags_) {
+      if (now_ - at < kReportAge) lag += share, ++lags;
+    }
+    if (lags >= kFewLags) use = std::max(use, lag / lags / kRoom);
     double passed = passes_.empty() ? 1 : mean(passes_);
     pass_ = std::clamp(passed * std::clamp(1 + kMend * (1 - use), 0.7, 1.3), 0.1, 1.0);
     keep(passes_, pass_, kPassTicks);
@@ -875,8 +889,7 @@
   const Deployment deployment_;
   Host& host_;
   Chance chance_;
-  double now_;
-  double started_;
+  double now_, started_, awake_ = kFirstOfAll;
   std::vector<Endpoint> endpoints_;
   std::vector<int> ring_, dealt_;  // the listed endpoints in this sidecar's order, and its part of them
   std::map<VisitId, Taken> visits_;
@@ -889,6 +902,8 @@
   std::deque<std::pair<double, double>> stretches_;  // of the last answers against calm, with their times
   double pass_ = 1, fleet_rate_ = 0;
   std::deque<double> passes_;
+  std::deque<std::pair<double, double>>
+      lags_;  // of the last answers: when, and its latency against the target
   std::deque<double> ranks_;
   std::deque<int> customers_;
   std::deque<double> sojourns_;
