--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -801,7 +801,7 @@
     }
     if (lags >= kFewLags) use = std::max(use, lag / lags / kRoom);
     double passed = passes_.empty() ? 1 : mean(passes_);
-    pass_ = std::clamp(passed * std::clamp(1 + kMend * (1 - use), 0.7, 1.3), 0.1, 1.0);
+    pass_ = std::clamp(passed * std::clamp(1 + kMend * (1 - use), 0.5, 1.3), 0.1, 1.0);
     keep(passes_, pass_, kPassTicks);
     fleet_rate_ = served / heard * listed() / passed;
   }
