--- a/deployment/deployment.cpp
+++ b/deployment/deployment.cpp
@@ -90,11 +90,6 @@
   deployment.cold.warm_after = option(rules, "ColdS", deployment.cold.warm_after);
   deployment.ask_within = option(rules, "AskWithinS", deployment.ask_within);
   deployment.credit_by_work = option<std::string>(options, "CreditBasis", "request") == "work";
-  element parts;
-  if (!options["ScoreParts"].get(parts)) {
-    deployment.weight_whole = option(parts, "Whole", 0.0);
-    deployment.weight_evenness = option(parts, "WorstClass", 0.0);
-  }
   deployment.me = option(options, "Me", 0);
   deployment.sidecars = std::max(1, option(options, "PeersTotal", 1));
   deployment.tier = option(options, "Layer", 0);
--- a/include/puffinvane/policy.h
+++ b/include/puffinvane/policy.h
@@ -59,8 +59,6 @@
   bool warm_keys = false;     // endpoints of a cell do less work for a key that one of them met lately
   std::string zone;
   bool credit_by_work = false;  // else by visit
-  double weight_whole = 1;      // how the day is judged: by the whole,
-  double weight_evenness = 0;   // or by its worst-served path prefix
   double ask_within = 10;
   double longest_wait_advice = 0;
   double round = 0;
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -151,7 +151,6 @@
     latencies_.resize(deployment_.path_prefixes.size());
     thresholds_.resize(deployment_.path_prefixes.size());
     means_.resize(deployment_.path_prefixes.size());
-    customer_arrivals_.resize(deployment_.customers.size());
     double turn = (deployment_.me % deployment_.sidecars + chance_.share()) / deployment_.sidecars;
     if (deployment_.list_on_request) ask_at_ = now + turn * deployment_.ask_within * 0.4;
     host_.wake(now + kTick * (0.5 + chance_.share()), kTickToken);
@@ -633,11 +632,9 @@
       if (goes) turn(visit, Input::Room);
     }
   }
-  // Who waits longest when there is no room: first those over their customer's share, then low credit for
-  // the work, unless the deployment is judged by its worst-served path prefix more than by the whole.
+  // Who waits longest, and is shed first: those over their customer's share, then low credit for the work.
   double rank(const Taken& visit) const {
-    double work = deployment_.credit_by_work ? 1 : calm(visit.prefix);
-    double credit = deployment_.weight_evenness >= deployment_.weight_whole ? 0 : prefix(visit).credit / work;
+    double credit = prefix(visit).credit / (deployment_.credit_by_work ? 1 : calm(visit.prefix));
     return visit.over_share ? 1 / (1 + credit) : -credit;
   }
   void leave_count(Taken& visit) {
@@ -649,22 +646,17 @@
     bool out = std::any_of(visit.fetches.begin(), visit.fetches.end(), [](const Fetch& f) { return f.out; });
     if (visit.state == State::Done && !out) visits_.erase(at);
   }
+  // Sidecars' traffic is uneven but its mixture alike: a customer's part of it here is its part of the
+  // fleet's.
   bool over_share(std::string_view name) {
-    for (std::size_t i = 0; i < deployment_.customers.size(); ++i) {
-      const Customer& customer = deployment_.customers[i];
-      if (customer.name != name) continue;
-      if (deployment_.answers_tell_load) {
-        keep(customers_, int(i), kLatencies);
-        double part =
-            double(std::count(customers_.begin(), customers_.end(), int(i))) / double(customers_.size());
-        return chance_.share() * part * fleet_rate_ > customer.quota_per_s;
-      }
-      auto& times = customer_arrivals_[i];
-      while (!times.empty() && now_ - times.front() > 2) times.pop_front();
-      if (double(times.size()) >= 2 * customer.quota_per_s / deployment_.sidecars) return true;
-      times.push_back(now_);
-    }
-    return false;
+    const auto& all = deployment_.customers;
+    auto found = std::find_if(all.begin(), all.end(), [&](const Customer& one) { return one.name == name; });
+    if (found == all.end()) return false;
+    keep(arrivals_, now_, kLatencies);
+    keep(customers_, std::string(name), kLatencies);
+    double part =
+        double(std::count(customers_.begin(), customers_.end(), found->name)) / double(customers_.size());
+    return chance_.share() * part * fleet_rate_ > found->quota_per_s;
   }
 
   // ---- health: what an outcome, or none, says of its endpoint
@@ -773,6 +765,9 @@
     ask_back_off_ = std::min(ask_back_off_ * 2, deployment_.ask_within);
   }
 
+  double arrived_rate() const {
+    return arrivals_.size() < 2 ? 0 : double(arrivals_.size()) / std::max(2.0, now_ - arrivals_.front());
+  }
   // How full the fleet is against how full it may be, as told: by its cores' use, or by Little's law from how
   // long visits stay there. What passes now is what passed when that was so, mended by it.
   void hear_crowd() {
@@ -781,6 +776,7 @@
       if (now_ - endpoint.load_at > kReportAge) continue;
       depth += endpoint.load.depth, served += endpoint.load.served, busy += endpoint.load.busy, ++heard;
     }
+    if (!deployment_.answers_tell_load) fleet_rate_ = arrived_rate() * deployment_.sidecars;
     if (heard == 0) return;
     double use = busy / heard / kFull, sum = 0, count = 0;
     if (depth > 0 && served > 0) {
@@ -894,7 +890,7 @@
   std::vector<int> ring_, dealt_;  // the listed endpoints in this sidecar's order, and its part of them
   std::map<VisitId, Taken> visits_;
   std::map<Held, VisitId> held_;
-  std::vector<std::deque<double>> latencies_, means_, customer_arrivals_;
+  std::vector<std::deque<double>> latencies_, means_;
   std::vector<double> thresholds_;  // by path prefix, of latencies_
   std::deque<double> paces_;        // of a warm endpoint of one unit, a tick
   std::deque<bool> late_, lost_, crowded_;
@@ -904,9 +900,8 @@
   std::deque<double> passes_;
   std::deque<std::pair<double, double>>
       lags_;  // of the last answers: when, and its latency against the target
-  std::deque<double> ranks_;
-  std::deque<int> customers_;
-  std::deque<double> sojourns_;
+  std::deque<double> ranks_, arrivals_;
+  std::deque<std::string> customers_;
   double answers_ = 0, recent_rate_ = 0, calm_rate_ = 0, load_ = 0, calm_load_ = 0;
   int in_flight_ = 0, copy_to_ = -1, parts_ = 1;
   double ask_at_ = 0, asked_until_ = 0, ask_back_off_ = 0.5, report_at_ = 0, means_at_ = 0;
