--- a/deployment/deployment.cpp
+++ b/deployment/deployment.cpp
@@ -1,6 +1,7 @@
 #include "deployment/deployment.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace puffinvane {
 
@@ -36,6 +37,27 @@
   return found;
 }
 
+// As `option`, but what is set has to be of use: a default in its place would hide a slip of the pen.
+template <typename T>
+T checked(element object, std::string_view key, T fallback, const char* what) {
+  element found;
+  if (object[key].get(found)) return fallback;
+  T value;
+  if (found.get(value)) throw Malformed(std::string(key) + " is not " + what);
+  return value;
+}
+double amount(element object, std::string_view key, double fallback) {
+  double value = checked(object, key, fallback, "a number");
+  if (!std::isfinite(value) || value < 0) throw Malformed(std::string(key) + " is not a number from 0 on");
+  return value;
+}
+bool flag(element object, std::string_view key, bool fallback) {
+  return checked(object, key, fallback, "true or false");
+}
+std::string word(element object, std::string_view key, std::string_view fallback) {
+  return std::string(checked(object, key, fallback, "a word"));
+}
+
 Kind read_kind(const std::string& word) {
   if (word == "repeatable") return Kind::ReadLike;
   return word == "by_key" ? Kind::Tagged : Kind::Mutating;
@@ -77,14 +99,15 @@
   deployment.connect_timeout = option(limits, "ConnectTimeoutS", deployment.connect_timeout);
   deployment.idle_time = option(limits, "ConnIdleS", deployment.idle_time);
   deployment.longest_wait_advice = option(limits, "MaxRetryAfterS", 0.0);
-  element fees;
-  if (!options["Fees"].get(fees)) deployment.crossing_price = option(fees, "CrossZone", 0.0);
-  element extra;
-  if (!options["Extra"].get(extra)) deployment.warm_keys = option(extra, "WarmKeys", false);
+  if (element fees; !options["Fees"].get(fees)) deployment.crossing_price = amount(fees, "CrossZone", 0.0);
+  if (element extra; !options["Extra"].get(extra)) deployment.warm_keys = flag(extra, "WarmKeys", false);
   deployment.zone = option<std::string>(options, "Zone", "");
-  element report;
-  if (!options["Report"].get(report))
-    deployment.answers_tell_load = option<std::string>(report, "Via", "") == "piggyback";
+  if (element report; !options["Report"].get(report)) {
+    std::string via = word(report, "Via", "silent");
+    if (via != "piggyback" && via != "pull" && via != "silent")
+      throw Malformed("Via is '" + via + "', not piggyback, pull or silent");
+    deployment.answers_tell_load = via == "piggyback";
+  }
   element rules = child(options, "Rules");
   deployment.cold.share = option(rules, "ColdShare", deployment.cold.share);
   deployment.cold.warm_after = option(rules, "ColdS", deployment.cold.warm_after);
@@ -93,8 +116,12 @@
   deployment.me = option(options, "Me", 0);
   deployment.sidecars = std::max(1, option(options, "PeersTotal", 1));
   deployment.tier = option(options, "Layer", 0);
-  simdjson::dom::array tiers;
-  if (!options["Tiers"].get(tiers)) deployment.last_tier = deployment.tier + 1 == int(tiers.size());
+  if (element tiers; !options["Tiers"].get(tiers)) {
+    std::size_t count = items(options, "Tiers").size();
+    if (deployment.tier < 0 || std::size_t(deployment.tier) >= count)
+      throw Malformed("Layer is " + std::to_string(deployment.tier) + ", not a place in Tiers");
+    deployment.last_tier = std::size_t(deployment.tier) + 1 == count;
+  }
   deployment.round = option(options, "RoundS", 0.0);
   deployment.list_on_request = option<std::string>(options, "RegistryMode", "pushed") == "on_request";
   return deployment;
--- a/include/puffinvane/policy.h
+++ b/include/puffinvane/policy.h
@@ -107,6 +107,9 @@
   Load load;
 };
 
+// What a module thinks of a visit or an endpoint beside what it asks for; who watches may count it.
+enum class Judged { OverShare, Aside };
+
 class Host {
  public:
   virtual ~Host() = default;
@@ -117,6 +120,7 @@
   virtual void wake(double at, std::uint64_t token) = 0;
   virtual void follow_list(bool want) = 0;
   virtual void log(std::string_view text) = 0;
+  virtual void judged(Judged, VisitId) {}
 };
 
 // One instance decides for one sidecar. Every call says what time it is; none blocks.
--- a/sidecar/lifecycle/sidecar.cpp
+++ b/sidecar/lifecycle/sidecar.cpp
@@ -10,6 +10,13 @@
 
 namespace {
 constexpr std::size_t kBufferShare = 2;  // of the memory: the rest is for the module, GLib and the heap
+
+PolicyMaker watching(const std::optional<Deployment>& watched, Differences& counted, PolicyMaker make) {
+  if (!watched) return make;
+  return [&](double now, Deployment acting, std::uint64_t seed, Host& host) {
+    return std::make_unique<Watched>(now, std::move(acting), *watched, seed, host, counted);
+  };
+}
 }  // namespace
 
 Sidecar::Sidecar(Loop& loop, Assignment assignment, double clock_offset, std::string assigned_in,
@@ -19,7 +26,8 @@
       clock_offset_(clock_offset),
       assigned_in_(std::move(assigned_in)),
       admission_(loop, assignment_.memory / kBufferShare),
-      carrier_(loop, admission_, assignment_.deployment, assignment_.seed, make),
+      carrier_(loop, admission_, assignment_.deployment, assignment_.seed,
+               watching(assignment_.watched, differences_, make)),
       callers_(loop, admission_, *this),
       door_(loop, callers_),
       watch_(loop, carrier_, assignment_.discovery, clock_offset, assignment_.known.index) {}
@@ -71,6 +79,8 @@
 void Sidecar::on_request(Client& client, HttpMessage request) {
   if (request.target == "/healthz" && request.method == "GET")
     return client.answer(leaving_ ? 503 : 200, nullptr, "", leaving_ ? "leaving\n" : "ready\n", false);
+  if (request.target == "/watch" && request.method == "GET" && assignment_.watched)
+    return client.answer(200, nullptr, "", write_differences(differences_), false);
   if (request.method == "HEAD" || request.method == "CONNECT")
     return client.answer(405, nullptr, "Allow: GET, POST\r\n", "", true);
   const PathPrefix* prefix = carrier_.find_prefix(path_prefix_of(request.target));
--- a/sidecar/lifecycle/sidecar.h
+++ b/sidecar/lifecycle/sidecar.h
@@ -5,6 +5,7 @@
 
 #include "sidecar/lifecycle/lifecycle.h"
 #include "sidecar/lifecycle/start.h"
+#include "sidecar/watching/watched.h"
 #include "sidecar/wire/callers.h"
 #include "sidecar/wire/carrier.h"
 #include "sidecar/wire/watch.h"
@@ -32,6 +33,7 @@
   const double clock_offset_;
   const std::string assigned_in_;
   bool leaving_ = false;
+  Differences differences_;
   Admission admission_;
   Carrier carrier_;
   Callers callers_;
--- a/sidecar/lifecycle/start.cpp
+++ b/sidecar/lifecycle/start.cpp
@@ -1,5 +1,6 @@
 #include "sidecar/lifecycle/start.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace puffinvane {
@@ -32,6 +33,21 @@
   read.deployment = read_deployment(settings);
   // On sockets discovery is always watched, at no cost: the module has nothing to ask for.
   read.deployment.list_on_request = false;
+  element watched;
+  if (!told["watch"].get(watched)) {
+    if (!watched.is_object()) throw Malformed("'watch' is no object of settings");
+    try {
+      read.watched = read_deployment(watched);
+    } catch (const Malformed& fault) {
+      throw Malformed(std::string("'watch': ") + fault.what());
+    }
+    read.watched->list_on_request = false;
+    const auto& prefixes = read.deployment.path_prefixes;
+    auto same = [](const PathPrefix& one, const PathPrefix& other) { return one.name == other.name; };
+    if (!std::equal(prefixes.begin(), prefixes.end(), read.watched->path_prefixes.begin(),
+                    read.watched->path_prefixes.end(), same))
+      throw Malformed("'watch' has other path prefixes than 'settings'");
+  }
   if (!told["known"].get(known)) read.known = read_list(known, clock_offset);
   if (!told["limits"].get(limits)) {
     double figure = 0;
--- a/sidecar/lifecycle/start.h
+++ b/sidecar/lifecycle/start.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "deployment/deployment.h"
@@ -15,6 +16,7 @@
   int descriptors = 1024;
   std::size_t memory = 192u << 20;  // bytes
   Deployment deployment;
+  std::optional<Deployment> watched;  // other settings whose decisions are only counted
   EndpointList known;
 };
 
--- /dev/null
+++ b/sidecar/watching/watched.cpp
@@ -0,0 +1,199 @@
+#include "sidecar/watching/watched.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace puffinvane {
+
+std::string write_differences(const Differences& counted) {
+  static constexpr const char* kNames[] = {"endpoint", "copy", "ended", "aside", "over_share"};
+  std::string text = "{\"visits\":" + std::to_string(counted.visits);
+  text += ",\"fetches\":" + std::to_string(counted.fetches);
+  for (std::size_t i = 0; i < counted.by_kind.size(); ++i)
+    text.append(",\"").append(kNames[i]).append("\":") += std::to_string(counted.by_kind[i]);
+  return text + "}\n";
+}
+
+class Watched::Listener final : public Host {
+ public:
+  Listener(Watched& owner, Side side) : owner_(owner), side_(side) {}
+  void fetch(VisitId visit, std::string_view endpoint, double abandon_at) override {
+    owner_.fetched(side_, visit, endpoint);
+    if (side_ == Acting) owner_.host_.fetch(visit, endpoint, abandon_at);
+  }
+  void cancel(VisitId visit, int number) override {
+    if (side_ == Acting) owner_.host_.cancel(visit, number);
+    else owner_.cancelled(visit, number);
+  }
+  void bounce(VisitId visit, double wait) override {
+    owner_.answered(side_, visit);
+    if (side_ == Acting) owner_.host_.bounce(visit, wait);
+  }
+  void error(VisitId visit) override {
+    owner_.answered(side_, visit);
+    if (side_ == Acting) owner_.host_.error(visit);
+  }
+  void wake(double at, std::uint64_t token) override { owner_.wake(side_, at, token); }
+  void follow_list(bool want) override {
+    if (side_ == Acting) owner_.host_.follow_list(want);
+  }
+  void log(std::string_view text) override {
+    if (side_ == Acting) owner_.host_.log(text);
+  }
+  void judged(Judged what, VisitId visit) override {
+    if (what == Judged::Aside) ++owner_.asides_[side_];
+    else if (auto found = owner_.visits_.find(visit); found != owner_.visits_.end())
+      found->second.over_share[side_] = true;
+  }
+
+ private:
+  Watched& owner_;
+  const Side side_;
+};
+
+Watched::Watched(double now, Deployment acting, Deployment watched, std::uint64_t seed, Host& host,
+                 Differences& counted)
+    : host_(host), counted_(counted), now_(now) {
+  for (Side side : {Acting, Imagined}) {
+    listeners_[side] = std::make_unique<Listener>(*this, side);
+    sides_[side] = make_policy(now, side == Acting ? acting : watched, seed, *listeners_[side]);
+  }
+}
+
+Watched::~Watched() = default;
+
+// ---- what either asks for
+
+void Watched::fetched(Side side, VisitId visit, std::string_view endpoint) {
+  Compared& compared = visits_[visit];
+  std::vector<Fetch>& fetches = compared.fetches[side];
+  if (std::any_of(fetches.begin(), fetches.end(), [](const Fetch& fetch) { return fetch.out; }))
+    ++compared.copies[side];
+  fetches.push_back({std::string(endpoint), now_, true});
+}
+
+void Watched::answered(Side side, VisitId visit) {
+  visits_[visit].answered[side] = true;
+  touched_.push_back(visit);
+}
+
+void Watched::cancelled(VisitId visit, int number) { to_cancel_.emplace_back(visit, number); }
+
+// What both ask for at one time is one alarm: two would be heard at two times, and equal settings differ.
+void Watched::wake(Side side, double at, std::uint64_t token) {
+  auto [known, fresh] = wakes_by_time_.try_emplace({at, token}, last_wake_ + 1);
+  if (fresh) {
+    wakes_[++last_wake_] = {at, token, {}};
+    host_.wake(at, last_wake_);
+  }
+  wakes_.at(known->second).wanted[side] = true;
+}
+
+// ---- what happens
+
+void Watched::list(double now, ListScope scope, std::span<const ListEntry> entries) {
+  now_ = now;
+  for (auto& side : sides_) side->list(now, scope, entries);
+  compare(now);
+}
+
+void Watched::arrive(double now, const Visit& visit) {
+  now_ = now;
+  ++counted_.visits;
+  visits_[visit.id];
+  for (auto& side : sides_) side->arrive(now, visit);
+  compare(now);
+}
+
+void Watched::fetch_ended(double now, const FetchEnd& end) {
+  now_ = now;
+  sides_[Acting]->fetch_ended(now, end);
+  auto found = visits_.find(end.visit);
+  if (found != visits_.end()) {
+    Fetch& fetch = found->second.fetches[Acting].at(std::size_t(end.number));
+    fetch.out = false;
+    end_imagined(now, end.visit, end.number, &end);
+    if (end.concluded) close(now, end.visit);
+    touched_.push_back(end.visit);
+  }
+  compare(now);
+}
+
+void Watched::withdrawn(double now, VisitId visit) {
+  now_ = now;
+  sides_[Acting]->withdrawn(now, visit);
+  close(now, visit);
+  touched_.push_back(visit);
+  compare(now);
+}
+
+void Watched::woken(double now, std::uint64_t token) {
+  now_ = now;
+  auto found = wakes_.find(token);
+  if (found == wakes_.end()) return;
+  Wake wake = found->second;
+  wakes_by_time_.erase({wake.at, wake.token});
+  wakes_.erase(found);
+  for (Side side : {Acting, Imagined}) {
+    if (wake.wanted[side]) sides_[side]->woken(now, wake.token);
+  }
+  compare(now);
+}
+
+// Nobody knows what a fetch would have met that was not made: it ends as called off, which says nothing of
+// its endpoint. One to the same endpoint ends as the one that was made.
+void Watched::end_imagined(double now, VisitId visit, int number, const FetchEnd* as) {
+  Compared& compared = visits_.at(visit);
+  if (number >= int(compared.fetches[Imagined].size())) return;
+  Fetch& fetch = compared.fetches[Imagined][std::size_t(number)];
+  if (!std::exchange(fetch.out, false)) return;
+  FetchEnd end{visit, number, Outcome::Cancelled, false, now - fetch.sent, {}};
+  if (as) end.concluded = as->concluded;
+  if (as && fetch.endpoint == compared.fetches[Acting][std::size_t(number)].endpoint) end = *as;
+  sides_[Imagined]->fetch_ended(now, end);
+}
+
+void Watched::close(double now, VisitId visit) {
+  auto found = visits_.find(visit);
+  if (found == visits_.end()) return;
+  if (!std::exchange(found->second.concluded, true) && !found->second.answered[Imagined])
+    sides_[Imagined]->withdrawn(now, visit);
+}
+
+// Counts a visit's differences and forgets it, once it has its answer and none of its fetches is out.
+void Watched::settle(double now, VisitId visit) {
+  auto found = visits_.find(visit);
+  if (found == visits_.end()) return;
+  Compared& compared = found->second;
+  const auto& [made, imagined] = compared.fetches;
+  bool out = std::any_of(made.begin(), made.end(), [](const Fetch& fetch) { return fetch.out; });
+  if (out || !(compared.concluded || compared.answered[Acting])) return;
+  close(now, visit);
+  for (std::size_t n = 0; n < imagined.size(); ++n) end_imagined(now, visit, int(n), nullptr);
+  counted_.fetches += made.size();
+  for (std::size_t n = 0; n < std::min(made.size(), imagined.size()); ++n)
+    differ(Differs::Endpoint, made[n].endpoint != imagined[n].endpoint);
+  differ(Differs::Copy, compared.copies[Acting] != compared.copies[Imagined]);
+  differ(Differs::Ended, compared.answered[Acting] != compared.answered[Imagined]);
+  differ(Differs::OverShare, compared.over_share[Acting] != compared.over_share[Imagined]);
+  visits_.erase(found);
+}
+
+void Watched::compare(double now) {
+  for (auto [visit, number] : std::exchange(to_cancel_, {})) {
+    auto found = visits_.find(visit);
+    if (found == visits_.end()) continue;
+    const std::vector<Fetch>& made = found->second.fetches[Acting];
+    bool same =
+        number < int(made.size()) && made[std::size_t(number)].out &&
+        made[std::size_t(number)].endpoint == found->second.fetches[Imagined][std::size_t(number)].endpoint;
+    if (!same) end_imagined(now, visit, number, nullptr);
+  }
+  for (std::size_t i = 0; i < touched_.size(); ++i) settle(now, touched_[i]);
+  touched_.clear();
+  auto [acting, imagined] = asides_;
+  differ(Differs::Aside, acting > imagined ? acting - imagined : imagined - acting);
+  asides_ = {};
+}
+
+}  // namespace puffinvane
--- /dev/null
+++ b/sidecar/watching/watched.h
@@ -0,0 +1,81 @@
+// Watching other settings before they are switched to: a second instance of the same module, with those
+// settings, hears the same events. What it asks for is counted against what is done, and never done.
+#pragma once
+
+#include <array>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "sidecar/wire/carrier.h"
+
+namespace puffinvane {
+
+// Kinds of decisions in which the watched settings differ from those that act.
+enum class Differs { Endpoint, Copy, Ended, Aside, OverShare, kCount };
+
+struct Differences {
+  std::uint64_t visits = 0, fetches = 0;
+  std::array<std::uint64_t, std::size_t(Differs::kCount)> by_kind{};
+};
+std::string write_differences(const Differences& counted);  // a line of JSON
+
+class Watched final : public Policy {
+ public:
+  Watched(double now, Deployment acting, Deployment watched, std::uint64_t seed, Host& host,
+          Differences& counted);
+  ~Watched() override;
+
+  void list(double now, ListScope scope, std::span<const ListEntry> entries) override;
+  void arrive(double now, const Visit& visit) override;
+  void fetch_ended(double now, const FetchEnd& end) override;
+  void withdrawn(double now, VisitId visit) override;
+  void woken(double now, std::uint64_t token) override;
+
+ private:
+  enum Side { Acting, Imagined, kSides };
+  struct Fetch {
+    std::string endpoint;
+    double sent = 0;
+    bool out = false;
+  };
+  struct Compared {
+    std::array<std::vector<Fetch>, kSides> fetches;
+    std::array<int, kSides> copies{};
+    std::array<bool, kSides> over_share{}, answered{};  // answered: bounced or errored by that side
+    bool concluded = false;
+  };
+  struct Wake {
+    double at = 0;
+    std::uint64_t token = 0;
+    std::array<bool, kSides> wanted{};
+  };
+  // One side's Host: the acting one's wishes are passed on, the imagined one's only noted.
+  class Listener;
+
+  void fetched(Side side, VisitId visit, std::string_view endpoint);
+  void answered(Side side, VisitId visit);
+  void cancelled(VisitId visit, int number);
+  void wake(Side side, double at, std::uint64_t token);
+  void compare(double now);
+  void settle(double now, VisitId visit);
+  void differ(Differs kind, std::uint64_t count) { counted_.by_kind[std::size_t(kind)] += count; }
+  void end_imagined(double now, VisitId visit, int number, const FetchEnd* as);
+  void close(double now, VisitId visit);
+
+  Host& host_;
+  Differences& counted_;
+  double now_ = 0;
+  std::unique_ptr<Listener> listeners_[kSides];
+  std::unique_ptr<Policy> sides_[kSides];
+  std::map<VisitId, Compared> visits_;  // those in hand
+  std::map<std::uint64_t, Wake> wakes_;
+  std::map<std::pair<double, std::uint64_t>, std::uint64_t> wakes_by_time_;
+  std::uint64_t last_wake_ = 0;
+  std::array<std::uint64_t, kSides> asides_{};
+  std::vector<std::pair<VisitId, int>> to_cancel_;
+  std::vector<VisitId> touched_;  // by this event
+};
+
+}  // namespace puffinvane
--- a/sidecar/wire/carrier.cpp
+++ b/sidecar/wire/carrier.cpp
@@ -231,9 +231,11 @@
   if (gone_) time_left = std::clamp(*gone_ - now, 0.0, time_left);
   last_visit_ = now;
   std::string customer(request.header("X-Account"));
+  std::string said(request.header("X-Facts"));
+  VisitFacts facts = read_facts(said);
   VisitId id = visits_.add({std::move(request), now + time_left, &client, &prefix});
   client.visit = {this, id};
-  policy_->arrive(now, {id, prefix.name, customer, time_left});
+  policy_->arrive(now, {id, prefix.name, customer, time_left, facts.key, facts.work});
 }
 
 // ---- endpoints and their list
--- a/sidecar/wire/carrier.h
+++ b/sidecar/wire/carrier.h
@@ -2,6 +2,7 @@
 // which connection to use, reuse and close.
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -20,8 +21,8 @@
 namespace puffinvane {
 
 // Who makes the decisions: puffinvane's module, or a baseline.
-using PolicyMaker = std::unique_ptr<Policy> (*)(double now, Deployment deployment, std::uint64_t seed,
-                                                Host& host);
+using PolicyMaker =
+    std::function<std::unique_ptr<Policy>(double now, Deployment deployment, std::uint64_t seed, Host& host)>;
 
 // How a pool's endpoints are talked to.
 struct Manner {
--- a/sidecar/wire/headers.cpp
+++ b/sidecar/wire/headers.cpp
@@ -46,24 +46,45 @@
   return {buffer, end};
 }
 
+namespace {
+// "name=value,name=value"; what lacks either is passed over.
+template <typename Take>
+void each_pair(std::string_view value, Take take) {
+  while (!value.empty()) {
+    std::size_t comma = std::min(value.find(','), value.size()), equals = value.find('=');
+    if (equals < comma) take(value.substr(0, equals), value.substr(equals + 1, comma - equals - 1));
+    value.remove_prefix(std::min(comma + 1, value.size()));
+  }
+}
+}  // namespace
+
 Load read_load(std::string_view value) {
   Load load;
   int best = 4;
-  while (!value.empty()) {
-    std::size_t comma = std::min(value.find(','), value.size()), equals = value.find('=');
+  each_pair(value, [&](std::string_view name, std::string_view said) {
     double figure = 0;
-    if (equals < comma && number(value.substr(equals + 1, comma - equals - 1), figure) && figure >= 0) {
-      // What is in hand says more of depth than what waits; the settings' names and the wire's are both met.
-      static constexpr std::string_view kDepths[] = {"inflight", "busy_reqs", "queue", "pending"};
-      for (int i = 0; i < best; ++i) {
-        if (value.substr(0, equals) == kDepths[i]) load.depth = figure, best = i;
-      }
+    if (!number(said, figure) || figure < 0) return;
+    // What is in hand says more of depth than what waits; the settings' names and the wire's are both met.
+    static constexpr std::string_view kDepths[] = {"inflight", "busy_reqs", "queue", "pending"};
+    for (int i = 0; i < best; ++i) {
+      if (name == kDepths[i]) load.depth = figure, best = i;
     }
-    value.remove_prefix(std::min(comma + 1, value.size()));
-  }
+    if (name == "qps" || name == "served_ps") load.served = figure;
+    if (name == "util" || name == "cpu_share") load.busy = std::min(figure, 1.0);
+  });
   return load;
 }
 
+VisitFacts read_facts(std::string_view value) {
+  VisitFacts facts;
+  each_pair(value, [&](std::string_view name, std::string_view said) {
+    double figure = 0;
+    if (name == "key" || name == "NameKey") facts.key = said;
+    if ((name == "hint" || name == "SizeHintS") && number(said, figure) && figure > 0) facts.work = figure;
+  });
+  return facts;
+}
+
 Outcome outcome_of(const HttpMessage& answer) {
   if (answer.status == 200) return Outcome::Delivered;
   // Only the endpoint's own word proves that nothing ran: a bare 503 may come from behind it.
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -10,6 +10,7 @@
 #include <deque>
 #include <map>
 #include <numeric>
+#include <pcg_random.hpp>
 #include <set>
 #include <utility>
 
@@ -17,47 +18,28 @@
 namespace {
 
 constexpr double kHedgePercentile = 0.95, kBoundShare = 0.85, kErrorGate = 0.01;  // the source's figures
-constexpr double kFirstCapacity = 4;          // C before anything is learned, from the design page
-constexpr std::size_t kLatencies = 128;       // kept for each path prefix: enough for a 95th percentile
-constexpr std::size_t kFewLatencies = 20;     // below this a 95th percentile is the maximum and says nothing
-constexpr std::size_t kEndpointSamples = 16;  // an endpoint's state changes within a dozen or two answers
-constexpr double kSampleAge = 15;             // an endpoint's older answers tell of another time
-constexpr double kSharedLate = 0.25, kMostLost = 0.5;  // of the last visits: not one endpoint's doing
-constexpr double kRoom = 0.6;  // of a target latency that admitted visits may spend on average
-constexpr double kLooseStretch = 2.4, kTightStretch = 1.2;  // and this many times what they spend in calm
+constexpr double kFirstCapacity = 4;           // C before anything is learned, from the design page
+constexpr std::size_t kLatencies = 128;        // kept for each path prefix: enough for a 95th percentile
+constexpr std::size_t kFewLatencies = 20;      // below this a 95th percentile is the maximum and says nothing
+constexpr std::size_t kEndpointSamples = 16;   // an endpoint's state changes within a dozen or two answers
+constexpr double kSampleAge = 15;              // an endpoint's older answers tell of another time
+constexpr double kSharedLate = 0.25;           // of the last visits: not one endpoint's doing
+constexpr double kRoom = 0.6, kStretch = 1.9;  // of a target latency, and of calm, that visits may spend
 constexpr int kDealt = 4;  // endpoints a sidecar, and sidecars an endpoint, that a part must leave at least
 constexpr std::uint64_t kMixer = 0xff51afd7ed558ccdULL;  // odd and well spread: parts names that look alike
-constexpr double kCrowdedAt = 1.3, kCrowdSeconds = 1, kHeavy = 4;  // kHeavy: one visit must not make a crowd
 constexpr double kFloor = 3, kFirstSeconds = 3;  // visits an endpoint, of all sidecars, that need no room
-constexpr std::size_t kCalmSeconds = 40, kRateTicks = 80, kLeastTicks = 20, kCrowdTicks = 20;
+constexpr std::size_t kCalmSeconds = 40, kRateTicks = 80, kLeastTicks = 20, kPassTicks = 15;
 constexpr double kLeastPatience = 0.2, kMostPatience = 0.8;  // of the target latency that a visit may be held
 constexpr double kSlowEndpoint = 1.5;                        // times calm: lateness may be the endpoint's own
 constexpr double kUnsuspected = 2, kHopeless = 3;  // thresholds: with nothing against the endpoint; for any
 constexpr double kCrossing = 30;  // visits of depth that crossing zones counts for, times its price
-constexpr double kWarm = 5, kHeaviest = 4;
+constexpr double kKnownRate = 2, kWarm = 5, kHeaviest = 4;  // kWarm: depth that a key met lately is worth
 constexpr double kBack = 100;  // and going back to the same endpoint: for want of any other
 constexpr double kReportAge = 3, kFull = 0.9, kMend = 0.7, kFewLags = 4;
-constexpr std::size_t kPassTicks = 15;
 constexpr double kTick = 0.1, kStoodStill = 0.35, kFirstOfAll = -1e9;
 constexpr double kFirstHold = 1, kLongestHold = 8;  // seconds set aside, doubling
 constexpr int kTrickleDone = 8;  // fetches at a time that a trickle has to bear before it is over
 
-// Permuted congruential generator (PCG-XSH-RR): same seed, same choices.
-class Chance {
- public:
-  explicit Chance(std::uint64_t seed) : state_(seed * 2 + 1) { below(2); }
-  std::uint32_t below(std::uint32_t n) {
-    std::uint64_t old = std::exchange(state_, state_ * 6364136223846793005ULL + 1442695040888963407ULL);
-    auto mixed = static_cast<std::uint32_t>(((old >> 18) ^ old) >> 27);
-    auto turn = static_cast<std::uint32_t>(old >> 59);
-    return ((mixed >> turn) | (mixed << ((32 - turn) & 31))) % n;
-  }
-  double share() { return below(1u << 24) / double(1u << 24); }
-
- private:
-  std::uint64_t state_;
-};
-
 template <typename T>
 void keep(std::deque<T>& samples, const T& sample, std::size_t most) {
   samples.push_back(sample);
@@ -75,11 +57,6 @@
   return std::accumulate(samples.begin(), samples.end(), 0.0) / double(samples.size());
 }
 
-double share_of(const std::deque<bool>& samples) {
-  return samples.empty() ? 0
-                         : double(std::count(samples.begin(), samples.end(), true)) / double(samples.size());
-}
-
 enum class Health { Steady, Aside, Trickle, Gone };
 enum class Sign { Failing, HoldOver, Good, Restored, Listed, Unlisted };
 
@@ -89,10 +66,6 @@
   bool in_time = false, failed = false;
 };
 
-struct Slowness {
-  double until = 0, figure = 1;  // worked out anew from then on, or after an answer
-};
-
 // What is known and thought of an endpoint as a whole, and of one path prefix's visits there.
 struct Lane {
   Health health = Health::Gone;
@@ -100,7 +73,7 @@
   int allowance = 0;
   std::set<std::pair<double, std::uint64_t>> out;  // by time of sending
   std::deque<Answer> answers;
-  mutable Slowness slowness = {};
+  mutable double slow_until = 0, slow = 1;  // kept until then, or until an answer
 };
 
 struct Endpoint : Lane {
@@ -108,11 +81,10 @@
   std::int64_t cell = 0;
   double online_since = 0;
   double cold_credit = 0;  // fetches that the cold rule still leaves this sidecar
-  int since_report = 0;
   Load load;
   double load_at = -1e9;
-  double reported = -1, units = 1, dealt = 0;  // dealt: the part of its units that is ours
-  std::vector<Lane> lanes;                     // by path prefix
+  double units = 1, dealt = 0;  // dealt: the part of its units that is ours
+  std::vector<Lane> lanes;      // by path prefix
 };
 
 enum class State { Held, Out, Paired, Done };
@@ -126,14 +98,10 @@
   std::int64_t cell = 0;
 };
 
-struct Held {
-  double rank = 0;
-  std::uint64_t turn = 0;
-  auto operator<=>(const Held&) const = default;
-};
-
+using Held = std::pair<double, std::uint64_t>;  // rank and turn
 struct Taken {
-  VisitId id = 0;
+  explicit Taken(VisitId visit = 0) : id(visit) {}
+  VisitId id;
   int prefix = 0;
   State state = State::Held;
   bool over_share = false, counted = false;
@@ -147,13 +115,12 @@
 class Module final : public Policy {
  public:
   Module(double now, Deployment deployment, std::uint64_t seed, Host& host)
-      : deployment_(std::move(deployment)), host_(host), chance_(seed), now_(now), started_(now) {
-    latencies_.resize(deployment_.path_prefixes.size());
-    thresholds_.resize(deployment_.path_prefixes.size());
-    means_.resize(deployment_.path_prefixes.size());
-    double turn = (deployment_.me % deployment_.sidecars + chance_.share()) / deployment_.sidecars;
+      : deployment_(std::move(deployment)), host_(host), chance_(seed * 2 + 1), now_(now), started_(now) {
+    std::size_t prefixes = deployment_.path_prefixes.size();
+    latencies_.resize(prefixes), thresholds_.resize(prefixes), means_.resize(prefixes);
+    double turn = (deployment_.me % deployment_.sidecars + chance()) / deployment_.sidecars;
     if (deployment_.list_on_request) ask_at_ = now + turn * deployment_.ask_within * 0.4;
-    host_.wake(now + kTick * (0.5 + chance_.share()), kTickToken);
+    host_.wake(now + kTick * (0.5 + chance()), kTickToken);
   }
 
   void list(double now, ListScope scope, std::span<const ListEntry> entries) override {
@@ -172,25 +139,22 @@
 
   void arrive(double now, const Visit& visit) override {
     pass_time(now);
-    Taken taken;
-    taken.id = visit.id;
-    while (taken.prefix + 1 < int(deployment_.path_prefixes.size()) &&
-           deployment_.path_prefixes[taken.prefix].name != visit.path_prefix) {
-      ++taken.prefix;
-    }
+    Taken taken{visit.id};
+    const auto& all = deployment_.path_prefixes;
+    while (taken.prefix + 1 < int(all.size()) && all[taken.prefix].name != visit.path_prefix) ++taken.prefix;
     taken.over_share = over_share(visit.customer);
-
+    if (taken.over_share) host_.judged(Judged::OverShare, visit.id);
     if (deployment_.warm_keys && !visit.key.empty()) taken.key = mixed(kMixer, visit.key);
     taken.heavy = std::clamp(4 * visit.work / prefix(taken).target_latency, 1.0, kHeaviest);
     taken.until = now + visit.time_left;
     taken.held_until = now + std::min(patience(taken), visit.time_left / 2);
     taken.place = {rank(taken), ++turns_};
-    double worse = 0, mine = taken.place.rank + 1e-3 * chance_.share();
+    double worse = 0, mine = taken.place.first + 1e-3 * chance();
     for (double other : ranks_) worse += other > mine;
     taken.standing = worse / double(std::max<std::size_t>(1, ranks_.size()));
     keep(ranks_, mine, kLatencies);
     held_.emplace(taken.place, taken.id);
-    // Rule 1: the answer has to be out before the client timeout, whatever has been sent.
+    // Rule 1: the answer has to be out before the client timeout.
     host_.wake(std::max(now, taken.until - 2 * deployment_.round), kUntilToken | taken.id);
     // Behind more than can be sent in its patience it would only wait to be turned away: better at once.
     double ahead = double(std::distance(held_.begin(), held_.find(taken.place)));
@@ -213,13 +177,10 @@
     endpoint.lanes[visit.prefix].out.erase({fetch.sent, key(visit.id, end.number)});
     fetch.may_have_run = end.outcome != Outcome::Refused && end.outcome != Outcome::ConnectFailed &&
                          end.outcome != Outcome::NotSent;
-    if (end.load.served >= 0) endpoint.load = end.load, endpoint.load_at = now;
-    if (end.load.depth >= 0 && !deployment_.answers_tell_load)
-      endpoint.reported = end.load.depth, endpoint.since_report = 0;
+    if (end.load.depth >= 0 || end.load.busy >= 0) endpoint.load = end.load, endpoint.load_at = now;
     judge(endpoint, visit, fetch, end);
     if (visit.state != State::Done) turn(visit, end.concluded ? Input::Over : after_loss(visit));
-    forget_if_over(found);
-    pump();
+    forget_if_over(found), pump();
   }
 
   void withdrawn(double now, VisitId id) override {
@@ -227,8 +188,7 @@
     auto found = visits_.find(id);
     if (found == visits_.end()) return;
     if (found->second.state != State::Done) turn(found->second, Input::Over);
-    forget_if_over(found);
-    pump();
+    forget_if_over(found), pump();
   }
 
   void inherit(double now, const Policy& earlier, double share) override {
@@ -239,30 +199,25 @@
       for (const Endpoint& known : from->endpoints_) {
         bool same = known.name == endpoint.name && known.online_since == endpoint.online_since;
         if (!same || endpoint.health == Health::Gone || known.health == Health::Gone) continue;
-        endpoint.health = known.health, endpoint.allowance = known.allowance;
-        endpoint.hold = known.hold, endpoint.hold_until = known.hold_until;
-        endpoint.answers = known.answers, endpoint.slowness.until = 0;
-        endpoint.last_answer = known.last_answer;
-        if (known.reported >= 0) endpoint.reported = from->depth(known);
+        Lane out = std::move(static_cast<Lane&>(endpoint));
+        static_cast<Lane&>(endpoint) = known;
+        endpoint.out = std::move(out.out), endpoint.slow_until = 0;
       }
     }
-    const auto& theirs = from->deployment_.path_prefixes;
-    for (std::size_t i = 0; i < deployment_.path_prefixes.size(); ++i) {
+    const auto &theirs = from->deployment_.path_prefixes, &ours = deployment_.path_prefixes;
+    for (std::size_t i = 0; i < ours.size(); ++i) {
       for (std::size_t k = 0; k < theirs.size(); ++k) {
-        if (theirs[k].name != deployment_.path_prefixes[i].name) continue;
-        latencies_[i] = from->latencies_[k], thresholds_[i] = from->thresholds_[k];
+        if (theirs[k].name != ours[i].name) continue;
+        latencies_[i] = from->latencies_[k], thresholds_[i] = from->thresholds_[k],
         means_[i] = from->means_[k];
       }
     }
-    paces_ = from->paces_, crowded_ = from->crowded_, late_ = from->late_, lost_ = from->lost_;
+    late_ = from->late_;
     // Its first seconds are over: nobody knows less of the endpoints than a sidecar that has just started.
     started_ = std::min(started_, from->started_);
-    auto add = [share](std::deque<double>& to, const std::deque<double>& rates) {
-      while (to.size() < rates.size()) to.push_front(0);
-      for (std::size_t i = 0; i < rates.size(); ++i)
-        to[to.size() - 1 - i] += share * rates[rates.size() - 1 - i];
-    };
-    add(rates_, from->rates_), add(rates_each_, from->rates_each_);
+    while (rates_.size() < from->rates_.size()) rates_.push_front(0);
+    for (std::size_t i = 1; i <= from->rates_.size(); ++i)
+      rates_[rates_.size() - i] += share * from->rates_[from->rates_.size() - i];
     recent_rate_ += share * from->recent_rate_, calm_rate_ += share * from->calm_rate_;
   }
 
@@ -274,8 +229,7 @@
     Taken& visit = found->second;
     if (!(token & kUntilToken)) return visit.state == State::Out ? consider_copy(visit) : void();
     turn(visit, gave_up(visit));
-    forget_if_over(found);
-    pump();
+    forget_if_over(found), pump();
   }
 
  private:
@@ -285,6 +239,7 @@
   static constexpr const char* kCounted[] = {"copies sent",     "suppressed by depth", "errors",
                                              "shared lateness", "no endpoint",         "weight"};
 
+  double chance() { return chance_(1u << 24) / double(1u << 24); }
   // A sidecar that stood still itself finds all late at once: that says nothing of who it waited for.
   void pass_time(double now) {
     if (now - std::exchange(now_, now) > kStoodStill) awake_ = now;
@@ -341,9 +296,9 @@
   // ---- effects of the health table
   void nothing(Lane&) {}
   void set_aside(Lane& lane) {
-    lane.hold_until = now_ + lane.hold * (0.75 + 0.5 * chance_.share());
+    lane.hold_until = now_ + lane.hold * (0.75 + 0.5 * chance());
     lane.hold = std::min(lane.hold * 2, kLongestHold);
-    forget_answers(lane);
+    forget_answers(lane), host_.judged(Judged::Aside, 0);
     // What is lost there must not fill the room of the living until its client timeout.
     for (const auto& [sent, what] : lane.out) leave_count(visits_.at(VisitId(what >> 8)));
   }
@@ -374,22 +329,19 @@
     return true;
   }
   static bool tried(const Taken& visit, int endpoint) {
-    return std::any_of(visit.fetches.begin(), visit.fetches.end(),
-                       [&](const Fetch& fetch) { return fetch.endpoint == endpoint; });
+    auto there = [&](const Fetch& fetch) { return fetch.endpoint == endpoint; };
+    return std::any_of(visit.fetches.begin(), visit.fetches.end(), there);
   }
   // A group may have no other endpoint, and what spoils one answer need not spoil the next.
   bool may_go_back(const Taken& visit) const {
     return prefix(visit).kind == Kind::Tagged && !all_known_not_run(visit);
   }
   bool may_bounce(const Taken& visit) const {
-    const PathPrefix& kind = prefix(visit);
-    return kind.kind == Kind::ReadLike || all_known_not_run(visit) ||
-           (kind.kind == Kind::Tagged && kind.group == Group::All);
+    bool everywhere = prefix(visit).kind == Kind::Tagged && prefix(visit).group == Group::All;
+    return everywhere || prefix(visit).kind == Kind::ReadLike || all_known_not_run(visit);
   }
   Input after_loss(const Taken& visit) const {
     if (visit.state == State::Paired) return Input::OneLost;
-    // A tier that loses most would be sent each visit as often as is allowed, by every tier above times that.
-    if (share_of(lost_) > kMostLost && lost_.size() >= kFewLatencies) return gave_up(visit);
     for (int i = 0; i < int(endpoints_.size()) && now_ < visit.until - 2 * deployment_.round; ++i) {
       bool usable = endpoints_[i].health == Health::Steady &&
                     endpoints_[i].lanes[visit.prefix].health == Health::Steady &&
@@ -407,8 +359,7 @@
     if (samples.size() < kFewLatencies) return deployment_.path_prefixes[prefix].target_latency / 2;
     return thresholds_[prefix];
   }
-  // The lowest mean of the last while, as Little's law wants means: one that moves with a jam would let it
-  // in.
+  // The lowest mean of the last while: one that moves with a jam would let it in.
   double calm(int prefix) const {
     const auto& means = means_[prefix];
     if (!means.empty()) return *std::min_element(means.begin(), means.end());
@@ -420,27 +371,28 @@
     double target = prefix(visit).target_latency;
     return std::max(kLeastPatience * target, kMostPatience * target - 2 * calm(visit.prefix));
   }
+  // The gate's and C's: old as reports are, first fetches that followed them would all meet.
   double depth(const Endpoint& endpoint) const {
-    return endpoint.reported >= 0 ? endpoint.reported + endpoint.since_report : double(endpoint.out.size());
+    return std::max(double(endpoint.out.size()),
+                    now_ - endpoint.load_at < kReportAge ? endpoint.load.depth : 0);
   }
   static void note_answer(Lane& lane, const Answer& answer) {
     keep(lane.answers, answer, kEndpointSamples);
-    lane.slowness.until = 0;
+    lane.slow_until = 0;
   }
-  static void forget_answers(Lane& lane) { lane.answers.clear(), lane.slowness.until = 0; }
+  static void forget_answers(Lane& lane) { lane.answers.clear(), lane.slow_until = 0; }
   // Against calm: a usual that moves with a jam makes those in it look no worse than those left out of use.
   // Kept until an answer comes or one grows old: each choice asks it of every endpoint.
   double slowness(const Endpoint& endpoint) const {
-    Slowness& known = endpoint.slowness;
-    if (now_ < known.until) return known.figure;
+    if (now_ < endpoint.slow_until) return endpoint.slow;
     double sum = 3, count = 3;
-    known.until = now_ + kSampleAge;
+    endpoint.slow_until = now_ + kSampleAge;
     for (const Answer& answer : endpoint.answers) {
       if (now_ - answer.at >= kSampleAge || answer.failed) continue;
       sum += answer.stretch, count += 1;
-      known.until = std::min(known.until, answer.at + kSampleAge);
+      endpoint.slow_until = std::min(endpoint.slow_until, answer.at + kSampleAge);
     }
-    return known.figure = sum / count;
+    return endpoint.slow = sum / count;
   }
   double learned_capacity(const Endpoint& endpoint) const {
     double capacity = kFirstCapacity;
@@ -448,11 +400,10 @@
       if (answer.in_time) capacity = std::max(capacity, answer.depth + 1.0);
     }
     for (const Answer& answer : endpoint.answers) {
-      int in_time = 0, late = 0;
-      for (const Answer& other : endpoint.answers) {
-        if (other.depth >= answer.depth) ++(other.in_time ? in_time : late);
-      }
-      if (late > in_time) capacity = std::min(capacity, double(answer.depth));
+      int in_time = 0;
+      for (const Answer& other : endpoint.answers)
+        in_time += other.depth < answer.depth ? 0 : other.in_time ? 1 : -1;
+      if (in_time < 0) capacity = std::min(capacity, double(answer.depth));
     }
     return capacity;
   }
@@ -473,10 +424,8 @@
   bool open_to(const Endpoint& endpoint, int prefix) const {
     return open(endpoint) && open(endpoint.lanes[prefix]) && (!cold(endpoint) || endpoint.cold_credit >= 1);
   }
-  // Many sidecars with few visits each: with the whole list for all, connections are opened everywhere, no
-  // endpoint is known, and some become everyone's and others nobody's. So a ring of the list, shuffled alike
-  // at all, is cut evenly among as many sidecars as it gives parts; the next cut a ring shuffled in another
-  // way.
+  // With the whole list for many sidecars of few visits no endpoint is known to any. So a ring of the list,
+  // shuffled alike at all, is cut evenly among as many sidecars as it gives parts; the next cut another ring.
   int rings() const { return deployment_.sidecars / parts_; }
   static std::uint64_t mixed(std::uint64_t at, std::string_view name) {
     for (char each : name) at = (at ^ std::uint8_t(each)) * kMixer, at ^= at >> 29;
@@ -486,7 +435,6 @@
   void shuffle() {
     // Cut anew only for a list that is clearly another: each new cut is a round of new connections for all.
     int parts = std::max(1, std::min(listed(), deployment_.sidecars) / kDealt);
-
     if (parts > parts_ * 1.25 || parts < parts_ * 0.75) parts_ = parts;
     std::vector<std::pair<std::uint64_t, int>> order;
     for (int i = 0; i < int(endpoints_.size()); ++i) {
@@ -504,10 +452,8 @@
     for (int i : ring_) whole += endpoints_[i].units, endpoints_[i].dealt = 0;
     double from = whole * (deployment_.me / turns % cuts) / cuts, to = from + whole / cuts;
     // As wide as it can know: enough visits a second for each endpoint to keep its samples young.
-    double known =
-        0.5 * recent_rate_ * kSampleAge / double(kEndpointSamples) / std::max(1.0, double(ring_.size()));
-    if (deployment_.answers_tell_load)
-      to = from + whole * std::clamp(deployment_.warm_keys ? 1 : known, 1.0 / cuts, 1.0);
+    double known = deployment_.warm_keys ? 1 : recent_rate_ / kKnownRate / double(ring_.size() + 1);
+    if (deployment_.answers_tell_load) to = from + whole * std::clamp(known, 1.0 / cuts, 1.0);
     dealt_.clear();
     for (std::size_t n = 0; n < 2 * ring_.size() && at < to && dealt_.size() < ring_.size(); ++n) {
       int i = ring_[n % ring_.size()];
@@ -542,24 +488,23 @@
       if (visit.heavy > 1) weight = std::pow(weight, visit.heavy);
       // Ties break at random, in proportion to what each can do (the least of such draws is so spread); with
       // a key they break alike at all sidecars, and an endpoint that met it lately is worth some depth.
-      double draw =
-          -std::log(1e-9 + (visit.key ? to_share(mixed(visit.key, endpoint.name)) : chance_.share()));
+      double at = visit.key ? to_share(mixed(visit.key, endpoint.name)) : chance();
+      double draw = -std::log(1e-9 + at);
       double tie = !told || at_random ? 0 : (visit.key ? kWarm : 0.01) * draw;
-      double ahead = depth(endpoint) + (told ? 0 : 1) + crossing + (again ? kBack : 0);
-      ahead = at_random ? draw : told ? (ahead + tie) / weight : ahead * (1 + 0.2 * chance_.share()) / weight;
+      double ahead = double(endpoint.out.size()) + (told ? 0 : 1) + crossing + (again ? kBack : 0);
+      if (!told) tie = ahead * 0.2 * chance();
+      ahead = at_random ? draw : (ahead + tie) / weight;
       if (found < 0 || ahead < lowest) found = i, lowest = ahead;
     }
     return found;
   }
   void send(Taken& visit, int to) {
     Endpoint& endpoint = endpoints_[to];
-    Fetch fetch{to, int(endpoint.out.size()) + 1, now_, true, true, endpoint.zone, endpoint.cell};
     int number = int(visit.fetches.size());
+    visit.fetches.push_back({to, int(depth(endpoint)) + 1, now_, true, true, endpoint.zone, endpoint.cell});
     if (cold(endpoint)) endpoint.cold_credit -= 1;
-    ++endpoint.since_report;
     endpoint.out.insert({now_, key(visit.id, number)});
     endpoint.lanes[visit.prefix].out.insert({now_, key(visit.id, number)});
-    visit.fetches.push_back(fetch);
     if (!std::exchange(visit.counted, true)) {
       visit.weight = 1 / (kRoom * prefix(visit).target_latency);
       visit.calm_weight = 1 / calm(visit.prefix);
@@ -584,7 +529,7 @@
       if (waited < 4 * due) host_.wake(now_ + due, kLateToken | visit.id);
       return;
     }
-    if (share_of(late_) > kSharedLate && late_.size() >= kFewLatencies) return void(++counts_[Shared]);
+    if (mean(late_) > kSharedLate && late_.size() >= kFewLatencies) return void(++counts_[Shared]);
     copy_to_ = choose(visit, true);
     if (copy_to_ < 0) return void(++counts_[Nowhere]);
     const Endpoint& endpoint = endpoints_[copy_to_];
@@ -612,16 +557,14 @@
   int listed() const { return int(endpoints_.size()) - count(Health::Gone); }
   bool room(const Taken& visit) const {
     // The floor is shared: many sidecars' own small allowances would add up to a crowd on every endpoint.
-    if (deployment_.tier > 0 || visit.place.rank == kFirstOfAll) return true;
+    if (deployment_.tier > 0 || visit.place.first == kFirstOfAll) return true;
     // What is told of all visits knows a crowd; the few visits of one sidecar only seem to.
     if (deployment_.answers_tell_load) return visit.standing >= 1 - pass_;
-    // Before any rate is known twice C's first value stands in: with C itself the first seconds bounced a
-    // tenth.
+    // Before any rate is known twice C's first value: with C itself the first seconds bounced a tenth.
     double each = now_ < started_ + kFirstSeconds ? 2 * kFirstCapacity : kFloor;
     if (in_flight_ < std::max(1.0, each * count(Health::Steady) / deployment_.sidecars)) return true;
     // Calm goes by the best rate of a long while: a recent one is lowered by the very limit that it sets.
-    double stretch = kTightStretch + (kLooseStretch - kTightStretch) * (1 - share_of(crowded_));
-    return load_ < recent_rate_ && calm_load_ < stretch * calm_rate_;
+    return load_ < recent_rate_ && calm_load_ < kStretch * calm_rate_;
   }
   void pump() {
     for (auto next = held_.begin(); next != held_.end();) {
@@ -646,17 +589,15 @@
     bool out = std::any_of(visit.fetches.begin(), visit.fetches.end(), [](const Fetch& f) { return f.out; });
     if (visit.state == State::Done && !out) visits_.erase(at);
   }
-  // Sidecars' traffic is uneven but its mixture alike: a customer's part of it here is its part of the
-  // fleet's.
+  // Sidecars' traffic is uneven but its mixture alike: a customer's part of it here is that of the fleet.
   bool over_share(std::string_view name) {
+    keep(arrivals_, now_, kLatencies);
     const auto& all = deployment_.customers;
     auto found = std::find_if(all.begin(), all.end(), [&](const Customer& one) { return one.name == name; });
     if (found == all.end()) return false;
-    keep(arrivals_, now_, kLatencies);
     keep(customers_, std::string(name), kLatencies);
-    double part =
-        double(std::count(customers_.begin(), customers_.end(), found->name)) / double(customers_.size());
-    return chance_.share() * part * fleet_rate_ > found->quota_per_s;
+    auto its = std::count(customers_.begin(), customers_.end(), found->name);
+    return chance() * double(its) / double(customers_.size()) * fleet_rate_ > found->quota_per_s;
   }
 
   // ---- health: what an outcome, or none, says of its endpoint
@@ -664,8 +605,6 @@
     Answer answer{now_, end.took / calm(visit.prefix), fetch.depth, end.took <= threshold(visit.prefix),
                   false};
     double whole = now_ - visit.fetches.front().sent;
-    if (end.outcome != Outcome::Cancelled)
-      keep(lost_, end.outcome == Outcome::Failed || end.outcome == Outcome::Refused, std::size_t{40});
     Lane& lane = endpoint.lanes[visit.prefix];
     bool slept = fetch.sent < awake_, told = deployment_.answers_tell_load && !slept;
     if (told && (end.outcome == Outcome::Delivered || end.outcome == Outcome::TimedOut))
@@ -675,8 +614,7 @@
         endpoint.last_answer = lane.last_answer = now_;
         if (!slept) note_answer(endpoint, answer), note_answer(lane, answer);
         if (visit.state != State::Done && !slept) {
-          stretches_.emplace_back(now_, whole / calm(visit.prefix));
-          keep(late_, whole > threshold(visit.prefix), std::size_t{40});
+          keep(late_, whole > threshold(visit.prefix) ? 1.0 : 0.0, std::size_t{40});
           keep(latencies_[visit.prefix], whole, kLatencies);
           // Worked out here, once: it is asked for several times a visit, and was a tenth of a visit's cost.
           thresholds_[visit.prefix] = percentile(latencies_[visit.prefix], kHedgePercentile);
@@ -692,7 +630,7 @@
         answer.failed = true;
         note_answer(endpoint, answer), note_answer(lane, answer);
         // With nothing behind it an error is the endpoint's own, and may be this path prefix's alone.
-        if (deployment_.last_tier) note_lane_failing(endpoint, visit.prefix);
+        if (deployment_.last_tier) note_failing(endpoint, visit.prefix);
         if (fails_alone(endpoint)) note_failing(endpoint);
         return;
       case Outcome::ConnectFailed:
@@ -712,7 +650,7 @@
       turn_health(endpoint, Sign::Failing);
   }
   // Of one path prefix most endpoints may fail at once: a quarter is always left to it.
-  void note_lane_failing(Endpoint& endpoint, int prefix) {
+  void note_failing(Endpoint& endpoint, int prefix) {
     auto aside = std::count_if(endpoints_.begin(), endpoints_.end(), [&](const Endpoint& other) {
       return other.health != Health::Gone && other.lanes[prefix].health == Health::Aside;
     });
@@ -742,16 +680,13 @@
     if (found == endpoints_.end()) found = named("");
     if (found == endpoints_.end()) found = endpoints_.insert(found, Endpoint());
     Endpoint& endpoint = *found;
-    endpoint.name = entry.endpoint;
-    endpoint.lanes.resize(deployment_.path_prefixes.size());
+    endpoint.name = entry.endpoint, endpoint.lanes.resize(deployment_.path_prefixes.size());
     if (entry.state != Listed::Ready) return turn_all(endpoint, Sign::Unlisted);
-    endpoint.zone = entry.zone;
-    endpoint.cell = entry.cell;
-    endpoint.units = entry.units;
+    endpoint.zone = entry.zone, endpoint.cell = entry.cell, endpoint.units = entry.units;
     if (entry.online_since != endpoint.online_since) {
       // Restarted: nothing learned holds. Rule 4: by their numbers sidecars' first fetches come in turn.
       endpoint.online_since = entry.online_since;
-      endpoint.reported = -1, forget_answers(endpoint);
+      forget_answers(endpoint);
       for (Lane& lane : endpoint.lanes) forget_answers(lane);
       endpoint.cold_credit = double(deployment_.me % deployment_.sidecars) / deployment_.sidecars;
       turn_all(endpoint, Sign::Unlisted);
@@ -761,24 +696,23 @@
   void ask_again_later() {
     // The list service is one for all: without spread and back-off every sidecar would knock at once.
     asked_until_ = 0;
-    ask_at_ = now_ + ask_back_off_ * (0.5 + chance_.share());
+    ask_at_ = now_ + ask_back_off_ * (0.5 + chance());
     ask_back_off_ = std::min(ask_back_off_ * 2, deployment_.ask_within);
   }
 
-  double arrived_rate() const {
-    return arrivals_.size() < 2 ? 0 : double(arrivals_.size()) / std::max(2.0, now_ - arrivals_.front());
-  }
   // How full the fleet is against how full it may be, as told: by its cores' use, or by Little's law from how
   // long visits stay there. What passes now is what passed when that was so, mended by it.
   void hear_crowd() {
+    if (arrivals_.empty()) return;
     double depth = 0, served = 0, busy = 0, heard = 0;
     for (const Endpoint& endpoint : endpoints_) {
       if (now_ - endpoint.load_at > kReportAge) continue;
       depth += endpoint.load.depth, served += endpoint.load.served, busy += endpoint.load.busy, ++heard;
     }
-    if (!deployment_.answers_tell_load) fleet_rate_ = arrived_rate() * deployment_.sidecars;
-    if (heard == 0) return;
-    double use = busy / heard / kFull, sum = 0, count = 0;
+    if (!deployment_.answers_tell_load)
+      return void(fleet_rate_ = double(arrivals_.size()) / std::max(2.0, now_ - arrivals_.front()) *
+                                deployment_.sidecars);
+    double use = busy / std::max(1.0, heard) / kFull, sum = 0, count = 0;
     if (depth > 0 && served > 0) {
       for (const auto& each : latencies_)
         sum += std::accumulate(each.begin(), each.end(), 0.0), count += double(each.size());
@@ -799,7 +733,7 @@
     double passed = passes_.empty() ? 1 : mean(passes_);
     pass_ = std::clamp(passed * std::clamp(1 + kMend * (1 - use), 0.5, 1.3), 0.1, 1.0);
     keep(passes_, pass_, kPassTicks);
-    fleet_rate_ = served / heard * listed() / passed;
+    if (heard > 0) fleet_rate_ = served / heard * listed() / passed;
   }
   void tick() {
     host_.wake(now_ + kTick, kTickToken);
@@ -810,20 +744,8 @@
       host_.follow_list(true);
     }
     if (asked_until_ > 0 && now_ > asked_until_) ask_again_later();
-    // In a crowd a drained fleet is held to what each endpoint did, an enlarged one to no more until seen to.
-    double ready = std::max(1, count(Health::Steady));
-    keep(rates_, answers_, std::size_t(kCalmSeconds / kTick));
-    keep(rates_each_, std::exchange(answers_, 0.0) / ready, std::size_t(kCalmSeconds / kTick));
-    auto best = [&](std::size_t ticks) {
-      return std::min(best_rate(rates_, ticks), best_rate(rates_each_, ticks) * ready);
-    };
-    double crowd = share_of(crowded_), whole = best_rate(rates_, kRateTicks);
-    recent_rate_ = crowd * best(kRateTicks) + (1 - crowd) * whole, calm_rate_ = best(rates_.size());
-    // A moment's crowd passes, one that lasts turns servers slow: the loose bound goes while it lasts.
-    while (!stretches_.empty() && now_ - stretches_.front().first > kCrowdSeconds) stretches_.pop_front();
-    double sum = 0;
-    for (const auto& [at, stretch] : stretches_) sum += std::min(stretch, kHeavy);
-    keep(crowded_, sum > kCrowdedAt * double(stretches_.size()), kCrowdTicks);
+    keep(rates_, std::exchange(answers_, 0.0), std::size_t(kCalmSeconds / kTick));
+    recent_rate_ = best_rate(rates_, kRateTicks), calm_rate_ = best_rate(rates_, rates_.size());
     if (now_ >= means_at_) {
       means_at_ = now_ + 1;
       for (std::size_t i = 0; i < latencies_.size(); ++i) {
@@ -835,12 +757,8 @@
     for (int i : dealt_) {
       if (endpoints_[i].health == Health::Steady && !cold(endpoints_[i])) warm += endpoints_[i].dealt;
     }
-    // A fresh one gets the cold share, growing evenly, of a warm one's; with none warm, of what one did while
-    // some were (the median: the last survivor's pace was a crowd's); with none ever, a fetch a second. Held
-    // to that, a tier that came back as a whole served nobody until it was warm, which it is only by serving.
-    if (warm > 0) keep(paces_, recent_rate_ * kTick / warm, kRateTicks);
-    double last = warm > 0 ? paces_.back() : paces_.empty() ? 0 : percentile(paces_, 0.5);
-    double pace = std::max(last, kTick / rings());
+    // A fresh one gets the cold share, growing evenly, of a warm one's; with none warm, a fetch a second.
+    double pace = std::max(warm > 0 ? recent_rate_ * kTick / warm : 0, kTick / rings());
     for (Endpoint& endpoint : endpoints_) {
       if (cold(endpoint)) {
         double warmth = (now_ - endpoint.online_since) / deployment_.cold.warm_after;
@@ -853,22 +771,20 @@
       for (const auto& [sent, what] : endpoint.out) {
         Taken& visit = visits_.at(VisitId(what >> 8));
         bool lost = now_ - sent > kHopeless * threshold(visit.prefix);
-        if (lost && share_of(late_) <= kSharedLate / 2) leave_count(visit);
+        if (lost && !(mean(late_) > kSharedLate / 2)) leave_count(visit);
       }
-      bool used = endpoint.health == Health::Steady || endpoint.health == Health::Trickle;
-      if (used && silent(endpoint)) note_failing(endpoint);
+      if (silent(endpoint)) note_failing(endpoint);
       for (std::size_t i = 0; i < endpoint.lanes.size(); ++i) {
         Lane& lane = endpoint.lanes[i];
         if (lane.health == Health::Aside && now_ >= lane.hold_until) turn_health(lane, Sign::HoldOver);
-        bool shared = share_of(late_) > kSharedLate;
-        if (deployment_.last_tier && !shared && silent(lane)) note_lane_failing(endpoint, int(i));
+        if (deployment_.last_tier && !(mean(late_) > kSharedLate) && silent(lane))
+          note_failing(endpoint, int(i));
       }
     }
-    std::vector<VisitId> over;
-    for (const auto& [place, id] : held_) {
-      if (now_ >= visits_.at(id).held_until) over.push_back(id);
+    for (auto next = held_.begin(); next != held_.end();) {
+      Taken& visit = visits_.at((next++)->second);
+      if (now_ >= visit.held_until) turn(visit, gave_up(visit)), forget_if_over(visits_.find(visit.id));
     }
-    for (VisitId id : over) turn(visits_.at(id), gave_up(visits_.at(id))), forget_if_over(visits_.find(id));
     pump();
     report();
   }
@@ -884,7 +800,7 @@
 
   const Deployment deployment_;
   Host& host_;
-  Chance chance_;
+  pcg32 chance_;  // same seed, same choices
   double now_, started_, awake_ = kFirstOfAll;
   std::vector<Endpoint> endpoints_;
   std::vector<int> ring_, dealt_;  // the listed endpoints in this sidecar's order, and its part of them
@@ -892,15 +808,12 @@
   std::map<Held, VisitId> held_;
   std::vector<std::deque<double>> latencies_, means_;
   std::vector<double> thresholds_;  // by path prefix, of latencies_
-  std::deque<double> paces_;        // of a warm endpoint of one unit, a tick
-  std::deque<bool> late_, lost_, crowded_;
-  std::deque<double> rates_, rates_each_;
-  std::deque<std::pair<double, double>> stretches_;  // of the last answers against calm, with their times
+  std::deque<double> late_;         // 1: a visit past its threshold, 0: one within
+  std::deque<double> rates_;
   double pass_ = 1, fleet_rate_ = 0;
-  std::deque<double> passes_;
   std::deque<std::pair<double, double>>
       lags_;  // of the last answers: when, and its latency against the target
-  std::deque<double> ranks_, arrivals_;
+  std::deque<double> passes_, ranks_, arrivals_;
   std::deque<std::string> customers_;
   double answers_ = 0, recent_rate_ = 0, calm_rate_ = 0, load_ = 0, calm_load_ = 0;
   int in_flight_ = 0, copy_to_ = -1, parts_ = 1;
--- a/wirehost/main.cpp
+++ b/wirehost/main.cpp
@@ -89,8 +89,9 @@
   void take(const Message& event) {
     std::string_view name = event.name();
     if (name == "ORDER") {
-      Visit visit{visit_id(event), event.text(3, "Profile"), event.text_or_none(4),
-                  event.number(6, "BudgetS"), event.text_or_none(5), event.number_or_none(7)};
+      Visit visit{visit_id(event),       event.text(3, "Profile"),
+                  event.text_or_none(4), event.number(6, "BudgetS"),
+                  event.text_or_none(5), event.number_or_none(7)};
       pass(event, [&](Policy& policy) { policy.arrive(now_, visit); });
     } else if (name == "ATTEMPT_END") {
       FetchEnd end{visit_id(event),
