--- a/sidecar/watching/watched.cpp
+++ b/sidecar/watching/watched.cpp
@@ -107,11 +107,10 @@
 
 void Watched::fetch_ended(double now, const FetchEnd& end) {
   now_ = now;
-  sides_[Acting]->fetch_ended(now, end);
   auto found = visits_.find(end.visit);
+  if (found != visits_.end()) found->second.fetches[Acting].at(std::size_t(end.number)).out = false;
+  sides_[Acting]->fetch_ended(now, end);
   if (found != visits_.end()) {
-    Fetch& fetch = found->second.fetches[Acting].at(std::size_t(end.number));
-    fetch.out = false;
     end_imagined(now, end.visit, end.number, &end);
     if (end.concluded) close(now, end.visit);
     touched_.push_back(end.visit);
--- a/tests/serving.cpp
+++ b/tests/serving.cpp
@@ -25,15 +25,11 @@
 class Running {
  public:
   Running(const std::string& known, const std::string& limits = R"({"sockets":1024,"memory_mb":192})",
-          const std::string& connect_timeout = "0.1")
+          const std::string& connect_timeout = "0.1", const std::string& watched = "")
       : listen(here(1) + ":5001"), discovery(9), folder_("/tmp/puffinvane-" + std::to_string(getpid())) {
     told_ = R"(,"seed":"1f","limits":)" + limits + R"(,"known":{"index":7,"snapshot":true,"endpoints":[)" +
-            known + R"(]},"settings":{"PathPrefixes":[
-             {"Name":"read","Idempotency":"repeatable","ClientTimeoutS":1.0,"TargetLatencyS":0.5},
-             {"Name":"write","Idempotency":"once","ClientTimeoutS":1.0,"TargetLatencyS":0.5}],
-           "Limits":{"MaxBackendFetches":3,"ParallelTries":true,"MayCancel":true,"RetryAfter":true,
-             "MaxRetryAfterS":1.5,"ConnIdleS":2.0,"ConnectTimeoutS":)" +
-            connect_timeout + R"(},"Rules":{},"RoundS":0.005,"Zone":"z"}})";
+            known + R"(]},"settings":)" + settings("3", connect_timeout) +
+            (watched.empty() ? "" : R"(,"watch":)" + watched) + "}";
     assign(discovery.address);
     child_ = fork();
     if (child_ == 0) {
@@ -53,6 +49,21 @@
     std::remove((folder_ + ".json").c_str());
   }
 
+  static std::string settings(const std::string& fetches, const std::string& connect_timeout = "0.1") {
+    return R"({"PathPrefixes":[
+             {"Name":"read","Idempotency":"repeatable","ClientTimeoutS":1.0,"TargetLatencyS":0.5},
+             {"Name":"write","Idempotency":"once","ClientTimeoutS":1.0,"TargetLatencyS":0.5}],
+           "Limits":{"ParallelTries":true,"MayCancel":true,"RetryAfter":true,
+             "MaxRetryAfterS":1.5,"ConnIdleS":2.0,"MaxBackendFetches":)" +
+           fetches + R"(,"ConnectTimeoutS":)" + connect_timeout +
+           R"(},"Rules":{},"RoundS":0.005,"Zone":"z"})";
+  }
+  std::string watched() {
+    Line line(listen);
+    line.say("GET /watch HTTP/1.1\r\n\r\n");
+    auto answer = line.hear(HttpReader::Side::Answer);
+    return answer && answer->status == 200 ? answer->body.text() : "";
+  }
   void assign(const std::string& discovery_at) {
     std::ofstream(folder_ + ".json") << R"({"name":"n0","listen":")" << listen << R"(","discovery":")"
                                      << discovery_at << '"' << told_;
@@ -323,6 +334,33 @@
   assert(fetch.ended(0.8));
 }
 
+// Watched settings are counted and never act: the same visits get the same answers with and without them.
+void other_settings_are_watched_and_change_no_answer() {
+  for (const std::string& watched : {std::string(), Running::settings("3"), Running::settings("1")}) {
+    Listener first(21), second(22);
+    Running running(entry("e0", first.address) + "," + entry("e1", second.address),
+                    R"({"sockets":1024,"memory_mb":192})", "0.1", watched);
+    for (int i = 0; i < 12; ++i) {
+      Line caller(running.listen);
+      caller.say(get("", std::to_string(1000 + i)));
+      bool one = first.knocked(0.05) || !second.knocked(3);
+      auto [line, request] = (one ? first : second).take_request();
+      if (i % 3) line.say(ok("yes"));
+      else line.say(kTurnedAway);
+      if (i % 3 == 0) (one ? second : first).take_request().first.say(ok("yes"));
+      assert(caller.answer_status() == 200);
+    }
+    std::string counted = running.watched();
+    assert(counted.empty() == watched.empty());
+    if (watched.empty()) continue;
+    bool equal = watched == Running::settings("3");
+    assert(counted.find(R"("visits":12,"fetches":16)") != std::string::npos);
+    assert((counted.find(R"("ended":4)") != std::string::npos) == !equal);
+    assert(!equal ||
+           counted.find(R"("endpoint":0,"copy":0,"ended":0,"aside":0,"over_share":0)") != std::string::npos);
+  }
+}
+
 void what_can_not_be_used_is_answered_and_closed() {
   Listener endpoint(2);
   Running sidecar(entry("a", endpoint.address));
@@ -577,6 +615,7 @@
   after_a_stall_what_has_come_in_is_heard_before_what_is_due();
   a_visit_that_came_during_a_stall_is_answered_in_what_is_left_of_its_time();
   a_caller_that_leaves_withdraws_its_visit();
+  other_settings_are_watched_and_change_no_answer();
   what_can_not_be_used_is_answered_and_closed();
   who_never_sends_a_whole_request_is_told_and_closed_in_time();
   a_caller_that_asks_first_is_told_to_send_its_body();
--- a/tests/wire.cpp
+++ b/tests/wire.cpp
@@ -418,9 +418,37 @@
          read_level("?") == Level::Info);
 }
 
+// What an operator sets for the move is of use, or the start ends with a word: never a silent default.
+void settings_of_the_new_shape_are_read_or_refused() {
+  auto read = [](const std::string& more) {
+    simdjson::dom::parser parser;
+    std::string text = R"({"PathPrefixes":[{"Name":"read"}],"Limits":{},"Rules":{})" + more + "}";
+    return read_deployment(parser.parse(text));
+  };
+  Deployment plain = read("");
+  assert(!plain.answers_tell_load && !plain.last_tier && !plain.warm_keys && plain.crossing_price == 0);
+  Deployment moved = read(R"(,"Report":{"Via":"piggyback"},"Tiers":["a","b"],"Layer":1,
+                             "Extra":{"WarmKeys":true},"Fees":{"CrossZone":0.03})");
+  assert(moved.answers_tell_load && moved.last_tier && moved.warm_keys && moved.crossing_price == 0.03);
+  for (const char* bad :
+       {R"(,"Report":{"Via":"shout"})", R"(,"Report":{"Via":null})", R"(,"Report":{"Via":3})",
+        R"(,"Extra":{"WarmKeys":"yes"})", R"(,"Extra":{"WarmKeys":null})", R"(,"Fees":{"CrossZone":-0.1})",
+        R"(,"Fees":{"CrossZone":"much"})", R"(,"Fees":{"CrossZone":null})", R"(,"Tiers":[])",
+        R"(,"Tiers":["a"],"Layer":1)", R"(,"Tiers":"a")", R"(,"Tiers":["a"],"Layer":-1)"}) {
+    bool refused = false;
+    try {
+      read(bad);
+    } catch (const Malformed& fault) {
+      refused = std::string(fault.what()).size() > 8;
+    }
+    assert(refused);
+  }
+}
+
 }  // namespace
 
 int main() {
+  settings_of_the_new_shape_are_read_or_refused();
   a_request_reads_the_same_wherever_it_is_cut();
   a_chunked_answer_reads_the_same_wherever_it_is_cut();
   an_answer_without_a_length_ends_with_its_connection_and_one_with_a_length_does_not();
