--- a/tests/stories.cpp
+++ b/tests/stories.cpp
@@ -398,7 +398,7 @@
   }
 }
 
-// The nyeri waste: the 95th percentile is made of heavy visits, which are late anywhere.
+// Three tiers of waste: the 95th percentile is made of heavy visits, which are late anywhere.
 void a_heavy_visit_at_an_endpoint_that_answers_others_is_not_copied() {
   FakeHost host(deployment());
   host.ready(2);
