The median endpoint's told stay counts, so that one released from a hang makes no crowd

Cause, accra fresh-big: after a hang of 7 of 49 endpoints ended at 0:28, 21% were bounced from 0:30 for 5 s; their reports showed all that they had held, and the sum of depths over rates read as a crowd (line: stay in hear_crowd). The draw's logarithm is left out where it isn't used.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -489,7 +489,7 @@
       // Ties break at random, in proportion to what each can do (the least of such draws is so spread); with
       // a key they break alike at all sidecars, and an endpoint that met it lately is worth some depth.
       double at = visit.key ? to_share(mixed(visit.key, endpoint.name)) : chance();
-      double draw = -std::log(1e-9 + at);
+      double draw = told || at_random ? -std::log(1e-9 + at) : 0;
       double tie = !told || at_random ? 0 : (visit.key ? kWarm : 0.01) * draw;
       double ahead = double(endpoint.out.size()) + (told ? 0 : 1) + crossing + (again ? kBack : 0);
       if (!told) tie = ahead * 0.2 * chance();
@@ -704,21 +704,23 @@
   // long visits stay there. What passes now is what passed when that was so, mended by it.
   void hear_crowd() {
     if (arrivals_.empty()) return;
-    double depth = 0, served = 0, busy = 0, heard = 0;
+    double served = 0, busy = 0, heard = 0;
+    std::deque<double> stays;  // the median counts: one released from a hang shows all that it held
     for (const Endpoint& endpoint : endpoints_) {
       if (now_ - endpoint.load_at > kReportAge) continue;
-      depth += endpoint.load.depth, served += endpoint.load.served, busy += endpoint.load.busy, ++heard;
+      served += endpoint.load.served, busy += endpoint.load.busy, ++heard;
+      if (endpoint.load.served > 0) stays.push_back(endpoint.load.depth / endpoint.load.served);
     }
     if (!deployment_.answers_tell_load)
       return void(fleet_rate_ = double(arrivals_.size()) / std::max(2.0, now_ - arrivals_.front()) *
                                 deployment_.sidecars);
     double use = busy / std::max(1.0, heard) / kFull, sum = 0, count = 0;
-    if (depth > 0 && served > 0) {
+    if (!stays.empty()) {
       for (const auto& each : latencies_)
         sum += std::accumulate(each.begin(), each.end(), 0.0), count += double(each.size());
       for (std::size_t i = 0; i < latencies_.size(); ++i) {
         if (latencies_[i].empty()) continue;
-        double own = mean(latencies_[i]), stay = depth / served * own / (sum / count);
+        double own = mean(latencies_[i]), stay = percentile(stays, 0.5) * own / (sum / count);
         // Rates that have only begun to be counted tell of a jam that is none.
         if (now_ < started_ + kFirstSeconds) stay = std::min(stay, own);
         use = std::max(use, stay / (kRoom * deployment_.path_prefixes[i].target_latency));
@@ -726,9 +728,8 @@
     }
     // Full cores can't tell of the queue behind them; own answers do.
     double lag = 0, lags = 0;
-    for (const auto& [at, share] : lags_) {
+    for (const auto& [at, share] : lags_)
       if (now_ - at < kReportAge) lag += share, ++lags;
-    }
     if (lags >= kFewLags) use = std::max(use, lag / lags / kRoom);
     double passed = passes_.empty() ? 1 : mean(passes_);
     pass_ = std::clamp(passed * std::clamp(1 + kMend * (1 - use), 0.5, 1.3), 0.1, 1.0);
@@ -754,9 +755,8 @@
     }
     deal();
     double warm = 0;
-    for (int i : dealt_) {
+    for (int i : dealt_)
       if (endpoints_[i].health == Health::Steady && !cold(endpoints_[i])) warm += endpoints_[i].dealt;
-    }
     // A fresh one gets the cold share, growing evenly, of a warm one's; with none warm, a fetch a second.
     double pace = std::max(warm > 0 ? recent_rate_ * kTick / warm : 0, kTick / rings());
     for (Endpoint& endpoint : endpoints_) {
