Watching makes both sides by the sidecar's own maker

On reading the change once more: the watched sidecar always took the module, also where a baseline had been asked for.

--- a/sidecar/lifecycle/sidecar.cpp
+++ b/sidecar/lifecycle/sidecar.cpp
@@ -13,8 +13,8 @@
 
 PolicyMaker watching(const std::optional<Deployment>& watched, Differences& counted, PolicyMaker make) {
   if (!watched) return make;
-  return [&](double now, Deployment acting, std::uint64_t seed, Host& host) {
-    return std::make_unique<Watched>(now, std::move(acting), *watched, seed, host, counted);
+  return [&watched, &counted, make](double now, Deployment acting, std::uint64_t seed, Host& host) {
+    return std::make_unique<Watched>(now, std::move(acting), *watched, seed, host, counted, make);
   };
 }
 }  // namespace
--- a/sidecar/watching/watched.cpp
+++ b/sidecar/watching/watched.cpp
@@ -52,11 +52,11 @@
 };
 
 Watched::Watched(double now, Deployment acting, Deployment watched, std::uint64_t seed, Host& host,
-                 Differences& counted)
+                 Differences& counted, const PolicyMaker& make)
     : host_(host), counted_(counted), now_(now) {
   for (Side side : {Acting, Imagined}) {
     listeners_[side] = std::make_unique<Listener>(*this, side);
-    sides_[side] = make_policy(now, side == Acting ? acting : watched, seed, *listeners_[side]);
+    sides_[side] = make(now, side == Acting ? acting : watched, seed, *listeners_[side]);
   }
 }
 
--- a/sidecar/watching/watched.h
+++ b/sidecar/watching/watched.h
@@ -24,7 +24,7 @@
 class Watched final : public Policy {
  public:
   Watched(double now, Deployment acting, Deployment watched, std::uint64_t seed, Host& host,
-          Differences& counted);
+          Differences& counted, const PolicyMaker& make);
   ~Watched() override;
 
   void list(double now, ListScope scope, std::span<const ListEntry> entries) override;
