Operators' calls: readiness, figures, endpoints out and back, the sidecar emptied

Stories over loopback: figures, bad calls, held connections, exclusion over the list's word, a drain.

--- a/include/puffinvane/policy.h
+++ b/include/puffinvane/policy.h
@@ -132,6 +132,8 @@
   virtual void fetch_ended(double now, const FetchEnd& end) = 0;
   virtual void withdrawn(double now, VisitId visit) = 0;
   virtual void woken(double now, std::uint64_t token) = 0;
+  // How many listed endpoints it avoids: set aside, or listed as going.
+  virtual std::size_t avoided() const { return 0; }
   // Takes over what an earlier one has learned: of endpoints and path prefixes that both have, and of its
   // rates the share that this one's visits will be. May be called once for each of several.
   virtual void inherit(double, const Policy&, double /*share*/) {}
--- /dev/null
+++ b/sidecar/console/console.h
@@ -0,0 +1,47 @@
+// Where operators call: a door, callers and descriptors of its own, so that neither a flood at the other door
+// nor somebody who holds a connection here keeps an order waiting.
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "operations/operations.h"
+#include "sidecar/wire/callers.h"
+#include "sidecar/wire/door.h"
+
+namespace puffinvane {
+
+class Console final : Callers::Server {
+ public:
+  class Owner {
+   public:
+    virtual ~Owner() = default;
+    virtual bool ready() const = 0;
+    virtual std::string telemetry() const = 0;
+    virtual void on_order() = 0;  // one was obeyed
+  };
+
+  Console(Loop& loop, Admission& admission, Operations& operations, Owner& owner);
+  void open(std::string_view address) { door_.open(address); }  // throws std::runtime_error
+
+ private:
+  struct Call;
+  static const Call kCalls[];
+  void on_request(Client& client, HttpMessage request) override;
+  void ready(Client& client, std::string_view body);
+  void telemetry(Client& client, std::string_view body);
+  void exclude(Client& client, std::string_view body);
+  void include(Client& client, std::string_view body);
+  void evacuate(Client& client, std::string_view body);
+  void rejoin(Client& client, std::string_view body);
+  void say(Client& client, int status, std::string_view text, std::string_view more_headers = "");
+  void obeyed(Client& client, bool yes);
+
+  Loop& loop_;
+  Operations& operations_;
+  Owner& owner_;
+  Callers callers_;
+  Door door_;
+};
+
+}  // namespace puffinvane
--- /dev/null
+++ b/sidecar/console/telemetry.cpp
@@ -0,0 +1,56 @@
+#include "sidecar/console/telemetry.h"
+
+namespace puffinvane {
+
+namespace {
+
+void head(std::string& text, std::string_view name, std::string_view type, std::string_view help) {
+  text.append("# HELP sidecar_").append(name).append(" ").append(help);
+  text.append("\n# TYPE sidecar_").append(name).append(" ").append(type).append("\n");
+}
+
+std::string label(std::string_view value) {
+  std::string written;
+  for (char each : value) {
+    if (each == '\n') written += "\\n";
+    else if (each == '"' || each == '\\') (written += '\\') += each;
+    else written += each;
+  }
+  return written;
+}
+
+void single(std::string& text, std::string_view name, std::string_view type, std::string_view help,
+            std::uint64_t figure) {
+  head(text, name, type, help);
+  text.append("sidecar_").append(name).append(" ").append(std::to_string(figure)).append("\n");
+}
+
+}  // namespace
+
+std::string write_telemetry(const std::vector<PathPrefix>& prefixes, const Figures& figures,
+                            const Standing& standing) {
+  struct Counter {
+    std::string_view name, help;
+    Ended how;
+  };
+  static constexpr Counter kCounters[] = {
+      {"answered_total", "Visits delivered, by path prefix.", Ended::Delivered},
+      {"deferred_total", "Visits bounced, by path prefix: trying again does no harm.", Ended::Bounced},
+      {"errored_total", "Visits errored, by path prefix: they may have run.", Ended::Errored}};
+  std::string text;
+  for (const Counter& counter : kCounters) {
+    head(text, counter.name, "counter", counter.help);
+    for (std::size_t i = 0; i < prefixes.size(); ++i) {
+      text.append("sidecar_").append(counter.name).append("{group=\"").append(label(prefixes[i].name));
+      text.append("\"} ").append(std::to_string(figures.ended(i, counter.how))).append("\n");
+    }
+  }
+  single(text, "sends_total", "counter", "Backend fetches written whole to endpoints.", figures.fetches());
+  single(text, "current", "gauge", "Visits taken and not ended.", standing.under_way);
+  single(text, "cluster_size", "gauge", "Endpoints in the list.", standing.endpoints);
+  single(text, "cluster_unhealthy", "gauge", "Listed endpoints avoided now, by order or by choice.",
+         standing.avoided);
+  return text;
+}
+
+}  // namespace puffinvane
--- /dev/null
+++ b/sidecar/console/telemetry.h
@@ -0,0 +1,20 @@
+// The figures as text, in the Prometheus exposition format.
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+#include "puffinvane/policy.h"
+#include "sidecar/memory/figures.h"
+
+namespace puffinvane {
+
+struct Standing {  // as things are now
+  std::size_t under_way = 0, endpoints = 0, avoided = 0;
+};
+
+std::string write_telemetry(const std::vector<PathPrefix>& prefixes, const Figures& figures,
+                            const Standing& standing);
+
+}  // namespace puffinvane
--- a/sidecar/lifecycle/run.cpp
+++ b/sidecar/lifecycle/run.cpp
@@ -88,6 +88,8 @@
     double offset = Loop::unix_offset();
     const char* file = std::getenv("BALANCER_CONFIG");
     Assignment assignment = load_assignment(file, offset);
+    const char* console = std::getenv("BALANCER_CONSOLE");
+    if (assignment.console.empty() && console) assignment.console = console;
     loop = std::make_unique<Loop>(log, assignment.descriptors);
     return std::make_unique<Sidecar>(*loop, std::move(assignment), offset, file, make);
   });
--- a/sidecar/lifecycle/sidecar.cpp
+++ b/sidecar/lifecycle/sidecar.cpp
@@ -4,11 +4,14 @@
 #include <exception>
 #include <utility>
 
+#include "sidecar/console/telemetry.h"
 #include "sidecar/wire/headers.h"
 
 namespace puffinvane {
 
 namespace {
+constexpr double kDrainLook = 0.05;  // seconds
+constexpr double kFresh = 0.2;       // a connection younger than that may have its first request on the way
 constexpr std::size_t kBufferShare = 2;  // of the memory: the rest is for the module, GLib and the heap
 
 PolicyMaker watching(const std::optional<Deployment>& watched, Differences& counted, PolicyMaker make) {
@@ -30,16 +33,21 @@
                watching(assignment_.watched, differences_, make)),
       callers_(loop, admission_, *this),
       door_(loop, callers_),
-      watch_(loop, carrier_, assignment_.discovery, clock_offset, assignment_.known.index) {}
+      watch_(loop, carrier_, assignment_.discovery, clock_offset, assignment_.known.index),
+      operations_(*this) {
+  if (!assignment_.console.empty()) console_.emplace(loop, admission_, operations_, static_cast<Console::Owner&>(*this));
+}
 
 void Sidecar::start() {
   carrier_.know(assignment_.known);
   watch_.open();
+  if (console_) console_->open(assignment_.console);
   door_.open(assignment_.listen);
   opened();
 }
 
 void Sidecar::serves() {
+  serving_ = true;
   loop().log().info() << assignment_.name << " serves tier " << assignment_.deployment.tier << " at "
                       << assignment_.listen << ", " << assignment_.known.entries.size() << " endpoints known";
 }
@@ -76,9 +84,34 @@
   watch_.close();
 }
 
+void Sidecar::stop(std::string_view endpoint) {
+  loop().log().info() << "endpoint " << endpoint << " is excluded";
+  carrier_.stop(endpoint);
+}
+
+void Sidecar::use_again(std::string_view endpoint, double out_since) {
+  loop().log().info() << "endpoint " << endpoint << " is included again";
+  carrier_.use_again(endpoint, out_since);
+}
+
+void Sidecar::look_at_drain() {
+  operations_.pass_time(loop().now());
+  if (operations_.closes_idle()) callers_.close_idle(kFresh);
+  if (looking_ || !operations_.drains()) return;
+  looking_ = true;
+  loop().at(loop().now() + kDrainLook, alive_.guard([this] { looking_ = false, look_at_drain(); }));
+}
+
+std::string Sidecar::telemetry() const {
+  return write_telemetry(carrier_.deployment().path_prefixes, carrier_.figures(),
+                         {carrier_.under_way(), carrier_.listed(), carrier_.avoided()});
+}
+
 void Sidecar::on_request(Client& client, HttpMessage request) {
-  if (request.target == "/healthz" && request.method == "GET")
-    return client.answer(leaving_ ? 503 : 200, nullptr, "", leaving_ ? "leaving\n" : "ready\n", false);
+  if (request.target == "/healthz" && request.method == "GET") {
+    bool takes = !leaving_ && !operations_.drains();
+    return client.answer(takes ? 200 : 503, nullptr, "", takes ? "ready\n" : "leaving\n", false);
+  }
   if (request.target == "/watch" && request.method == "GET" && assignment_.watched)
     return client.answer(200, nullptr, "", write_differences(differences_), false);
   if (request.method == "HEAD" || request.method == "CONNECT")
@@ -86,9 +119,11 @@
   const PathPrefix* prefix = carrier_.find_prefix(path_prefix_of(request.target));
   if (!prefix) return client.answer(404, nullptr, "", "no such path prefix\n", true);
   std::string_view id = request.header(kVisitHeader);
-  if (id.empty() || request.count(kVisitHeader) > 1 || carrier_.open(id))
-    return client.answer(400, nullptr, "", "X-Correlation-Id has to be there, once and new\n", true);
   std::optional<double> time_left = time_left_of(request, prefix->client_timeout);
+  bool named = !id.empty() && request.count(kVisitHeader) == 1 && !carrier_.open(id);
+  if (!named || !time_left) carrier_.turned_away(*prefix);
+  if (!named)
+    return client.answer(400, nullptr, "", "X-Correlation-Id has to be there, once and new\n", true);
   if (!time_left) return client.answer(400, nullptr, "", "X-Time-Left is no number with m or u\n", true);
   carrier_.take(client, std::move(request), *prefix, *time_left);
 }
--- a/sidecar/lifecycle/sidecar.h
+++ b/sidecar/lifecycle/sidecar.h
@@ -3,6 +3,7 @@
 
 #include <string>
 
+#include "sidecar/console/console.h"
 #include "sidecar/lifecycle/lifecycle.h"
 #include "sidecar/lifecycle/start.h"
 #include "sidecar/watching/watched.h"
@@ -12,7 +13,7 @@
 
 namespace puffinvane {
 
-class Sidecar final : public Lifecycle, Callers::Server {
+class Sidecar final : public Lifecycle, Callers::Server, Operations::Host, Console::Owner {
  public:
   Sidecar(Loop& loop, Assignment assignment, double clock_offset, std::string assigned_in, PolicyMaker make);
   void start() override;
@@ -29,16 +30,28 @@
   void ends() override;
   void on_request(Client& client, HttpMessage request) override;
 
+  bool knows(std::string_view endpoint) const override { return carrier_.knows(endpoint); }
+  void stop(std::string_view endpoint) override;
+  void use_again(std::string_view endpoint, double out_since) override;
+  void last_answers(bool on) override { callers_.last_call(on); }
+  bool ready() const override { return serving_; }
+  std::string telemetry() const override;
+  void on_order() override { look_at_drain(); }
+  void look_at_drain();
+
   Assignment assignment_;
   const double clock_offset_;
   const std::string assigned_in_;
-  bool leaving_ = false;
+  bool serving_ = false, leaving_ = false, looking_ = false;
   Differences differences_;
   Admission admission_;
   Carrier carrier_;
   Callers callers_;
   Door door_;
   Watch watch_;
+  Operations operations_;
+  std::optional<Console> console_;  // none: operators call nowhere
+  Alive alive_;
 };
 
 }  // namespace puffinvane
--- a/sidecar/loop/loop.h
+++ b/sidecar/loop/loop.h
@@ -22,6 +22,7 @@
   int open() const { return open_; }
   int left() const { return limit_ - open_; }
   int limit() const { return limit_; }
+  void set_aside(int more) { limit_ -= std::min(more, limit_ / 2); }  // for what is never kept out
 
  private:
   static constexpr int kReserve = 24;
--- /dev/null
+++ b/sidecar/memory/figures.h
@@ -0,0 +1,27 @@
+// How visits ended, by path prefix, and how many fetches were written whole, since the process started. Path
+// prefixes are those of the settings: what strangers send makes no new figure.
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+namespace puffinvane {
+
+enum class Ended { Delivered, Bounced, Errored };
+
+class Figures {
+ public:
+  explicit Figures(std::size_t prefixes) : ended_(prefixes) {}
+  void note(std::size_t prefix, Ended how) { ++ended_[prefix][std::size_t(how)]; }
+  void note_fetch() { ++fetches_; }
+  std::uint64_t ended(std::size_t prefix, Ended how) const { return ended_[prefix][std::size_t(how)]; }
+  std::uint64_t fetches() const { return fetches_; }
+
+ private:
+  std::vector<std::array<std::uint64_t, 3>> ended_;
+  std::uint64_t fetches_ = 0;
+};
+
+}  // namespace puffinvane
--- a/sidecar/memory/visits.h
+++ b/sidecar/memory/visits.h
@@ -1,6 +1,7 @@
 // The visits in hand, with what is needed to fetch them again and to know when nothing more can come of them.
 #pragma once
 
+#include <algorithm>
 #include <functional>
 #include <optional>
 #include <set>
@@ -63,6 +64,10 @@
     in_hand_.erase(found);
   }
   std::size_t count() const { return in_hand_.size(); }
+  std::size_t under_way() const {  // neither answered nor given up by their callers
+    return std::size_t(std::count_if(in_hand_.begin(), in_hand_.end(),
+                                     [](const auto& one) { return !one.second.concluded(); }));
+  }
 
  private:
   VisitId last_ = 0;
--- a/sidecar/watching/watched.h
+++ b/sidecar/watching/watched.h
@@ -32,6 +32,7 @@
   void fetch_ended(double now, const FetchEnd& end) override;
   void withdrawn(double now, VisitId visit) override;
   void woken(double now, std::uint64_t token) override;
+  std::size_t avoided() const override { return sides_[Acting]->avoided(); }
 
  private:
   enum Side { Acting, Imagined, kSides };
--- a/sidecar/wire/backend.cpp
+++ b/sidecar/wire/backend.cpp
@@ -21,7 +21,7 @@
     {State::Idle, Input::Fetch, State::Sending, &Backend::write},
     {State::Idle, Input::Ended, State::Over, &Backend::report_idle_end},
     {State::Idle, Input::Nonsense, State::Over, &Backend::report_idle_end},
-    {State::Sending, Input::Written, State::Awaiting, &Backend::nothing},
+    {State::Sending, Input::Written, State::Awaiting, &Backend::note_sent},
     {State::Sending, Input::Answered, State::Over, &Backend::report_answer},
     {State::Sending, Input::AnsweredLast, State::Over, &Backend::report_answer},
     {State::Sending, Input::Nonsense, State::Over, &Backend::report_nonsense},
--- a/sidecar/wire/backend.h
+++ b/sidecar/wire/backend.h
@@ -22,6 +22,7 @@
     virtual ~Owner() = default;
     // Called when the connection is up: what to write, with the time that is left by then.
     virtual Chain on_ready(Backend& backend) = 0;
+    virtual void on_sent() = 0;  // a request's last byte was written
     virtual Outcome outcome_of(const HttpMessage& answer) const = 0;
     virtual void on_fetched(Backend& backend, Outcome outcome, HttpMessage answer) = 0;
     virtual void on_idle_end(Backend& backend) = 0;
@@ -44,8 +45,8 @@
   enum class Input { Connected, Fetch, Written, Answered, AnsweredLast, Nonsense, Stopped, Ended, TimedOut };
   static const Row<Backend, State, Input> kRows[];
   void turn(Input input);
-  void nothing() {}
   void write();
+  void note_sent() { owner_->on_sent(); }
   void report_answer();
   void report_nonsense();
   void report_unsent();
--- a/sidecar/wire/callers.cpp
+++ b/sidecar/wire/callers.cpp
@@ -10,12 +10,15 @@
 constexpr double kNewcomer = 0.1;  // seconds that a new connection has for its first request when all is full
 }  // namespace
 
-Callers::Callers(Loop& loop, Admission& admission, Server& server, std::size_t most_body)
-    : loop_(loop), admission_(admission), server_(server), most_body_(most_body) {
+Callers::Callers(Loop& loop, Admission& admission, Server& server, std::size_t most_body, std::size_t most)
+    : loop_(loop), admission_(admission), server_(server), most_body_(most_body), most_(most) {
   sweep();
 }
 
-bool Callers::on_knock() { return admission_.room_for_caller(clients_.size()) || drop_one(); }
+bool Callers::on_knock() {
+  bool room = most_ > 0 ? clients_.size() < most_ : admission_.room_for_caller(clients_.size());
+  return room || drop_one();
+}
 
 void Callers::on_entered(Ref<GSocket> socket, int door) {
   auto client = std::make_unique<Client>(loop_, *this, std::move(socket), door, most_body_);
@@ -45,17 +48,17 @@
   Client* oldest = nullptr;
   for (auto& [key, client] : clients_) {
     if (oldest && !before(*client, *oldest)) continue;
-    bool spare = client->newcomer() ? now - client->used() > kNewcomer : client->idle();
+    bool spare = client->newcomer() ? now - client->used() > kNewcomer : client->idle() || client->lingers();
     if (spare) oldest = client.get();
   }
   if (oldest) oldest->part();
   return oldest != nullptr;
 }
 
-void Callers::close_idle() {
+void Callers::close_idle(double longer_than) {
   std::vector<Client*> idle;
   for (auto& [key, client] : clients_) {
-    if (client->idle()) idle.push_back(client.get());
+    if (client->idle() && loop_.now() - client->used() >= longer_than) idle.push_back(client.get());
   }
   for (Client* client : idle) client->part();
 }
--- a/sidecar/wire/callers.h
+++ b/sidecar/wire/callers.h
@@ -18,11 +18,14 @@
     virtual void on_request(Client& client, HttpMessage request) = 0;
   };
 
-  Callers(Loop& loop, Admission& admission, Server& server, std::size_t most_body = HttpReader::kMostBody);
+  // most: of them, whatever else is admitted; none: as many as there is room for.
+  Callers(Loop& loop, Admission& admission, Server& server, std::size_t most_body = HttpReader::kMostBody,
+          std::size_t most = 0);
 
   bool empty() const { return clients_.empty(); }
+  std::size_t most() const { return most_; }
   void last_call(bool on) { last_call_ = on; }  // answers are the last on their connections from here on
-  void close_idle();
+  void close_idle(double longer_than = 0);  // seconds
   void close_door(int door);  // who came in by it gets the answer in hand, and that is the last
 
   bool on_knock() override;
@@ -38,7 +41,7 @@
   Loop& loop_;
   Admission& admission_;
   Server& server_;
-  const std::size_t most_body_;
+  const std::size_t most_body_, most_;
   bool last_call_ = false;
   std::unordered_map<const Client*, std::unique_ptr<Client>> clients_;
   Alive alive_;
--- a/sidecar/wire/carrier.cpp
+++ b/sidecar/wire/carrier.cpp
@@ -13,6 +13,7 @@
 namespace {
 constexpr double kIdleShare = 0.7;  // of the time after which endpoints close: a fetch must not cross that
 constexpr double kSweep = 0.25;
+constexpr std::size_t kLately = 256;  // endpoints that are known though no longer listed
 constexpr double kAfterLast = 0.5;  // seconds, for what is put off to the next turn or the next tick
 }  // namespace
 
@@ -22,6 +23,7 @@
       admission_(admission),
       deployment_(std::move(deployment)),
       manner_(std::move(manner)),
+      figures_(deployment_.path_prefixes.size()),
       policy_(make(loop.now(), deployment_, seed, *this)) {
   admission_.join(*this);
   sweep();
@@ -147,6 +149,10 @@
   if (!visit || visit->concluded()) return;
   Client& client = *std::exchange(visit->client, nullptr);
   client.visit.reset();
+  figures_.note(number_of(*visit->prefix), status == 503 && !from ? Ended::Bounced
+                                           : status == 502 && !from ? Ended::Errored
+                                           : status < 500           ? Ended::Delivered
+                                                                    : Ended::Errored);
   client.answer(status, from, more_headers, text, false);
   // Not forgotten here: the module may be in the middle of it, and ask for more cancels.
   loop_.soon([this, id] { visits_.forget_if_over(id); });
@@ -272,11 +278,58 @@
   note_entries(list, list.whole ? ListScope::Full : ListScope::Changes);
 }
 
+std::size_t Carrier::under_way() const { return visits_.under_way(); }
+
+std::size_t Carrier::avoided() const {
+  auto going = [this](const auto& one) { return one.second.state != Listed::Ready || out_.contains(one.first); };
+  return policy_->avoided() + std::size_t(std::count_if(listed_.begin(), listed_.end(), going));
+}
+
+bool Carrier::knows(std::string_view endpoint) const {
+  return listed_.contains(endpoint) || std::find(lately_.begin(), lately_.end(), endpoint) != lately_.end();
+}
+
+void Carrier::stop(std::string_view endpoint) {
+  std::string name(endpoint);
+  out_[name] = loop_.now();
+  drop_connections(name);
+  if (auto found = listed_.find(endpoint); found != listed_.end()) tell(found->second);
+}
+
+void Carrier::use_again(std::string_view endpoint, double out_since) {
+  out_.erase(std::string(endpoint));
+  auto found = listed_.find(endpoint);
+  if (found == listed_.end()) return;
+  // It was taken out to be restarted. Where the list has not heard of that yet it is taken for cold all the
+  // same, from now: rule 4 costs a warm endpoint some seconds of little work, a cold one everything.
+  ListEntry& entry = found->second;
+  if (entry.online_since < out_since) entry.online_since = loop_.now();
+  tell(entry);
+}
+
+void Carrier::tell(const ListEntry& entry) {
+  ListEntry told = entry;
+  if (out_.contains(entry.endpoint) && told.state == Listed::Ready) told.state = Listed::Draining;
+  policy_->list(loop_.now(), ListScope::Changes, {&told, 1});
+}
+
+void Carrier::note_listed(const ListEntry& entry) {
+  if (entry.state == Listed::Gone) return note_gone(entry.endpoint);
+  listed_.insert_or_assign(entry.endpoint, entry);
+}
+
+void Carrier::note_gone(const std::string& endpoint) {
+  if (listed_.erase(endpoint) == 0) return;
+  if (std::find(lately_.begin(), lately_.end(), endpoint) == lately_.end()) lately_.push_back(endpoint);
+  if (lately_.size() > kLately) lately_.pop_front();
+}
+
 void Carrier::note_entries(const EndpointList& list, ListScope scope) {
   std::set<std::string> listed;
   for (std::size_t i = 0; i < list.entries.size(); ++i) {
     const ListEntry& entry = list.entries[i];
     listed.insert(entry.endpoint);
+    note_listed(entry);
     if (entry.state != Listed::Ready) drop_connections(entry.endpoint);
     if (entry.state == Listed::Gone) addresses_.forget(entry.endpoint);
     else if (!list.addresses[i].empty()) {
@@ -286,9 +339,13 @@
   }
   if (list.whole) {  // what a whole list leaves out is gone without a word
     for (const std::string& gone : addresses_.missing_from(listed))
-      drop_connections(gone), addresses_.forget(gone);
+      drop_connections(gone), addresses_.forget(gone), note_gone(gone);
+  }
+  std::vector<ListEntry> told = list.entries;
+  for (ListEntry& entry : told) {
+    if (entry.state == Listed::Ready && out_.contains(entry.endpoint)) entry.state = Listed::Draining;
   }
-  policy_->list(loop_.now(), scope, list.entries);
+  policy_->list(loop_.now(), scope, told);
 }
 
 void Carrier::sweep() {
--- a/sidecar/wire/carrier.h
+++ b/sidecar/wire/carrier.h
@@ -2,7 +2,9 @@
 // which connection to use, reuse and close.
 #pragma once
 
+#include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -10,6 +12,7 @@
 
 #include "puffinvane/policy.h"
 #include "sidecar/memory/addresses.h"
+#include "sidecar/memory/figures.h"
 #include "sidecar/memory/idle.h"
 #include "sidecar/memory/kept_uses.h"
 #include "sidecar/memory/visits.h"
@@ -53,6 +56,19 @@
   }
   const Deployment& deployment() const { return deployment_; }
   const PathPrefix* find_prefix(std::string_view name) const;
+  std::size_t number_of(const PathPrefix& prefix) const {
+    return std::size_t(&prefix - deployment_.path_prefixes.data());
+  }
+  const Figures& figures() const { return figures_; }
+  std::size_t under_way() const;                      // visits taken and not ended
+  std::size_t listed() const { return listed_.size(); }
+  std::size_t avoided() const;                        // of those
+  bool knows(std::string_view endpoint) const;        // it is listed, or was lately
+  // Nothing new to it, whatever the list says, until it is used again. out_since: when that was ordered.
+  void stop(std::string_view endpoint);
+  void use_again(std::string_view endpoint, double out_since);
+  // A visit that ended at the door for what was wrong with it, before any decision.
+  void turned_away(const PathPrefix& prefix) { figures_.note(number_of(prefix), Ended::Errored); }
 
   bool open(std::string_view id) const {
     return visits_.open(id);
@@ -73,6 +89,7 @@
 
   void on_caller_left(VisitId visit) override;
   Chain on_ready(Backend& backend) override;
+  void on_sent() override { figures_.note_fetch(); }
   Outcome outcome_of(const HttpMessage& answer) const override;
   void on_fetched(Backend& backend, Outcome outcome, HttpMessage answer) override;
   void on_idle_end(Backend& backend) override;
@@ -90,6 +107,9 @@
   void drop_connections(const std::string& endpoint);
   Backend::Carried let_go(Backend& backend);
   void note_entries(const EndpointList& list, ListScope scope);
+  void note_listed(const ListEntry& entry);
+  void tell(const ListEntry& entry);
+  void note_gone(const std::string& endpoint);
   void sweep();
 
   Loop& loop_;
@@ -105,6 +125,10 @@
   std::size_t next_heir_ = 0;
   double last_visit_ = 0;
   Addresses addresses_;
+  std::map<std::string, ListEntry, std::less<>> listed_;  // as discovery says
+  std::map<std::string, double, std::less<>> out_;        // by order: since when
+  std::deque<std::string> lately_;                        // listed no more
+  Figures figures_;
   Visits visits_;
   Idle<Backend> idle_;
   KeptUses kept_uses_;
--- a/sidecar/wire/client.h
+++ b/sidecar/wire/client.h
@@ -39,6 +39,7 @@
   bool idle() const {
     return state_ == State::Reading && !reader_.started() && unread_.empty() && stream_.quiet();
   }
+  bool lingers() const { return state_ == State::Lingering; }             // it has its last answer
   bool newcomer() const { return state_ == State::Reading && !asked_; }  // has not sent one whole request
   // Ends what has stood for longer than is owed to it: half a request, nothing at all, an answer unread.
   void look(double now);
--- a/sidecar/wire/door.cpp
+++ b/sidecar/wire/door.cpp
@@ -37,6 +37,7 @@
   if (!socket_) return;
   GSource* source = g_socket_create_source(socket_.get(), G_IO_IN, nullptr);
   g_source_set_callback(source, G_SOURCE_FUNC(&Door::knocked), this, nullptr);
+  if (turn_ == Turn::First) g_source_set_priority(source, G_PRIORITY_HIGH);
   g_source_attach(source, loop_.context());
   source_ = Source(source);
 }
--- a/sidecar/wire/door.h
+++ b/sidecar/wire/door.h
@@ -16,7 +16,10 @@
     virtual void on_entered(Ref<GSocket> socket, int door) = 0;
   };
 
-  Door(Loop& loop, Owner& owner, int number = 0) : loop_(loop), owner_(owner), number_(number) {}
+  enum class Turn { Usual, First };  // First: served before the others in each turn of the loop
+
+  Door(Loop& loop, Owner& owner, int number = 0, Turn turn = Turn::Usual)
+      : loop_(loop), owner_(owner), number_(number), turn_(turn) {}
   ~Door();
   int number() const { return number_; }  // told with each who enters
   void open(std::string_view address);    // throws std::runtime_error
@@ -32,6 +35,7 @@
   Loop& loop_;
   Owner& owner_;
   const int number_;
+  const Turn turn_;
   Ref<GSocket> socket_;
   Source source_;
   Alive alive_;
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -221,6 +221,7 @@
     recent_rate_ += share * from->recent_rate_, calm_rate_ += share * from->calm_rate_;
   }
 
+  std::size_t avoided() const override { return std::size_t(count(Health::Aside)); }
   void woken(double now, std::uint64_t token) override {
     pass_time(now);
     if (token == kTickToken) return tick();
@@ -811,8 +812,7 @@
   std::deque<double> late_;         // 1: a visit past its threshold, 0: one within
   std::deque<double> rates_;
   double pass_ = 1, fleet_rate_ = 0;
-  std::deque<std::pair<double, double>>
-      lags_;  // of the last answers: when, and its latency against the target
+  std::deque<std::pair<double, double>> lags_;  // of the last answers: when, and latency against target
   std::deque<double> passes_, ranks_, arrivals_;
   std::deque<std::string> customers_;
   double answers_ = 0, recent_rate_ = 0, calm_rate_ = 0, load_ = 0, calm_load_ = 0;
--- /dev/null
+++ b/tests/console.cpp
@@ -0,0 +1,159 @@
+// Stories of operators' calls, on the whole program over loopback: figures, exclusions, drains.
+#undef NDEBUG
+#include <cassert>
+#include <cstdio>
+#include <vector>
+
+#include "tests/running.h"
+
+using namespace puffinvane;
+using namespace puffinvane::test;
+
+namespace {
+
+const std::string kConsole = here(3) + ":5003";
+
+std::string call(const std::string& method, const std::string& path, const std::string& body = "") {
+  return method + " " + path + " HTTP/1.1\r\nHost: c\r\nContent-Length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + body;
+}
+int ask(const std::string& method, const std::string& path, const std::string& body = "") {
+  Line line(kConsole);
+  line.say(call(method, path, body));
+  return line.answer_status();
+}
+std::string figures() {
+  Line line(kConsole);
+  line.say(call("GET", "/api/telemetry"));
+  auto answer = line.hear(HttpReader::Side::Answer);
+  return answer && answer->status == 200 ? answer->body.text() : "";
+}
+bool shows(const std::string& line) { return figures().find("\n" + line + "\n") != std::string::npos; }
+
+Running::Options with_console() {
+  Running::Options options;
+  options.console = kConsole;
+  return options;
+}
+
+void figures_agree_with_what_peers_saw() {
+  Listener endpoint(2);
+  Running sidecar(entry("a", endpoint.address), with_console());
+  assert(ask("GET", "/api/ready") == 200);
+  Line caller(sidecar.listen);
+  caller.say(get());
+  auto [fetch, request] = endpoint.take_request();
+  assert(shows("sidecar_current 1") && shows("sidecar_sends_total 1"));
+  fetch.say(ok("x"));
+  assert(caller.answer_status() == 200);
+  assert(shows("sidecar_answered_total{group=\"read\"} 1") && shows("sidecar_current 0"));
+  assert(shows("sidecar_errored_total{group=\"write\"} 0") && shows("sidecar_cluster_size 1"));
+  // Written and broken: it may have run.
+  caller.say(post("b"));
+  assert(fetch.hear(HttpReader::Side::Request));
+  sleep_for(0.15);
+  fetch.reset();
+  assert(caller.answer_status() == 502 && shows("sidecar_errored_total{group=\"write\"} 1"));
+  // What the door turns away for its own faults has ended too, in its path prefix and in no other.
+  assert(sidecar.status_of("GET /read/a HTTP/1.1\r\n\r\n") == 400);
+  assert(sidecar.status_of("GET /stranger HTTP/1.1\r\n\r\n") == 404);
+  assert(shows("sidecar_errored_total{group=\"read\"} 1") && figures().find("stranger") == std::string::npos);
+}
+
+void bad_calls_are_told_what_is_wrong() {
+  Listener endpoint(2);
+  Running sidecar(entry("a", endpoint.address), with_console());
+  assert(ask("GET", "/api/nothing") == 404 && ask("GET", "/api/exclude") == 405);
+  assert(ask("PUT", "/api/ready") == 405 && ask("PUT", "/api/exclude", "stranger") == 404);
+  assert(ask("PUT", "/api/include", "stranger") == 404 && ask("PUT", "/api/exclude", "") == 404);
+  assert(ask("PUT", "/api/exclude", std::string(5000, 'a')) == 413);
+  Line line(kConsole);
+  line.say("nonsense\r\n\r\n");
+  assert(line.answer_status() == 400);
+}
+
+void callers_that_hold_a_connection_keep_nobody_out() {
+  Listener endpoint(2);
+  Running sidecar(entry("a", endpoint.address), with_console());
+  std::vector<Line> holding;
+  for (int i = 0; i < 60; ++i) holding.emplace_back(kConsole).say("PUT /api/excl");
+  double asked = now();
+  assert(ask("GET", "/api/ready") == 200 && now() - asked < 0.9);
+}
+
+void an_excluded_endpoint_gets_nothing_until_it_is_included() {
+  Listener first(2), second(4);
+  Running sidecar(entry("a", first.address) + "," + entry("b", second.address), with_console());
+  assert(ask("PUT", "/api/exclude", "a\n") == 200 && ask("PUT", "/api/exclude", "a") == 200);
+  assert(shows("sidecar_cluster_unhealthy 1") && shows("sidecar_cluster_size 2"));
+  Line caller(sidecar.listen);
+  std::optional<Line> kept;
+  for (int i = 0; i < 8; ++i) {
+    caller.say(get());
+    if (!kept) kept = second.take();
+    assert(kept->hear(HttpReader::Side::Request));
+    kept->say(ok("b"));
+    assert(caller.answer_status() == 200);
+  }
+  // The list's word does not end the order: restarted, it is listed anew, and still gets nothing.
+  auto [watch, asked] = sidecar.discovery.take_request();
+  std::string line = R"({"index":9,"snapshot":false,"endpoints":[)" + entry("a", first.address) + "]}\n";
+  char size[16];
+  std::snprintf(size, sizeof size, "%zx", line.size());
+  watch.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + std::string(size) + "\r\n" + line + "\r\n");
+  sleep_for(0.05);
+  assert(shows("sidecar_cluster_unhealthy 1") && !first.knocked(0));
+  // Taken back, it is cold, and used again within the time that operators are promised.
+  assert(ask("PUT", "/api/include", "a") == 200 && shows("sidecar_cluster_unhealthy 0"));
+  std::optional<Line> back;
+  for (double until = now() + 5; !back && now() < until;) {
+    caller.say(get());
+    while (!first.knocked(0) && !kept->anything(0.01)) {
+    }
+    if (first.knocked(0)) back = first.take();
+    Line& asked_of = back ? *back : *kept;
+    assert(asked_of.hear(HttpReader::Side::Request));
+    asked_of.say(ok("c"));
+    assert(caller.answer_status() == 200);
+  }
+  assert(back);
+  // With nobody left the order is obeyed all the same.
+  assert(ask("PUT", "/api/exclude", "a") == 200 && ask("PUT", "/api/exclude", "b") == 200);
+  caller.say(get());
+  assert(caller.answer_status() == 503 && !first.knocked(0) && !second.knocked(0));
+}
+
+void a_drained_sidecar_says_no_serves_on_and_parts() {
+  Listener endpoint(2);
+  Running sidecar(entry("a", endpoint.address), with_console());
+  Line busy(sidecar.listen), idle(sidecar.listen);
+  idle.say("GET /healthz HTTP/1.1\r\n\r\n");
+  assert(idle.answer_status() == 200);
+  assert(ask("PUT", "/api/evacuate") == 200 && ask("PUT", "/api/evacuate") == 200);
+  busy.say("GET /healthz HTTP/1.1\r\n\r\n");
+  assert(busy.answer_status() == 503);
+  assert(!idle.anything(0.3));  // the front has had no time to notice yet
+  sleep_for(0.2);
+  busy.say(get());
+  auto [fetch, request] = endpoint.take_request();
+  fetch.say(ok("x"));
+  auto answer = busy.hear(HttpReader::Side::Answer);
+  assert(answer && answer->status == 200 && !answer->keep_alive && busy.ended(1) && idle.ended(2));
+  assert(ask("PUT", "/api/rejoin") == 200 && ask("PUT", "/api/rejoin") == 200);
+  Line again(sidecar.listen);
+  again.say("GET /healthz HTTP/1.1\r\n\r\n");
+  auto yes = again.hear(HttpReader::Side::Answer);
+  assert(yes && yes->status == 200 && yes->keep_alive && !again.anything(1.5));
+}
+
+}  // namespace
+
+int main(int count, char** words) {
+  assert(count == 2);
+  program = words[1];
+  figures_agree_with_what_peers_saw();
+  bad_calls_are_told_what_is_wrong();
+  callers_that_hold_a_connection_keep_nobody_out();
+  an_excluded_endpoint_gets_nothing_until_it_is_included();
+  a_drained_sidecar_says_no_serves_on_and_parts();
+}
--- a/tests/serving.cpp
+++ b/tests/serving.cpp
@@ -2,120 +2,15 @@
 // discovery, step by step and with blocking sockets, so that each story is read from top to bottom.
 #undef NDEBUG
 #include <cassert>
-#include <cstdio>
-#include <cstdlib>
-#include <fstream>
 #include <functional>
 
-#include "sidecar/wire/headers.h"
-#include "tests/peers.h"
+#include "tests/running.h"
 
 using namespace puffinvane;
 using namespace puffinvane::test;
 
 namespace {
 
-std::string entry(const std::string& name, const std::string& address, const std::string& status = "active") {
-  return R"({"name":")" + name + R"(","address":")" + address + R"(","zone":"z","group":1,"status":")" +
-         status + R"(","weight":1,"since_ms":0})";
-}
-
-std::string program;  // its path, from the command line
-
-class Running {
- public:
-  Running(const std::string& known, const std::string& limits = R"({"sockets":1024,"memory_mb":192})",
-          const std::string& connect_timeout = "0.1", const std::string& watched = "")
-      : listen(here(1) + ":5001"), discovery(9), folder_("/tmp/puffinvane-" + std::to_string(getpid())) {
-    told_ = R"(,"seed":"1f","limits":)" + limits + R"(,"known":{"index":7,"snapshot":true,"endpoints":[)" +
-            known + R"(]},"settings":)" + settings("3", connect_timeout) +
-            (watched.empty() ? "" : R"(,"watch":)" + watched) + "}";
-    assign(discovery.address);
-    child_ = fork();
-    if (child_ == 0) {
-      prctl(PR_SET_PDEATHSIG, SIGKILL);  // a story that does not hold must not leave it running
-      setenv("BALANCER_CONFIG", (folder_ + ".json").c_str(), 1);
-      setenv("PUFFINVANE_LOG", "error", 1);
-      execl(program.c_str(), program.c_str(), nullptr);
-      _exit(127);
-    }
-    double until = now() + 5;
-    while (now() < until && status_of("GET /healthz HTTP/1.1\r\n\r\n") != 200) sleep_for(0.01);
-    assert(now() < until);
-  }
-  Running(const Running&) = delete;
-  ~Running() {
-    if (child_ > 0) kill(child_, SIGKILL), waitpid(child_, nullptr, 0);
-    std::remove((folder_ + ".json").c_str());
-  }
-
-  static std::string settings(const std::string& fetches, const std::string& connect_timeout = "0.1") {
-    return R"({"PathPrefixes":[
-             {"Name":"read","Idempotency":"repeatable","ClientTimeoutS":1.0,"TargetLatencyS":0.5},
-             {"Name":"write","Idempotency":"once","ClientTimeoutS":1.0,"TargetLatencyS":0.5}],
-           "Limits":{"ParallelTries":true,"MayCancel":true,"RetryAfter":true,
-             "MaxRetryAfterS":1.5,"ConnIdleS":2.0,"MaxBackendFetches":)" +
-           fetches + R"(,"ConnectTimeoutS":)" + connect_timeout +
-           R"(},"Rules":{},"RoundS":0.005,"Zone":"z"})";
-  }
-  std::string watched() {
-    Line line(listen);
-    line.say("GET /watch HTTP/1.1\r\n\r\n");
-    auto answer = line.hear(HttpReader::Side::Answer);
-    return answer && answer->status == 200 ? answer->body.text() : "";
-  }
-  void assign(const std::string& discovery_at) {
-    std::ofstream(folder_ + ".json") << R"({"name":"n0","listen":")" << listen << R"(","discovery":")"
-                                     << discovery_at << '"' << told_;
-  }
-  void reload() { kill(child_, SIGHUP); }
-  int status_of(const std::string& request) {
-    Line line(listen);
-    if (!line.connected) return 0;
-    line.say(request);
-    return line.answer_status();
-  }
-  void terminate() { kill(child_, SIGTERM); }
-  template <typename Act>
-  void stall(Act act) {
-    kill(child_, SIGSTOP);
-    act();
-    kill(child_, SIGCONT);
-  }
-  // Its exit code, once it has left; -1 if it does not within that time.
-  int exit_code(double within) {
-    int status = 0;
-    for (double until = now() + within; now() < until; sleep_for(0.005)) {
-      if (waitpid(child_, &status, WNOHANG) == child_)
-        return child_ = 0, WIFEXITED(status) ? WEXITSTATUS(status) : 256;
-    }
-    return -1;
-  }
-  double cpu_seconds() const {
-    std::ifstream stat("/proc/" + std::to_string(child_) + "/stat");
-    std::string word;
-    double ticks = 0;
-    for (int i = 1; i <= 15 && stat >> word; ++i) ticks += i >= 14 ? std::stod(word) : 0;
-    return ticks / double(sysconf(_SC_CLK_TCK));
-  }
-  const std::string listen;
-  Listener discovery;
-
- private:
-  std::string folder_, told_;
-  pid_t child_ = 0;
-};
-
-std::string get(const std::string& more = "", const std::string& id = "77") {
-  return "GET /read/a?b HTTP/1.1\r\nHost: origin.svc\r\nX-Correlation-Id: " + id + "\r\n" + more + "\r\n";
-}
-std::string post(const std::string& body, const std::string& more = "") {
-  return "POST /write HTTP/1.1\r\nHost: origin.svc\r\nX-Correlation-Id: 78\r\nContent-Length: " +
-         std::to_string(body.size()) + "\r\n" + more + "\r\n" + body;
-}
-std::string ok(const std::string& body) {
-  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-}
 const std::string kTurnedAway = "HTTP/1.1 503 Full\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n";
 
 void a_visit_is_delivered_unchanged_and_the_connections_are_used_again() {
