A new version takes over the door's socket, the orders and the callers' connections

Cause: the second start could not listen and exited, the first's end closed its callers. sidecar/handover: a Unix socket in $TMPDIR, packets with sockets; SO_REUSEPORT only where nobody answers.

--- a/operations/operations.cpp
+++ b/operations/operations.cpp
@@ -45,6 +45,18 @@
 
 void Operations::rejoin() { turn(Input::Rejoin); }
 
+void Operations::take_over(const std::map<std::string, double, std::less<>>& out,
+                           std::optional<double> drains_since) {
+  for (auto mine = out_.begin(); mine != out_.end();) {
+    auto [name, since] = *mine++;  // an include takes it out
+    if (!out.contains(name)) include(name);
+  }
+  for (const auto& [name, since] : out) {
+    if (out_.size() < kMostOut && out_.emplace(name, since).second) host_.stop(name);
+  }
+  drains_since ? evacuate(*drains_since) : rejoin();
+}
+
 void Operations::pass_time(double now) {
   if (drains() && now - since_ >= kNoticed) turn(Input::Noticed);
   if (drains() && now - since_ >= kSettled) turn(Input::Settled);
--- a/operations/operations.h
+++ b/operations/operations.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -23,7 +24,7 @@
   };
   // An order for an endpoint that is listed no more is kept too, as it may come back under its id. So that
   // strangers' names can't fill the memory only known ones are taken, and no more than this many.
-  static constexpr std::size_t kMostOut = 4096;
+  static constexpr std::size_t kMostOut = 1024;
 
   explicit Operations(Host& host) : host_(host) {}
 
@@ -33,9 +34,12 @@
   void evacuate(double now);
   void rejoin();
   void pass_time(double now);
+  // What another process of this sidecar was ordered, in place of what this one was.
+  void take_over(const std::map<std::string, double, std::less<>>& out, std::optional<double> drains_since);
 
   bool out(std::string_view endpoint) const { return out_.contains(endpoint); }
   const std::map<std::string, double, std::less<>>& all_out() const { return out_; }  // since when
+  std::optional<double> drains_since() const { return drains() ? std::optional(since_) : std::nullopt; }
   bool drains() const { return drain_ != Drain::Serving; }
   bool closes_idle() const { return drain_ == Drain::Emptying; }
 
--- /dev/null
+++ b/sidecar/handover/message.h
@@ -0,0 +1,39 @@
+// What one process of a sidecar tells the next, word by word. No sockets here.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "sidecar/wire/discovery.h"
+
+namespace puffinvane {
+
+struct Orders {
+  std::map<std::string, double, std::less<>> out;  // endpoints excluded, and since when
+  std::optional<double> drains_since;
+  friend bool operator==(const Orders&, const Orders&) = default;
+};
+
+// What a packet says; whatever it does not speak of is empty.
+struct Told {
+  enum class What { Listing, Ordered, Door, Caller, Whole, Serving } what = What::Whole;
+  EndpointList list;
+  Orders orders;
+  bool asked = false;  // of a caller: it has sent a whole request before
+};
+
+constexpr int kHandoverFormat = 1;
+
+// Times are the system's monotonic clock, which both processes read. clock_offset as in read_list.
+std::vector<std::string> write_listing(const EndpointList& list, double clock_offset);
+std::string write_orders(const Orders& orders);
+std::string write_door();
+std::string write_caller(bool asked);
+std::string write_whole();
+std::string write_serving();
+std::optional<Told> read_told(std::string_view packet, double clock_offset);  // none: not to be understood
+
+}  // namespace puffinvane
--- /dev/null
+++ b/sidecar/handover/succession.cpp
@@ -0,0 +1,160 @@
+#include "sidecar/handover/succession.h"
+
+#include <fcntl.h>
+#include <gio/gunixsocketaddress.h>
+#include <poll.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <cstdlib>
+
+namespace puffinvane {
+
+namespace {
+
+// A socket's name may have 107 bytes and $TMPDIR any number: the folder is named by a descriptor of it.
+class Place {
+ public:
+  explicit Place(const std::string& path) {
+    std::size_t slash = path.rfind('/');
+    folder_ = ::open(path.substr(0, slash).c_str(), O_PATH | O_DIRECTORY | O_CLOEXEC);
+    name_ = path.substr(slash + 1);
+    address_.reset(g_unix_socket_address_new(("/proc/self/fd/" + std::to_string(folder_) + "/" + name_).c_str()));
+  }
+  Place(const Place&) = delete;
+  Place& operator=(const Place&) = delete;
+  ~Place() {
+    if (folder_ >= 0) ::close(folder_);
+  }
+  GSocketAddress* address() const { return address_.get(); }
+  // Only a socket: a file of another kind there is somebody's, and not ours to remove.
+  void clear() const {
+    struct stat seen {};
+    if (fstatat(folder_, name_.c_str(), &seen, AT_SYMLINK_NOFOLLOW) == 0 && S_ISSOCK(seen.st_mode))
+      unlinkat(folder_, name_.c_str(), 0);
+  }
+
+ private:
+  int folder_ = -1;
+  std::string name_;
+  Ref<GSocketAddress> address_;
+};
+
+}  // namespace
+
+std::string meeting_place(std::string_view listen) {
+  const char* folder = std::getenv("TMPDIR");
+  if (!folder || !*folder || listen.find('/') != std::string_view::npos) return {};
+  return std::string(folder) + "/puffinvane-" + std::string(listen);
+}
+
+std::optional<Inheritance> claim(const std::string& place, double clock_offset, double within, std::string& why) {
+  Inheritance left;
+  left.elder = handover_socket();
+  if (place.empty() || !left.elder) return {};
+  if (!g_socket_connect(left.elder.get(), Place(place).address(), nullptr, nullptr)) return {};
+  double until = double(g_get_monotonic_time()) * 1e-6 + within;
+  while (true) {
+    double wait = until - double(g_get_monotonic_time()) * 1e-6;
+    pollfd one{g_socket_get_fd(left.elder.get()), POLLIN, 0};
+    if (wait <= 0 || poll(&one, 1, int(wait * 1000) + 1) <= 0) return why = "it is silent", std::nullopt;
+    bool over = false;
+    std::optional<Packet> packet = receive_packet(left.elder.get(), over);
+    if (over) return why = "it ended amid its account", std::nullopt;
+    if (!packet) continue;
+    std::optional<Told> told = read_told(packet->text, clock_offset);
+    if (!told) return why = "it speaks another format", std::nullopt;
+    switch (told->what) {
+      case Told::What::Listing:
+        if (!left.list) left.list.emplace(), left.list->whole = true;
+        left.list->index = told->list.index;
+        for (ListEntry& entry : told->list.entries) left.list->entries.push_back(std::move(entry));
+        for (std::string& address : told->list.addresses) left.list->addresses.push_back(std::move(address));
+        break;
+      case Told::What::Ordered: left.orders = std::move(told->orders); break;
+      case Told::What::Door: left.door = std::move(packet->socket); break;
+      case Told::What::Whole: return left;
+      default: break;
+    }
+  }
+}
+
+Succession::Succession(Loop& loop, Owner& owner, std::string place, double clock_offset, Ref<GSocket> elder)
+    : loop_(loop), owner_(owner), place_(std::move(place)), clock_offset_(clock_offset) {
+  loop_.descriptors().set_aside(3);
+  if (elder) elder_ = std::make_unique<Channel>(loop_, static_cast<Channel::Owner&>(*this), std::move(elder));
+}
+
+Succession::~Succession() {
+  if (listed_here_) Place(place_).clear();
+}
+
+void Succession::serving() {
+  if (elder_) elder_->send(write_serving());
+  listen();
+}
+
+void Succession::listen() {
+  if (place_.empty()) return;
+  Place place(place_);
+  place.clear();
+  socket_ = handover_socket();
+  GError* raw = nullptr;
+  if (!socket_ || !g_socket_bind(socket_.get(), place.address(), FALSE, &raw) ||
+      !g_socket_listen(socket_.get(), &raw)) {
+    Error error(raw);
+    loop_.log().warning() << "no handover at " << place_ << ": " << (error ? error->message : "no socket");
+    return socket_.reset();
+  }
+  listed_here_ = true;
+  GSource* source = g_socket_create_source(socket_.get(), G_IO_IN, nullptr);
+  g_source_set_callback(source, G_SOURCE_FUNC(&Succession::knocked), this, nullptr);
+  g_source_set_priority(source, G_PRIORITY_HIGH);
+  g_source_attach(source, loop_.context());
+  source_ = Source(source);
+}
+
+gboolean Succession::knocked(GSocket*, GIOCondition, gpointer data) {
+  auto& self = *static_cast<Succession*>(data);
+  Ref<GSocket> entered(g_socket_accept(self.socket_.get(), nullptr, nullptr));
+  if (!entered || self.heir_) return G_SOURCE_CONTINUE;
+  self.loop_.log().info() << "a new process of this sidecar takes over";
+  self.heir_ = std::make_unique<Channel>(self.loop_, static_cast<Channel::Owner&>(self), std::move(entered));
+  for (std::string& packet : write_listing(self.owner_.listing(), self.clock_offset_))
+    self.heir_->send(std::move(packet));
+  self.heir_->send(write_orders(self.owner_.orders()));
+  if (GSocket* door = self.owner_.door()) self.heir_->send(write_door(), door);
+  self.heir_->send(write_whole());
+  self.owner_.on_company(true);
+  return G_SOURCE_CONTINUE;
+}
+
+void Succession::tell_orders(const Channel* but) {
+  if (!elder_ && !heir_) return;
+  std::string said = write_orders(owner_.orders());
+  if (elder_ && elder_.get() != but) elder_->send(said);
+  if (heir_ && heir_.get() != but) heir_->send(said);
+}
+
+bool Succession::hand_over(GSocket* caller, bool asked) {
+  return heir_ && heir_->send(write_caller(asked), caller);
+}
+
+void Succession::on_packet(Channel& from, Packet packet) {
+  std::optional<Told> told = read_told(packet.text, clock_offset_);
+  if (!told) return void(loop_.log().warning() << "a word of the other process was not understood");
+  if (told->what == Told::What::Caller && packet.socket)
+    owner_.on_caller(std::move(packet.socket), told->asked);
+  if (told->what == Told::What::Serving) listed_here_ = false;  // the heir's name stands there now
+  if (told->what == Told::What::Ordered) owner_.on_orders(told->orders), tell_orders(&from);
+}
+
+void Succession::on_over(Channel& channel) {
+  bool heir = &channel == heir_.get();
+  loop_.log().info() << (heir ? "the new" : "the old") << " process of this sidecar is gone";
+  loop_.bury(std::move(heir ? heir_ : elder_));
+  owner_.on_company(elder_ || heir_);
+  if (heir) listen();
+}
+
+}  // namespace puffinvane
--- /dev/null
+++ b/sidecar/handover/succession.h
@@ -0,0 +1,65 @@
+// Two processes of one sidecar, the one taking over from the other under load.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "sidecar/handover/channel.h"
+#include "sidecar/handover/message.h"
+
+namespace puffinvane {
+
+// What an heir has from its elder when it starts.
+struct Inheritance {
+  Ref<GSocket> elder, door;
+  std::optional<EndpointList> list;
+  Orders orders;
+};
+
+// Where the processes of the sidecar that listens there meet; empty: nowhere.
+std::string meeting_place(std::string_view listen);
+// Asks there; nothing if nobody answers whole within that time, with why in a few words if somebody should
+// have. Blocks: nothing is served yet.
+std::optional<Inheritance> claim(const std::string& place, double clock_offset, double within, std::string& why);
+
+class Succession final : Channel::Owner {
+ public:
+  class Owner {
+   public:
+    virtual ~Owner() = default;
+    virtual GSocket* door() = 0;
+    virtual EndpointList listing() const = 0;
+    virtual Orders orders() const = 0;
+    virtual void on_orders(const Orders& orders) = 0;
+    virtual void on_caller(Ref<GSocket> socket, bool asked) = 0;
+    virtual void on_company(bool two) = 0;  // whether two processes share the limits
+  };
+
+  Succession(Loop& loop, Owner& owner, std::string place, double clock_offset, Ref<GSocket> elder);
+  ~Succession() override;
+
+  void serving();  // from here on the next one may come
+  bool has_heir() const { return heir_ != nullptr; }
+  void tell_orders() { tell_orders(nullptr); }
+  bool hand_over(GSocket* caller, bool asked);
+
+ private:
+  void on_packet(Channel& from, Packet packet) override;
+  void on_over(Channel& channel) override;
+  void listen();
+  static gboolean knocked(GSocket*, GIOCondition, gpointer self);
+  void tell_orders(const Channel* but);
+
+  Loop& loop_;
+  Owner& owner_;
+  const std::string place_;
+  const double clock_offset_;
+  std::unique_ptr<Channel> elder_, heir_;
+  Ref<GSocket> socket_;
+  Source source_;
+  bool listed_here_ = false;  // the file at the place is ours
+};
+
+}  // namespace puffinvane
--- a/sidecar/lifecycle/lifecycle.cpp
+++ b/sidecar/lifecycle/lifecycle.cpp
@@ -15,6 +15,10 @@
     {Phase::Starting, Event::Terminate, Phase::Stopped, &Lifecycle::quit},
     {Phase::Serving, Event::Reload, Phase::Serving, &Lifecycle::read_anew},
     {Phase::Serving, Event::Terminate, Phase::Leaving, &Lifecycle::leave},
+    {Phase::Serving, Event::Succeeded, Phase::HandingOver, &Lifecycle::hand_over},
+    {Phase::HandingOver, Event::Reload, Phase::HandingOver, &Lifecycle::read_anew},
+    {Phase::HandingOver, Event::Emptied, Phase::Stopped, &Lifecycle::quit},
+    {Phase::HandingOver, Event::Overdue, Phase::Stopped, &Lifecycle::quit},
     {Phase::Leaving, Event::Reload, Phase::Leaving, &Lifecycle::read_anew},
     {Phase::Leaving, Event::DoorTime, Phase::Staying, &Lifecycle::stay},
     {Phase::Staying, Event::Reload, Phase::Staying, &Lifecycle::read_anew},
@@ -28,16 +32,26 @@
 void Lifecycle::turn(Event event) { step(kRows, *this, phase_, event); }
 void Lifecycle::opened() { turn(Event::Opened); }
 void Lifecycle::reload() { turn(Event::Reload); }
-void Lifecycle::terminate() { turn(Event::Terminate); }
+void Lifecycle::terminate() { turn(has_heir() ? Event::Succeeded : Event::Terminate); }
 
-void Lifecycle::leave() {
-  Patience their = patience();
-  double gone = loop_.now() + their.longest + kGoneBy;
+double Lifecycle::leave_until() {
+  double gone = loop_.now() + patience().longest + kGoneBy;
   leaves(gone - kLook);
+  loop_.at(gone, [this] { turn(Event::Overdue); });
+  return gone;
+}
+
+void Lifecycle::leave() {
+  double gone = leave_until();
   loop_.at(loop_.now() + kDoorTime, [this] { turn(Event::DoorTime); });
   // The others may be away as well: who is connected here is served while an answer in time can be hoped for.
-  loop_.at(gone - their.target, [this] { turn(Event::LastCall); });
-  loop_.at(gone, [this] { turn(Event::Overdue); });
+  loop_.at(gone - patience().target, [this] { turn(Event::LastCall); });
+}
+
+void Lifecycle::hand_over() {
+  leave_until();
+  closes_doors();
+  see_if_empty();
 }
 
 void Lifecycle::stay() {
@@ -47,6 +61,7 @@
 
 void Lifecycle::see_if_empty() {
   if (phase_ == Phase::Finishing) close_idle_callers();
+  if (phase_ == Phase::HandingOver) hands_over();
   if (empty()) return turn(Event::Emptied);
   loop_.at(loop_.now() + kLook, [this] { see_if_empty(); });
 }
--- a/sidecar/lifecycle/lifecycle.h
+++ b/sidecar/lifecycle/lifecycle.h
@@ -32,15 +32,21 @@
   virtual void close_idle_callers() = 0;
   virtual bool empty() const = 0;
   virtual void ends() = 0;
+  // Where a new process has come beside this one: whether it will take all over, and giving it what it can
+  // take now.
+  virtual bool has_heir() const { return false; }
+  virtual void hands_over() {}
 
  private:
-  enum class Phase { Starting, Serving, Leaving, Staying, Finishing, Stopped };
-  enum class Event { Opened, Reload, Terminate, DoorTime, LastCall, Emptied, Overdue };
+  enum class Phase { Starting, Serving, Leaving, Staying, Finishing, HandingOver, Stopped };
+  enum class Event { Opened, Reload, Terminate, Succeeded, DoorTime, LastCall, Emptied, Overdue };
   static const Row<Lifecycle, Phase, Event> kRows[];
   void turn(Event event);
   void serve() { serves(); }
   void read_anew() { reads_anew(); }
+  double leave_until();
   void leave();
+  void hand_over();
   void stay();
   void finish() { last_call(); }
   void quit();
--- a/sidecar/lifecycle/run.cpp
+++ b/sidecar/lifecycle/run.cpp
@@ -81,6 +81,22 @@
   }
 }
 
+namespace {
+
+constexpr double kClaim = 1;  // seconds: an elder answers within a turn of its loop, and a silent one never
+
+Inheritance take_over(Log& log, Assignment& assignment, double offset) {
+  std::string why;
+  std::optional<Inheritance> inherited = claim(meeting_place(assignment.listen), offset, kClaim, why);
+  if (!why.empty()) log.warning() << assignment.name << " starts alone: there is an older process, but " << why;
+  if (!inherited) return {};
+  if (inherited->list && inherited->list->index >= assignment.known.index) assignment.known = *inherited->list;
+  log.info() << assignment.name << " takes over from an older process";
+  return std::move(*inherited);
+}
+
+}  // namespace
+
 int run_sidecar(PolicyMaker make) {
   const char* level = std::getenv("PUFFINVANE_LOG");
   Log log(std::cout, read_level(level ? level : "info"));
@@ -91,7 +107,9 @@
     const char* console = std::getenv("BALANCER_CONSOLE");
     if (assignment.console.empty() && console) assignment.console = console;
     loop = std::make_unique<Loop>(log, assignment.descriptors);
-    return std::make_unique<Sidecar>(*loop, std::move(assignment), offset, file, make);
+    Inheritance inherited;
+    if (!assignment.console.empty()) inherited = take_over(log, assignment, offset);
+    return std::make_unique<Sidecar>(*loop, std::move(assignment), offset, file, make, std::move(inherited));
   });
 }
 
--- a/sidecar/lifecycle/sidecar.cpp
+++ b/sidecar/lifecycle/sidecar.cpp
@@ -23,7 +23,7 @@
 }  // namespace
 
 Sidecar::Sidecar(Loop& loop, Assignment assignment, double clock_offset, std::string assigned_in,
-                 PolicyMaker make)
+                 PolicyMaker make, Inheritance inherited)
     : Lifecycle(loop),
       assignment_(std::move(assignment)),
       clock_offset_(clock_offset),
@@ -34,16 +34,24 @@
       callers_(loop, admission_, *this),
       door_(loop, callers_),
       watch_(loop, carrier_, assignment_.discovery, clock_offset, assignment_.known.index),
-      operations_(*this) {
-  if (!assignment_.console.empty()) console_.emplace(loop, admission_, operations_, static_cast<Console::Owner&>(*this));
+      operations_(*this),
+      inherited_(std::move(inherited)) {
+  if (assignment_.console.empty()) return;
+  if (inherited_.elder) admission_.share(true);
+  succession_.emplace(loop, static_cast<Succession::Owner&>(*this), meeting_place(assignment_.listen), clock_offset,
+                      std::move(inherited_.elder));
+  console_.emplace(loop, admission_, operations_, static_cast<Console::Owner&>(*this));
 }
 
 void Sidecar::start() {
+  on_orders(inherited_.orders);
   carrier_.know(assignment_.known);
   watch_.open();
   if (console_) console_->open(assignment_.console);
-  door_.open(assignment_.listen);
+  if (inherited_.door) door_.adopt(std::move(inherited_.door));
+  else door_.open(assignment_.listen, console_ ? Door::Beside::Another : Door::Beside::Nobody);
   opened();
+  if (succession_) succession_->serving();
 }
 
 void Sidecar::serves() {
@@ -94,6 +102,22 @@
   carrier_.use_again(endpoint, out_since);
 }
 
+void Sidecar::on_order() {
+  look_at_drain();
+  if (succession_) succession_->tell_orders();
+}
+
+void Sidecar::on_orders(const Orders& orders) {
+  operations_.take_over(orders.out, orders.drains_since);
+  look_at_drain();
+}
+
+void Sidecar::hands_over() {
+  // It died before it had all: the front finds the others, and who is connected hears that this was the last.
+  if (!has_heir()) return callers_.last_call(true), callers_.close_idle();
+  callers_.hand_over([this](GSocket* caller, bool asked) { return succession_->hand_over(caller, asked); });
+}
+
 void Sidecar::look_at_drain() {
   operations_.pass_time(loop().now());
   if (operations_.closes_idle()) callers_.close_idle(kFresh);
@@ -109,7 +133,7 @@
 
 void Sidecar::on_request(Client& client, HttpMessage request) {
   if (request.target == "/healthz" && request.method == "GET") {
-    bool takes = !leaving_ && !operations_.drains();
+    bool takes = (!leaving_ || has_heir()) && !operations_.drains();
     return client.answer(takes ? 200 : 503, nullptr, "", takes ? "ready\n" : "leaving\n", false);
   }
   if (request.target == "/watch" && request.method == "GET" && assignment_.watched)
--- a/sidecar/lifecycle/sidecar.h
+++ b/sidecar/lifecycle/sidecar.h
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "sidecar/console/console.h"
+#include "sidecar/handover/succession.h"
 #include "sidecar/lifecycle/lifecycle.h"
 #include "sidecar/lifecycle/start.h"
 #include "sidecar/watching/watched.h"
@@ -13,9 +14,11 @@
 
 namespace puffinvane {
 
-class Sidecar final : public Lifecycle, Callers::Server, Operations::Host, Console::Owner {
+class Sidecar final : public Lifecycle, Callers::Server, Operations::Host, Console::Owner, Succession::Owner {
  public:
-  Sidecar(Loop& loop, Assignment assignment, double clock_offset, std::string assigned_in, PolicyMaker make);
+  // inherited: from the process that it takes over from, if there is one.
+  Sidecar(Loop& loop, Assignment assignment, double clock_offset, std::string assigned_in, PolicyMaker make,
+          Inheritance inherited = {});
   void start() override;
 
  private:
@@ -23,7 +26,9 @@
   void reads_anew() override;
   Patience patience() const override;
   void leaves(double gone) override;
-  void closes_doors() override { door_.close(); }
+  void closes_doors() override { has_heir() ? door_.let_go() : door_.close(); }
+  bool has_heir() const override { return succession_ && succession_->has_heir(); }
+  void hands_over() override;
   void last_call() override { callers_.last_call(true); }
   void close_idle_callers() override { callers_.close_idle(); }
   bool empty() const override { return callers_.empty(); }
@@ -36,7 +41,13 @@
   void last_answers(bool on) override { callers_.last_call(on); }
   bool ready() const override { return serving_; }
   std::string telemetry() const override;
-  void on_order() override { look_at_drain(); }
+  void on_order() override;
+  GSocket* door() override { return door_.socket(); }
+  EndpointList listing() const override { return carrier_.listing(); }
+  Orders orders() const override { return {operations_.all_out(), operations_.drains_since()}; }
+  void on_orders(const Orders& orders) override;
+  void on_caller(Ref<GSocket> socket, bool asked) override { callers_.take_over(std::move(socket), asked); }
+  void on_company(bool two) override { admission_.share(two); }
   void look_at_drain();
 
   Assignment assignment_;
@@ -50,6 +61,8 @@
   Door door_;
   Watch watch_;
   Operations operations_;
+  Inheritance inherited_;
+  std::optional<Succession> succession_;  // none: with nobody to order it, nobody to follow it either
   std::optional<Console> console_;  // none: operators call nowhere
   Alive alive_;
 };
--- a/sidecar/loop/loop.h
+++ b/sidecar/loop/loop.h
@@ -20,13 +20,15 @@
   void opened() { ++open_; }
   void closed() { --open_; }
   int open() const { return open_; }
-  int left() const { return limit_ - open_; }
-  int limit() const { return limit_; }
+  int left() const { return limit() - open_; }
+  int limit() const { return shared_ ? limit_ / 2 : limit_; }
   void set_aside(int more) { limit_ -= std::min(more, limit_ / 2); }  // for what is never kept out
+  void share(bool on) { shared_ = on; }  // another process holds as many under the same limit
 
  private:
   static constexpr int kReserve = 24;
   int limit_, open_ = 0;
+  bool shared_ = false;
 };
 
 // What was put off by an object that is gone by then is dropped.
--- a/sidecar/wire/admission.h
+++ b/sidecar/wire/admission.h
@@ -26,7 +26,12 @@
   // Half of the descriptors are kept for endpoints: a visit taken without one to fetch it with is lost.
   bool room_for_caller(std::size_t callers) const {
     return int(callers) < loop_.descriptors().limit() / 2 && loop_.descriptors().left() > 0 &&
-           loop_.pool().lent() * Pool::kSize < most_bytes_;
+           loop_.pool().lent() * Pool::kSize < most_bytes_ / (shared_ ? 2 : 1);
+  }
+  // Another process lives under the same limits: each keeps to half.
+  void share(bool on) {
+    loop_.descriptors().share(shared_ = on);
+    room_for_fetch();
   }
   bool room_for_fetch() {
     while (loop_.descriptors().left() <= 0) {
@@ -43,6 +48,7 @@
   Loop& loop_;
   const std::size_t most_bytes_;
   std::vector<Spares*> spares_;
+  bool shared_ = false;
 };
 
 }  // namespace puffinvane
--- a/sidecar/wire/callers.cpp
+++ b/sidecar/wire/callers.cpp
@@ -20,12 +20,26 @@
   return room || drop_one();
 }
 
-void Callers::on_entered(Ref<GSocket> socket, int door) {
-  auto client = std::make_unique<Client>(loop_, *this, std::move(socket), door, most_body_);
+void Callers::on_entered(Ref<GSocket> socket, int door) { enter(std::move(socket), door, false); }
+void Callers::take_over(Ref<GSocket> socket, bool asked) { enter(std::move(socket), 0, asked); }
+
+void Callers::enter(Ref<GSocket> socket, int door, bool asked) {
+  auto client = std::make_unique<Client>(loop_, *this, std::move(socket), door, most_body_, asked);
   const Client* key = client.get();
   clients_.emplace(key, std::move(client));
 }
 
+void Callers::hand_over(const std::function<bool(GSocket* caller, bool asked)>& take) {
+  std::vector<Client*> between;
+  for (auto& [key, client] : clients_) {
+    if (client->to_hand_over()) between.push_back(client.get());
+  }
+  for (Client* client : between) {
+    if (!take(client->to_hand_over(), client->asked())) return;
+    client->handed_over();
+  }
+}
+
 void Callers::on_request(Client& client, HttpMessage request) {
   server_.on_request(client, std::move(request));
 }
--- a/sidecar/wire/callers.h
+++ b/sidecar/wire/callers.h
@@ -1,6 +1,7 @@
 // Everybody who is connected, whichever door they came in by.
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <unordered_map>
 
@@ -28,6 +29,10 @@
   void close_idle(double longer_than = 0);  // seconds
   void close_door(int door);  // who came in by it gets the answer in hand, and that is the last
 
+  // Those between two visits, to whoever takes them: `take` says whether it did.
+  void hand_over(const std::function<bool(GSocket* caller, bool asked)>& take);
+  void take_over(Ref<GSocket> socket, bool asked);
+
   bool on_knock() override;
   void on_entered(Ref<GSocket> socket, int door) override;
 
@@ -35,6 +40,7 @@
   void on_request(Client& client, HttpMessage request) override;
   void on_left(Client& client) override;
   bool last_call() const override { return last_call_; }
+  void enter(Ref<GSocket> socket, int door, bool asked);
   bool drop_one();
   void sweep();
 
--- a/sidecar/wire/carrier.cpp
+++ b/sidecar/wire/carrier.cpp
@@ -278,6 +278,16 @@
   note_entries(list, list.whole ? ListScope::Full : ListScope::Changes);
 }
 
+EndpointList Carrier::listing() const {
+  EndpointList list;
+  list.index = index_, list.whole = true;
+  for (const auto& [name, entry] : listed_) {
+    const std::string* address = addresses_.find(name);
+    list.entries.push_back(entry), list.addresses.push_back(address ? *address : "");
+  }
+  return list;
+}
+
 std::size_t Carrier::under_way() const { return visits_.under_way(); }
 
 std::size_t Carrier::avoided() const {
@@ -326,6 +336,7 @@
 
 void Carrier::note_entries(const EndpointList& list, ListScope scope) {
   std::set<std::string> listed;
+  index_ = list.index;
   for (std::size_t i = 0; i < list.entries.size(); ++i) {
     const ListEntry& entry = list.entries[i];
     listed.insert(entry.endpoint);
--- a/sidecar/wire/carrier.h
+++ b/sidecar/wire/carrier.h
@@ -62,6 +62,7 @@
   const Figures& figures() const { return figures_; }
   std::size_t under_way() const;                      // visits taken and not ended
   std::size_t listed() const { return listed_.size(); }
+  EndpointList listing() const;  // as it was had last
   std::size_t avoided() const;                        // of those
   bool knows(std::string_view endpoint) const;        // it is listed, or was lately
   // Nothing new to it, whatever the list says, until it is used again. out_since: when that was ordered.
@@ -128,6 +129,7 @@
   std::map<std::string, ListEntry, std::less<>> listed_;  // as discovery says
   std::map<std::string, double, std::less<>> out_;        // by order: since when
   std::deque<std::string> lately_;                        // listed no more
+  std::int64_t index_ = 0;                                // of the list
   Figures figures_;
   Visits visits_;
   Idle<Backend> idle_;
--- a/sidecar/wire/client.cpp
+++ b/sidecar/wire/client.cpp
@@ -31,12 +31,14 @@
     {State::Lingering, Input::Ended, State::Over, &Client::leave},
 };
 
-Client::Client(Loop& loop, Owner& owner, Ref<GSocket> socket, int door, std::size_t most_body)
+Client::Client(Loop& loop, Owner& owner, Ref<GSocket> socket, int door, std::size_t most_body,
+               bool asked)
     : loop_(loop),
       owner_(owner),
       stream_(loop, *this),
       reader_(HttpReader::Side::Request, loop.pool(), most_body),
       unread_(loop.pool()),
+      asked_(asked),
       door_(door),
       used_(loop.now()),
       heard_(used_) {
--- a/sidecar/wire/client.h
+++ b/sidecar/wire/client.h
@@ -29,15 +29,22 @@
     std::uint32_t visit = 0;
   };
 
-  Client(Loop& loop, Owner& owner, Ref<GSocket> socket, int door, std::size_t most_body);
+  // asked: it has sent a whole request on this connection before.
+  Client(Loop& loop, Owner& owner, Ref<GSocket> socket, int door, std::size_t most_body, bool asked = false);
 
   // last: nothing more is read from this connection.
   void answer(int status, const HttpMessage* from, std::string_view more_headers, std::string_view text,
               bool last);
   void part() { turn(Input::Ended); }
   // Between visits, with none on its way: closing crosses nothing that was read.
-  bool idle() const {
-    return state_ == State::Reading && !reader_.started() && unread_.empty() && stream_.quiet();
+  bool idle() const { return between() && stream_.quiet(); }
+  bool asked() const { return asked_; }
+  // Its connection, where nothing of a request was read and nothing of an answer is unwritten: what the
+  // system holds goes over with it.
+  GSocket* to_hand_over() const { return between() ? stream_.socket() : nullptr; }
+  void handed_over() {
+    stream_.release();
+    part();
   }
   bool lingers() const { return state_ == State::Lingering; }             // it has its last answer
   bool newcomer() const { return state_ == State::Reading && !asked_; }  // has not sent one whole request
@@ -53,6 +60,7 @@
   enum class Input { Request, Fault, Late, Answer, LastAnswer, Written, Ended };
   static const Row<Client, State, Input> kRows[];
   void turn(Input input);
+  bool between() const { return state_ == State::Reading && !reader_.started() && unread_.empty(); }
   void nothing() {}
   void hand_over();
   void refuse();
--- a/sidecar/wire/door.cpp
+++ b/sidecar/wire/door.cpp
@@ -1,5 +1,7 @@
 #include "sidecar/wire/door.h"
 
+#include <sys/socket.h>
+
 #include <stdexcept>
 #include <string>
 #include <utility>
@@ -12,7 +14,7 @@
 constexpr double kPause = 0.02;  // at the limit: a listening socket that stays readable would spin the loop
 }  // namespace
 
-void Door::open(std::string_view address) {
+void Door::open(std::string_view address, Beside beside) {
   Ref<GSocketAddress> at = read_address(address);
   if (!at)
     throw std::runtime_error("can't listen at '" + std::string(address) + "': not an address and port");
@@ -22,6 +24,7 @@
   if (socket_) {
     g_socket_set_blocking(socket_.get(), FALSE);
     g_socket_set_listen_backlog(socket_.get(), kBacklog);
+    if (beside == Beside::Another) g_socket_set_option(socket_.get(), SOL_SOCKET, SO_REUSEPORT, 1, nullptr);
   }
   if (!socket_ || !g_socket_bind(socket_.get(), at.get(), TRUE, &raw) ||
       !g_socket_listen(socket_.get(), &raw)) {
@@ -75,20 +78,29 @@
   return G_SOURCE_CONTINUE;
 }
 
-Door::~Door() {
+void Door::adopt(Ref<GSocket> listening) {
+  socket_ = std::move(listening);
+  g_socket_set_blocking(socket_.get(), FALSE);
+  loop_.descriptors().opened();
+  listen();
+}
+
+void Door::let_go() {
   if (!socket_) return;
+  source_.reset();
   g_socket_close(socket_.get(), nullptr);
+  socket_.reset();
   loop_.descriptors().closed();
 }
 
+Door::~Door() { let_go(); }
+
 void Door::close() {
   if (!socket_) return;
   source_.reset();
   while (somebody_waits() && owner_.on_knock() && take_one()) {
   }
-  g_socket_close(socket_.get(), nullptr);
-  socket_.reset();
-  loop_.descriptors().closed();
+  let_go();
 }
 
 }  // namespace puffinvane
--- a/sidecar/wire/door.h
+++ b/sidecar/wire/door.h
@@ -22,8 +22,12 @@
       : loop_(loop), owner_(owner), number_(number), turn_(turn) {}
   ~Door();
   int number() const { return number_; }  // told with each who enters
-  void open(std::string_view address);    // throws std::runtime_error
-  void close();                           // takes in those who wait already
+  enum class Beside { Nobody, Another };  // Another: a second process may listen there at the same time
+  void open(std::string_view address, Beside beside = Beside::Nobody);  // throws std::runtime_error
+  void adopt(Ref<GSocket> listening);  // another process's, which goes on with it or not
+  void close();                        // takes in those who wait already
+  void let_go();                       // who waits is another process's
+  GSocket* socket() const { return socket_.get(); }
 
  private:
   static gboolean knocked(GSocket*, GIOCondition, gpointer self);
--- a/sidecar/wire/stream.cpp
+++ b/sidecar/wire/stream.cpp
@@ -137,14 +137,15 @@
   if (socket_) g_socket_shutdown(socket_.get(), FALSE, TRUE, nullptr);
 }
 
-void Stream::close() {
-  if (socket_) loop_.unwatch(g_socket_get_fd(socket_.get()));
+Ref<GSocket> Stream::release() {
+  if (socket_) loop_.unwatch(g_socket_get_fd(socket_.get())), loop_.descriptors().closed();
   wants_in_ = wants_out_ = false;
-  if (!socket_) return;
-  g_socket_close(socket_.get(), nullptr);
-  socket_.reset();
-  loop_.descriptors().closed();
   out_.clear();
+  return std::move(socket_);
+}
+
+void Stream::close() {
+  if (Ref<GSocket> released = release()) g_socket_close(released.get(), nullptr);
 }
 
 }  // namespace puffinvane
--- a/sidecar/wire/stream.h
+++ b/sidecar/wire/stream.h
@@ -30,11 +30,13 @@
   void adopt(Ref<GSocket> socket);
   void send(Chain bytes);
   bool written() const { return out_.empty(); }
+  GSocket* socket() const { return socket_.get(); }
   bool quiet() const;  // nothing has come that was not read, not even its end
   void read(bool wanted);
   void finish_sending();
   void hurry() { reads_at_once_ = kHurried; }  // what comes is only to be got over with
   void close();
+  Ref<GSocket> release();  // the socket as it is, open: somebody else's from now on
 
  private:
   void on_ready(std::uint32_t events) override;
