--- a/sidecar/memory/buffers.cpp
+++ b/sidecar/memory/buffers.cpp
@@ -58,6 +58,17 @@
   for (std::size_t i = 0; i < other.buffers_.size(); ++i) add(other.part(i));
 }
 
+void Chain::add(const Chain& other, std::size_t from, std::size_t count) {
+  std::size_t at = 0;
+  for (std::size_t i = 0; i < other.buffers_.size() && count > 0; ++i) {
+    std::string_view bytes = other.part(i);
+    std::size_t skip = std::min(bytes.size(), from - std::min(from, at));
+    at += bytes.size();
+    bytes = bytes.substr(skip, count);
+    add(bytes), count -= bytes.size();
+  }
+}
+
 std::string_view Chain::part(std::size_t index) const {
   std::size_t begin = index == 0 ? from_ : 0;
   std::size_t end = std::min(Pool::kSize, from_ + size_ - index * Pool::kSize);
--- a/sidecar/memory/buffers.h
+++ b/sidecar/memory/buffers.h
@@ -42,6 +42,7 @@
 
   void add(std::string_view bytes);
   void add(const Chain& other);
+  void add(const Chain& other, std::size_t from, std::size_t count);  // a part of it
   std::string_view front() const;
   void drop(std::size_t count);
   void clear();
--- a/sidecar/memory/visits.h
+++ b/sidecar/memory/visits.h
@@ -25,6 +25,7 @@
   double sent = 0, ends = 0;
   Backend* backend = nullptr;  // none: ended, though the module may not have been told yet
   bool reported = false;
+  std::size_t body_sent = 0;
   std::optional<double> stood_idle = {};  // for how long its connection had, if it was kept
 };
 
@@ -32,11 +33,17 @@
   HttpMessage request;
   double until = 0;
   Client* client = nullptr;  // none: answered or gone
+  Backend* relay = nullptr;  // its answer is being passed on from there
   const PathPrefix* prefix = nullptr;
   std::optional<HttpMessage> failed = {};  // the last answer that was one and is no good
   std::vector<FetchInHand> fetches = {};
+  // Of a body that was not held whole: whether more is to come, and all its length, if that was told.
+  bool streams = false, coming = false, spent = false;
+  std::optional<std::size_t> length = {};
+  double time_left = 0;  // of its caller, once the last byte has come
 
-  bool concluded() const { return client == nullptr; }
+  bool concluded() const { return !client || relay; }
+  bool over() const { return !client; }
 };
 
 class Visits {
@@ -56,7 +63,7 @@
   }
   void forget_if_over(VisitId id) {
     auto found = in_hand_.find(id);
-    if (found == in_hand_.end() || !found->second.concluded()) return;
+    if (found == in_hand_.end() || !found->second.over()) return;
     for (const FetchInHand& fetch : found->second.fetches) {
       if (!fetch.reported) return;
     }
@@ -66,7 +73,7 @@
   std::size_t count() const { return in_hand_.size(); }
   std::size_t under_way() const {  // neither answered nor given up by their callers
     return std::size_t(std::count_if(in_hand_.begin(), in_hand_.end(),
-                                     [](const auto& one) { return !one.second.concluded(); }));
+                                     [](const auto& one) { return !one.second.over(); }));
   }
 
  private:
--- a/sidecar/wire/admission.h
+++ b/sidecar/wire/admission.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "sidecar/loop/loop.h"
+#include "sidecar/wire/http.h"
 
 namespace puffinvane {
 
@@ -33,6 +34,12 @@
     loop_.descriptors().share(shared_ = on);
     room_for_fetch();
   }
+  // Of a request's body, before it goes on in parts.
+  std::size_t most_held() const {
+    std::size_t most = most_bytes_ / (shared_ ? 2 : 1);
+    bool scarce = loop_.pool().lent() * Pool::kSize > most / 2;
+    return scarce ? HttpReader::kMostBody : std::max(HttpReader::kMostBody, most / 8);
+  }
   bool room_for_fetch() {
     while (loop_.descriptors().left() <= 0) {
       auto oldest = std::min_element(
--- a/sidecar/wire/backend.cpp
+++ b/sidecar/wire/backend.cpp
@@ -1,5 +1,6 @@
 #include "sidecar/wire/backend.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "sidecar/wire/headers.h"
@@ -10,6 +11,9 @@
 // Seconds without a byte in the middle of an answer: an endpoint writes it when its work is done, so what has
 // begun and stops is lost, and the visit has better uses for its time than to wait for its client timeout.
 constexpr double kStopped = 0.3;
+// The same in an answer that is passed on already: nothing better can be done with it.
+constexpr double kCutOff = 5;
+constexpr double kLongInComing = 0.15;  // an answer without a length goes on from here: it may be a slow long one
 }  // namespace
 
 // An answer may come before the request is written whole: it counts, but what is left of the request can't
@@ -31,14 +35,21 @@
     {State::Awaiting, Input::Nonsense, State::Over, &Backend::report_nonsense},
     {State::Awaiting, Input::Stopped, State::Over, &Backend::report_nonsense},
     {State::Awaiting, Input::Ended, State::Over, &Backend::report_reset},
+    {State::Awaiting, Input::Begun, State::Relaying, &Backend::report_begun},
+    {State::Relaying, Input::Answered, State::Idle, &Backend::report_finished},
+    {State::Relaying, Input::AnsweredLast, State::Over, &Backend::report_finished},
+    {State::Relaying, Input::Nonsense, State::Over, &Backend::report_cut},
+    {State::Relaying, Input::Stopped, State::Over, &Backend::report_cut},
+    {State::Relaying, Input::Ended, State::Over, &Backend::report_cut},
 };
 
-Backend::Backend(Loop& loop, Owner& owner, std::string endpoint, std::size_t most_body)
+Backend::Backend(Loop& loop, Owner& owner, std::string endpoint, std::size_t most_body, bool streams)
     : loop_(loop),
       owner_(&owner),
       endpoint_(std::move(endpoint)),
       stream_(loop, *this),
-      reader_(HttpReader::Side::Answer, loop.pool(), most_body) {}
+      reader_(HttpReader::Side::Answer, loop.pool(), most_body,
+              streams ? HttpReader::kMostStreamed : 0) {}
 
 void Backend::turn(Input input) { step(kRows, *this, state_, input); }
 
@@ -59,17 +70,40 @@
 
 void Backend::write() {
   stream_.send(owner_->on_ready(*this));
-  if (stream_.written()) turn(Input::Written);
+  push();
+}
+
+void Backend::push() {
+  while (state_ == State::Sending && stream_.written()) {
+    bool whole = false;
+    Chain next = owner_->on_next(*this, whole);
+    if (next.empty()) return whole ? turn(Input::Written) : void();
+    stream_.send(std::move(next));
+  }
+}
+
+bool Backend::too_long_to_hold() const {
+  if (!reader_.streams() || !reader_.in_body()) return false;
+  if (reader_.declared()) return *reader_.declared() > HttpReader::kMostBody;
+  return reader_.body_so_far() > HttpReader::kMostBody || loop_.now() - answered_since_ > kLongInComing;
 }
 
 void Backend::on_received(std::string_view bytes) {
   if (state_ == State::Idle) return turn(Input::Nonsense);  // nobody asked
   heard_ = loop_.now();
   bool first = !std::exchange(answering_, true);
+  if (first) answered_since_ = heard_;
   std::size_t used = reader_.feed(bytes);
   if (reader_.fault() != HttpReader::Fault::None) return turn(Input::Nonsense);
   if (!reader_.whole()) {
     if (first) watch_answer(sent_);  // most come whole at once, and need no watching
+    if (state_ == State::Relaying) {
+      if (Chain part = reader_.take_part(); !part.empty()) owner_->on_more(*this, std::move(part));
+    } else if (too_long_to_hold()) {
+      // Before the request is written whole that is no answer to it. What it says then is not worth holding.
+      if (state_ == State::Sending) return turn(Input::Nonsense);
+      owner_->outcome_of(reader_.message()) == Outcome::Delivered ? turn(Input::Begun) : turn(Input::Nonsense);
+    }
     return;
   }
   bool last = !reader_.message().keep_alive || used < bytes.size();
@@ -77,9 +111,14 @@
 }
 
 void Backend::watch_answer(double of) {
-  loop_.at(heard_ + kStopped, alive_.guard([this, of] {
+  loop_.at(std::max(heard_ + kStopped / 2, loop_.now() + kStopped / 2), alive_.guard([this, of] {
     if (state_ == State::Idle || sent_ != of) return;  // that one came whole
-    loop_.now() - heard_ >= kStopped ? turn(Input::Stopped) : watch_answer(of);
+    // Held back by its caller it is not the endpoint that stopped.
+    if (!stream_.reads()) heard_ = loop_.now();
+    if (state_ == State::Awaiting && too_long_to_hold() &&
+        owner_->outcome_of(reader_.message()) == Outcome::Delivered)
+      turn(Input::Begun);
+    loop_.now() - heard_ >= (state_ == State::Relaying ? kCutOff : kStopped) ? turn(Input::Stopped) : watch_answer(of);
   }));
 }
 
@@ -94,6 +133,21 @@
   idle_since_ = loop_.now();
   owner_->on_fetched(*this, outcome, reader_.take());
 }
+void Backend::report_begun() {
+  std::optional<std::size_t> size = reader_.declared();
+  owner_->on_begun(*this, reader_.take_begun(), size);
+}
+void Backend::report_finished() {
+  if (state_ == State::Over) stream_.close();
+  idle_since_ = loop_.now();
+  Chain rest = reader_.take_part();
+  reader_.take();
+  owner_->on_finished(*this, std::move(rest));
+}
+void Backend::report_cut() {
+  stream_.close();
+  owner_->on_cut(*this);
+}
 void Backend::report_nonsense() { report(Outcome::Failed); }
 void Backend::report_unsent() { report(outcome_of_break(false)); }
 void Backend::report_reset() {
--- a/sidecar/wire/backend.h
+++ b/sidecar/wire/backend.h
@@ -22,15 +22,24 @@
     virtual ~Owner() = default;
     // Called when the connection is up: what to write, with the time that is left by then.
     virtual Chain on_ready(Backend& backend) = 0;
+    // What comes next of a request's body, once all before is written; `whole`: after it there is no more.
+    virtual Chain on_next(Backend& backend, bool& whole) = 0;
+    // An answer too long to be held: its head with what there is of its body, and then the rest, part by part.
+    virtual void on_begun(Backend& backend, HttpMessage answer, std::optional<std::size_t> size) = 0;
+    virtual void on_more(Backend& backend, Chain bytes) = 0;
+    virtual void on_finished(Backend& backend, Chain bytes) = 0;
+    virtual void on_cut(Backend& backend) = 0;
     virtual void on_sent() = 0;  // a request's last byte was written
     virtual Outcome outcome_of(const HttpMessage& answer) const = 0;
     virtual void on_fetched(Backend& backend, Outcome outcome, HttpMessage answer) = 0;
     virtual void on_idle_end(Backend& backend) = 0;
   };
 
-  Backend(Loop& loop, Owner& owner, std::string endpoint, std::size_t most_body);
+  Backend(Loop& loop, Owner& owner, std::string endpoint, std::size_t most_body, bool streams);
   bool connect(std::string_view address, double timeout);  // false: it can't even begin
   void carry(Carried fetch, bool head);                    // once up, or at once on an idle connection
+  void push();                    // more of the request's body has come
+  void hold_back(bool on) { stream_.read(!on), heard_ = loop_.now(); }  // of its answer
   void give_up() { stream_.close(), state_ = State::Over; }
   void pass_to(Owner& owner) { owner_ = &owner; }  // only while idle
   bool idle() const { return state_ == State::Idle; }
@@ -41,13 +50,17 @@
   double stood_idle(double now) const { return now - idle_since_; }
 
  private:
-  enum class State { Connecting, Idle, Sending, Awaiting, Over };
-  enum class Input { Connected, Fetch, Written, Answered, AnsweredLast, Nonsense, Stopped, Ended, TimedOut };
+  enum class State { Connecting, Idle, Sending, Awaiting, Relaying, Over };
+  enum class Input { Connected, Fetch, Written, Answered, AnsweredLast, Begun, Nonsense, Stopped, Ended, TimedOut };
   static const Row<Backend, State, Input> kRows[];
   void turn(Input input);
   void write();
   void note_sent() { owner_->on_sent(); }
   void report_answer();
+  void report_begun();
+  void report_finished();
+  void report_cut();
+  bool too_long_to_hold() const;
   void report_nonsense();
   void report_unsent();
   void report_reset();
@@ -57,7 +70,7 @@
 
   void on_connected() override { turn(Input::Connected); }
   void on_received(std::string_view bytes) override;
-  void on_written() override { turn(Input::Written); }
+  void on_written() override { push(); }
   void on_ended() override;
 
   Loop& loop_;
@@ -67,7 +80,7 @@
   HttpReader reader_;
   State state_ = State::Connecting;
   Carried carried_;
-  double timeout_ = 0, sent_ = 0, heard_ = 0, idle_since_ = 0;
+  double timeout_ = 0, sent_ = 0, heard_ = 0, answered_since_ = 0, idle_since_ = 0;
   bool kept_ = false, answering_ = false;  // kept: it has carried a fetch before this one
   Alive alive_;
 };
--- a/sidecar/wire/callers.cpp
+++ b/sidecar/wire/callers.cpp
@@ -10,8 +10,14 @@
 constexpr double kNewcomer = 0.1;  // seconds that a new connection has for its first request when all is full
 }  // namespace
 
-Callers::Callers(Loop& loop, Admission& admission, Server& server, std::size_t most_body, std::size_t most)
-    : loop_(loop), admission_(admission), server_(server), most_body_(most_body), most_(most) {
+Callers::Callers(Loop& loop, Admission& admission, Server& server, std::size_t most_body, std::size_t most,
+                 std::size_t most_streamed)
+    : loop_(loop),
+      admission_(admission),
+      server_(server),
+      most_body_(most_body),
+      most_(most),
+      most_streamed_(most_streamed) {
   sweep();
 }
 
@@ -24,7 +30,7 @@
 void Callers::take_over(Ref<GSocket> socket, bool asked) { enter(std::move(socket), 0, asked); }
 
 void Callers::enter(Ref<GSocket> socket, int door, bool asked) {
-  auto client = std::make_unique<Client>(loop_, *this, std::move(socket), door, most_body_, asked);
+  auto client = std::make_unique<Client>(loop_, *this, std::move(socket), door, most_body_, most_streamed_, asked);
   const Client* key = client.get();
   clients_.emplace(key, std::move(client));
 }
--- a/sidecar/wire/callers.h
+++ b/sidecar/wire/callers.h
@@ -21,7 +21,7 @@
 
   // most: of them, whatever else is admitted; none: as many as there is room for.
   Callers(Loop& loop, Admission& admission, Server& server, std::size_t most_body = HttpReader::kMostBody,
-          std::size_t most = 0);
+          std::size_t most = 0, std::size_t most_streamed = 0);
 
   bool empty() const { return clients_.empty(); }
   std::size_t most() const { return most_; }
@@ -40,6 +40,7 @@
   void on_request(Client& client, HttpMessage request) override;
   void on_left(Client& client) override;
   bool last_call() const override { return last_call_; }
+  std::size_t most_held() const override { return admission_.most_held(); }
   void enter(Ref<GSocket> socket, int door, bool asked);
   bool drop_one();
   void sweep();
@@ -47,7 +48,7 @@
   Loop& loop_;
   Admission& admission_;
   Server& server_;
-  const std::size_t most_body_, most_;
+  const std::size_t most_body_, most_, most_streamed_;
   bool last_call_ = false;
   std::unordered_map<const Client*, std::unique_ptr<Client>> clients_;
   Alive alive_;
--- a/sidecar/wire/carrier.cpp
+++ b/sidecar/wire/carrier.cpp
@@ -14,6 +14,10 @@
 constexpr double kIdleShare = 0.7;  // of the time after which endpoints close: a fetch must not cross that
 constexpr double kSweep = 0.25;
 constexpr std::size_t kLately = 256;  // endpoints that are known though no longer listed
+constexpr std::size_t kInOne = 64 * 1024;        // of a body, written at a time
+constexpr std::size_t kMostUnsent = 256 * 1024;  // of one that streams, before it has a connection
+constexpr double kUploading = 3600;              // seconds: longer than any body takes at the least pace
+constexpr double kBeforeEnd = 0.01;
 constexpr double kAfterLast = 0.5;  // seconds, for what is put off to the next turn or the next tick
 }  // namespace
 
@@ -75,6 +79,8 @@
   double now = loop_.now(), ends = abandon_at > 0 ? std::min(abandon_at, visit.until) : visit.until;
   visit.fetches.push_back({std::string(endpoint), now, ends});
   loop_.at(ends, [this, id, number] { out_of_time(id, number); });
+  // What was let go of its body can't be sent again: that is nobody's fault, and nothing has run.
+  if (visit.spent) return end_soon(id, number, Outcome::NotSent);
   if (!start({id, number}, visit.fetches.back().endpoint)) end_soon(id, number, Outcome::ConnectFailed);
 }
 
@@ -106,7 +112,7 @@
   }
   const std::string* address = addresses_.find(endpoint);
   if (!address || !admission_.room_for_fetch()) return false;
-  auto fresh = std::make_unique<Backend>(loop_, *this, endpoint, manner_.most_body);
+  auto fresh = std::make_unique<Backend>(loop_, *this, endpoint, manner_.most_body, manner_.streams);
   if (!fresh->connect(*address, deployment_.connect_timeout)) return false;
   used = fresh.get();
   busy_[used] = std::move(fresh);
@@ -165,17 +171,128 @@
   const FetchInHand& fetch = visit.fetches[std::size_t(backend.carried().number)];
   const std::string* address = addresses_.find(fetch.endpoint);
   Chain out(loop_.pool());
-  write_request(out, visit.request, address ? *address : fetch.endpoint,
-                write_time_left(fetch.ends - loop_.now()));
+  double left = visit.streams ? visit.time_left : fetch.ends - loop_.now();
+  std::optional<Parts> parts;
+  if (visit.streams) parts = Parts{visit.length};
+  else if (visit.request.body.size() > kInOne) parts = Parts{visit.request.body.size()};
+  write_request(out, visit.request, address ? *address : fetch.endpoint, write_time_left(left), parts);
   return out;
 }
 
+Chain Carrier::on_next(Backend& backend, bool& whole) {
+  VisitInHand& visit = *visits_.find(backend.carried().visit);
+  FetchInHand& fetch = visit.fetches[std::size_t(backend.carried().number)];
+  Chain next(loop_.pool());
+  Chain& body = visit.request.body;
+  if (visit.streams) {
+    visit.spent = true;
+    Chain part = std::exchange(body, Chain(loop_.pool()));
+    if (visit.client) visit.client->hold_back(false);
+    if (visit.length) next = std::move(part);
+    else write_chunk(next, part);
+    if (!visit.coming && !visit.length && !std::exchange(fetch.body_sent, 1)) write_last_chunk(next);
+    whole = !visit.coming && next.empty();
+    return next;
+  }
+  whole = body.size() <= kInOne || fetch.body_sent == body.size();
+  if (whole) return next;
+  next.add(body, fetch.body_sent, kInOne);
+  fetch.body_sent += next.size();
+  return next;
+}
+
+void Carrier::on_part(VisitId id, Chain bytes, bool whole) {
+  VisitInHand& visit = *visits_.find(id);
+  visit.request.body.add(bytes);
+  visit.coming = !whole;
+  if (whole) {
+    visit.until = loop_.now() + visit.time_left;
+    loop_.at(visit.until - kBeforeEnd, [this, id] { out_of_patience(id); });
+  }
+  bool sends = false;
+  for (FetchInHand& fetch : visit.fetches) {
+    if (fetch.backend) sends = true, fetch.backend->push();
+  }
+  // Until it goes out, or where that is slower than it comes in, no more of it is read.
+  if (!whole && visit.client && visit.request.body.size() > (sends ? kInOne : kMostUnsent))
+    visit.client->hold_back(true);
+}
+
+// The module was told of a time that no visit reaches, as the caller's own began only with the last byte.
+void Carrier::out_of_patience(VisitId id) {
+  VisitInHand* visit = visits_.find(id);
+  if (!visit || visit->concluded()) return;
+  conclude(id, 502, nullptr, "", "errored: it may or may not have run\n");
+  policy_->withdrawn(loop_.now(), id);
+}
+
+void Carrier::on_begun(Backend& backend, HttpMessage answer, std::optional<std::size_t> size) {
+  auto [id, number] = backend.carried();
+  VisitInHand& visit = *visits_.find(id);
+  FetchInHand& fetch = visit.fetches[std::size_t(number)];
+  double now = loop_.now();
+  bool late = visit.concluded() || fetch.reported;
+  if (late) {
+    let_go(backend);
+    return end_soon(id, number, Outcome::Cancelled);
+  }
+  fetch.backend = nullptr, fetch.reported = true;
+  if (fetch.stood_idle) kept_uses_.note(*fetch.stood_idle, false);
+  visit.relay = &backend;
+  Load load = read_load(answer.header("X-Backend-Load"));
+  visit.client->begin_answer(answer, size);
+  on_more(backend, std::move(answer.body));
+  policy_->fetch_ended(now, {id, number, Outcome::Delivered, true, now - fetch.sent, load});
+}
+
+void Carrier::on_more(Backend& backend, Chain bytes) {
+  Client& client = *visits_.find(backend.carried().visit)->client;
+  client.more(std::move(bytes));
+  if (client.behind()) backend.hold_back(true);
+}
+
+void Carrier::on_drained(VisitId id) {
+  VisitInHand* visit = visits_.find(id);
+  if (visit && visit->relay) visit->relay->hold_back(false);
+}
+
+Client* Carrier::end_relay(VisitId id, Ended how) {
+  VisitInHand& visit = *visits_.find(id);
+  figures_.note(number_of(*visit.prefix), how);
+  visit.relay = nullptr;
+  Client* client = std::exchange(visit.client, nullptr);
+  client->visit.reset();
+  visits_.forget_if_over(id);
+  return client;
+}
+
+void Carrier::on_finished(Backend& backend, Chain bytes) {
+  Client* client = end_relay(backend.carried().visit, Ended::Delivered);
+  client->more(std::move(bytes));
+  client->end_answer();
+  keep_or_close(no_longer_busy(backend));
+}
+
+void Carrier::on_cut(Backend& backend) {
+  Client* client = end_relay(backend.carried().visit, Ended::Errored);
+  loop_.bury(no_longer_busy(backend));
+  client->cut_answer();
+}
+
+std::unique_ptr<Backend> Carrier::no_longer_busy(const Backend& backend) {
+  return std::move(busy_.extract(&backend).mapped());
+}
+
+void Carrier::keep_or_close(std::unique_ptr<Backend> backend) {
+  if (!backend->idle()) return loop_.bury(std::move(backend));
+  if (retired_) return pass_on(std::move(backend), loop_.now());
+  std::string endpoint = backend->endpoint();
+  idle_.put(endpoint, std::move(backend), loop_.now());
+}
+
 void Carrier::on_fetched(Backend& backend, Outcome outcome, HttpMessage answer) {
   auto [id, number] = backend.carried();
-  std::unique_ptr<Backend> owned = std::move(busy_.extract(&backend).mapped());
-  if (backend.idle() && retired_) pass_on(std::move(owned), loop_.now());
-  else if (backend.idle()) idle_.put(backend.endpoint(), std::move(owned), loop_.now());
-  else loop_.bury(std::move(owned));
+  keep_or_close(no_longer_busy(backend));
   FetchInHand& fetch = visits_.find(id)->fetches[std::size_t(number)];
   fetch.backend = nullptr;
   if (fetch.stood_idle) kept_uses_.note(*fetch.stood_idle, outcome == Outcome::Stale);
@@ -218,7 +335,13 @@
 // ---- callers
 
 void Carrier::on_caller_left(VisitId id) {
-  visits_.find(id)->client = nullptr;
+  VisitInHand& visit = *visits_.find(id);
+  visit.client = nullptr;
+  if (Backend* relay = std::exchange(visit.relay, nullptr)) {
+    relay->give_up();
+    loop_.bury(no_longer_busy(*relay));
+    return visits_.forget_if_over(id);
+  }
   policy_->withdrawn(loop_.now(), id);
   visits_.forget_if_over(id);
 }
@@ -239,7 +362,14 @@
   std::string customer(request.header("X-Account"));
   std::string said(request.header("X-Facts"));
   VisitFacts facts = read_facts(said);
-  VisitId id = visits_.add({std::move(request), now + time_left, &client, &prefix});
+  VisitInHand taken{std::move(request)};
+  taken.until = now + time_left, taken.time_left = time_left;
+  taken.client = &client, taken.prefix = &prefix;
+  if (client.uploading()) {
+    taken.streams = taken.coming = true, taken.length = client.length();
+    taken.until = now + kUploading, time_left = kUploading;
+  }
+  VisitId id = visits_.add(std::move(taken));
   client.visit = {this, id};
   policy_->arrive(now, {id, prefix.name, customer, time_left, facts.key, facts.work});
 }
--- a/sidecar/wire/carrier.h
+++ b/sidecar/wire/carrier.h
@@ -31,7 +31,8 @@
 struct Manner {
   bool any_status = false;  // they are servers like any other: their statuses reach the callers
   std::size_t most_body = HttpReader::kMostBody;
-  std::string pool;  // its name in the log; none: there is but one
+  std::string pool;      // its name in the log; none: there is but one
+  bool streams = false;  // longer bodies go on in parts
 };
 
 class Carrier final : public Host,
@@ -90,6 +91,13 @@
 
   void on_caller_left(VisitId visit) override;
   Chain on_ready(Backend& backend) override;
+  void on_part(VisitId visit, Chain bytes, bool whole) override;
+  void on_drained(VisitId visit) override;
+  Chain on_next(Backend& backend, bool& whole) override;
+  void on_begun(Backend& backend, HttpMessage answer, std::optional<std::size_t> size) override;
+  void on_more(Backend& backend, Chain bytes) override;
+  void on_finished(Backend& backend, Chain bytes) override;
+  void on_cut(Backend& backend) override;
   void on_sent() override { figures_.note_fetch(); }
   Outcome outcome_of(const HttpMessage& answer) const override;
   void on_fetched(Backend& backend, Outcome outcome, HttpMessage answer) override;
@@ -101,6 +109,10 @@
   std::unique_ptr<Backend> take_kept(Backend::Carried fetch, const std::string& endpoint);
   void conclude(VisitId id, int status, const HttpMessage* from, std::string_view more_headers,
                 std::string_view text);
+  Client* end_relay(VisitId id, Ended how);
+  void keep_or_close(std::unique_ptr<Backend> backend);
+  std::unique_ptr<Backend> no_longer_busy(const Backend& backend);
+  void out_of_patience(VisitId id);
   void ended(VisitId id, int number, Outcome outcome, HttpMessage* answer);
   void end_soon(VisitId id, int number, Outcome outcome);
   void out_of_time(VisitId id, int number);
--- a/sidecar/wire/client.cpp
+++ b/sidecar/wire/client.cpp
@@ -8,15 +8,30 @@
 constexpr double kLinger = 1;  // seconds that a caller may say nothing in after its last answer
 // For how long what it goes on sending is read: closed on unread bytes, it would never see that answer.
 constexpr double kLongestLinger = 5.5;
-// Seconds that half a request, or a connection on which none was ever sent, may stand: a caller that can't
-// be served has to know within three.
+// Seconds that a connection on which nothing was ever sent may stand, and a body that makes a pause.
 constexpr double kHalf = 2.2;
+// Half a head: some take over two by right, and a caller that can't be served has to know within three.
+constexpr double kHalfHead = 2.75;
+constexpr double kPace = 32 * 1024;  // bytes a second that a body has to make: half of what callers promise
+constexpr double kUnreadPart = 60;   // an answer of which nothing more goes out: the system holds megabytes
 // An answer that is not read; longer than any client timeout, as cutting it short would lose the visit.
 constexpr double kUnread = 10;
 constexpr std::size_t kAhead = Pool::kSize;  // of requests sent before the one in hand is answered
 }  // namespace
 
 const Row<Client, Client::State, Client::Input> Client::kRows[] = {
+    {State::Reading, Input::Begun, State::Uploading, &Client::begin},
+    {State::Uploading, Input::Request, State::Waiting, &Client::hand_over_rest},
+    {State::Uploading, Input::Fault, State::Over, &Client::leave},
+    {State::Uploading, Input::Late, State::Over, &Client::leave},
+    {State::Uploading, Input::Answer, State::Parting, &Client::nothing},
+    {State::Uploading, Input::LastAnswer, State::Parting, &Client::nothing},
+    {State::Uploading, Input::Ended, State::Over, &Client::leave},
+    {State::Waiting, Input::Relay, State::Relaying, &Client::nothing},
+    {State::Relaying, Input::Written, State::Relaying, &Client::drained},
+    {State::Relaying, Input::Answer, State::Answering, &Client::nothing},
+    {State::Relaying, Input::LastAnswer, State::Parting, &Client::nothing},
+    {State::Relaying, Input::Ended, State::Over, &Client::leave},
     {State::Reading, Input::Request, State::Waiting, &Client::hand_over},
     {State::Reading, Input::Fault, State::Parting, &Client::refuse},
     {State::Reading, Input::Late, State::Parting, &Client::refuse},
@@ -32,11 +47,11 @@
 };
 
 Client::Client(Loop& loop, Owner& owner, Ref<GSocket> socket, int door, std::size_t most_body,
-               bool asked)
+               std::size_t most_streamed, bool asked)
     : loop_(loop),
       owner_(owner),
       stream_(loop, *this),
-      reader_(HttpReader::Side::Request, loop.pool(), most_body),
+      reader_(HttpReader::Side::Request, loop.pool(), most_body, most_streamed),
       unread_(loop.pool()),
       asked_(asked),
       door_(door),
@@ -48,9 +63,11 @@
 void Client::turn(Input input) { step(kRows, *this, state_, input); }
 
 void Client::look(double now) {
-  if (state_ == State::Reading && now - used_ > kHalf) {
-    if (reader_.started()) turn(Input::Late);
-    else if (!asked_) turn(Input::Ended);
+  if (state_ == State::Reading || state_ == State::Uploading) {
+    if (reader_.started() ? slow(now) : !asked_ && now - used_ > kHalf)
+      turn(reader_.started() ? Input::Late : Input::Ended);
+  } else if (state_ == State::Relaying) {
+    if (now - used_ > kUnreadPart) turn(Input::Ended);
   } else if (state_ == State::Lingering) {
     if (now - heard_ > kLinger || now - used_ > kLongestLinger) turn(Input::Ended);
   } else if (state_ == State::Answering || state_ == State::Parting) {
@@ -58,6 +75,13 @@
   }
 }
 
+// By its pace, not by its start alone: a byte now and then would else hold its place for ever.
+bool Client::slow(double now) const {
+  if (!reader_.in_body()) return now - used_ > kHalfHead;
+  if (!stream_.reads()) return false;  // it is we who don't read
+  return now - heard_ > kHalf || now - used_ > kHalfHead + kHalf + double(reader_.body_so_far()) / kPace;
+}
+
 void Client::on_received(std::string_view bytes) {
   heard_ = loop_.now();
   if (state_ == State::Lingering || state_ == State::Parting) return;
@@ -65,15 +89,23 @@
   // connection from its start, as one that waits and then sends half a request is owed no more time.
   if (state_ == State::Reading && asked_ && !reader_.started()) used_ = loop_.now();
   unread_.add(bytes);
-  if (unread_.size() > kAhead && state_ != State::Reading) stream_.read(false);
+  if (unread_.size() > kAhead && state_ != State::Reading && state_ != State::Uploading) stream_.read(false);
   take_in();
 }
 
 void Client::take_in() {
-  while (state_ == State::Reading && !unread_.empty()) {
+  while ((state_ == State::Reading || state_ == State::Uploading) && !unread_.empty()) {
     unread_.drop(reader_.feed(unread_.front()));
     if (reader_.fault() != HttpReader::Fault::None) return turn(Input::Fault);
     if (reader_.whole()) return turn(Input::Request);
+    if (state_ == State::Uploading) {
+      if (visit && reader_.in_body()) visit->by->on_part(visit->visit, reader_.take_part(), false);
+      continue;
+    }
+    if (reader_.streams() && reader_.in_body() && reader_.body_so_far() > owner_.most_held()) {
+      turn(Input::Begun);
+      continue;
+    }
     if (reader_.in_body() && reader_.message().expects_continue && !std::exchange(continued_, true)) {
       Chain out(loop_.pool());
       out.add("HTTP/1.1 100 Continue\r\n\r\n");
@@ -82,8 +114,65 @@
   }
 }
 
+void Client::begin() {
+  HttpMessage request = reader_.take_begun();
+  keep_alive_ = request.keep_alive && !parts_;
+  to_head_ = false, old_ = request.old;
+  asked_ = true;
+  owner_.on_request(*this, std::move(request));
+}
+
+void Client::hold_back(bool on) {
+  double now = loop_.now();
+  if (on && stream_.reads()) held_since_ = now;
+  if (!on && !stream_.reads()) used_ += now - held_since_, heard_ = now;  // it was not the caller that paused
+  stream_.read(!on);
+}
+
+void Client::hand_over_rest() {
+  continued_ = false;
+  Chain rest = reader_.take_part();
+  reader_.take();
+  if (visit) visit->by->on_part(visit->visit, std::move(rest), true);
+}
+
+void Client::begin_answer(const HttpMessage& from, std::optional<std::size_t> size) {
+  if (state_ != State::Waiting) return;
+  chunks_ = !size && !old_;
+  keep_alive_ = keep_alive_ && (size || chunks_) && !owner_.last_call();
+  Chain out(loop_.pool());
+  write_answer_head(out, from, {size, !chunks_}, !keep_alive_);
+  used_ = loop_.now();
+  turn(Input::Relay);
+  stream_.send(std::move(out));
+}
+
+void Client::more(Chain bytes) {
+  if (state_ != State::Relaying || bytes.empty()) return;
+  Chain out(loop_.pool());
+  chunks_ ? write_chunk(out, bytes) : void(out = std::move(bytes));
+  used_ = loop_.now();
+  stream_.send(std::move(out));
+}
+
+void Client::end_answer() {
+  if (state_ != State::Relaying) return;
+  used_ = loop_.now();
+  turn(keep_alive_ ? Input::Answer : Input::LastAnswer);
+  Chain out(loop_.pool());
+  if (chunks_) write_last_chunk(out);
+  stream_.send(std::move(out));
+  if (stream_.written()) turn(Input::Written);
+}
+
+void Client::drained() {
+  used_ = loop_.now();
+  if (visit) visit->by->on_drained(visit->visit);
+}
+
 void Client::hand_over() {
   HttpMessage request = reader_.take();
+  old_ = request.old;
   keep_alive_ = request.keep_alive && !parts_;
   to_head_ = request.method == "HEAD";
   continued_ = false, asked_ = true;
@@ -104,8 +193,8 @@
 
 void Client::answer(int status, const HttpMessage* from, std::string_view more_headers, std::string_view text,
                     bool last) {
-  if (state_ != State::Waiting) return;
-  last = last || !keep_alive_ || owner_.last_call();
+  if (state_ != State::Waiting && state_ != State::Uploading) return;
+  last = last || state_ == State::Uploading || !keep_alive_ || owner_.last_call();
   Chain out(loop_.pool());
   write_answer(out, status, from, more_headers, text, last, to_head_);
   used_ = loop_.now();
--- a/sidecar/wire/client.h
+++ b/sidecar/wire/client.h
@@ -18,11 +18,14 @@
     virtual void on_request(Client& client, HttpMessage request) = 0;
     virtual void on_left(Client& client) = 0;  // its connection is over; the owner lets go of it
     virtual bool last_call() const = 0;        // answers are the last on their connections
+    virtual std::size_t most_held() const = 0;  // of a body, before it is handed over in parts
   };
   class Visited {  // who has its visit in hand
    public:
     virtual ~Visited() = default;
     virtual void on_caller_left(std::uint32_t visit) = 0;
+    virtual void on_part(std::uint32_t visit, Chain bytes, bool whole) = 0;  // of its request's body
+    virtual void on_drained(std::uint32_t visit) = 0;  // its caller has been sent all that there was
   };
   struct InHand {
     Visited* by = nullptr;
@@ -30,11 +33,23 @@
   };
 
   // asked: it has sent a whole request on this connection before.
-  Client(Loop& loop, Owner& owner, Ref<GSocket> socket, int door, std::size_t most_body, bool asked = false);
+  Client(Loop& loop, Owner& owner, Ref<GSocket> socket, int door, std::size_t most_body,
+         std::size_t most_streamed, bool asked = false);
 
   // last: nothing more is read from this connection.
   void answer(int status, const HttpMessage* from, std::string_view more_headers, std::string_view text,
               bool last);
+  // An answer that goes on while it comes; nothing else is on its connection until its end, or until it is
+  // cut, so that the caller can tell.
+  void begin_answer(const HttpMessage& from, std::optional<std::size_t> size);
+  void more(Chain bytes);
+  void end_answer();
+  void cut_answer() { turn(Input::Ended); }
+  bool behind() const { return stream_.unsent() > kMostBehind; }  // it does not read as fast as that comes
+  // Of a request handed over before its body was whole.
+  bool uploading() const { return state_ == State::Uploading; }
+  std::optional<std::size_t> length() const { return reader_.declared(); }
+  void hold_back(bool on);
   void part() { turn(Input::Ended); }
   // Between visits, with none on its way: closing crosses nothing that was read.
   bool idle() const { return between() && stream_.quiet(); }
@@ -56,13 +71,18 @@
   std::optional<InHand> visit;
 
  private:
-  enum class State { Reading, Waiting, Answering, Parting, Lingering, Over };
-  enum class Input { Request, Fault, Late, Answer, LastAnswer, Written, Ended };
+  static constexpr std::size_t kMostBehind = 64 * 1024;
+  enum class State { Reading, Uploading, Waiting, Relaying, Answering, Parting, Lingering, Over };
+  enum class Input { Begun, Request, Fault, Late, Relay, Answer, LastAnswer, Written, Ended };
   static const Row<Client, State, Input> kRows[];
   void turn(Input input);
   bool between() const { return state_ == State::Reading && !reader_.started() && unread_.empty(); }
   void nothing() {}
+  void begin();
   void hand_over();
+  void hand_over_rest();
+  void drained();
+  bool slow(double now) const;
   void refuse();
   void read_on();
   void linger();
@@ -79,9 +99,9 @@
   HttpReader reader_;
   Chain unread_;
   State state_ = State::Reading;
-  bool keep_alive_ = true, continued_ = false, asked_ = false, parts_ = false, to_head_ = false;
+  bool keep_alive_ = true, continued_ = false, asked_ = false, parts_ = false, to_head_ = false, old_ = false, chunks_ = false;
   const int door_;
-  double used_, heard_;
+  double used_, heard_, held_since_ = 0;
   Alive alive_;
 };
 
--- a/sidecar/wire/http.h
+++ b/sidecar/wire/http.h
@@ -1,6 +1,7 @@
 // HTTP/1.1 messages, read as their bytes come and written whole. No sockets here.
 #pragma once
 
+#include <algorithm>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -22,6 +23,7 @@
   std::string method, target;  // of a request
   int status = 0;              // of an answer
   bool keep_alive = true, expects_continue = false;
+  bool old = false;  // HTTP/1.0, which knows no chunks
   std::vector<Header> headers;
   Chain body;
 };
@@ -33,9 +35,15 @@
   enum class Side { Request, Answer };
   enum class Fault { None, Malformed, HeadTooLarge, BodyTooLarge };
   static constexpr std::size_t kMostHead = 16 * 1024, kMostBody = 64 * 1024;
+  static constexpr std::size_t kMostStreamed = 32u << 20;
 
-  HttpReader(Side side, Pool& pool, std::size_t most_body = kMostBody)
-      : side_(side), pool_(&pool), most_body_(most_body), message_(pool) {}
+  // Bodies over most_body are faults, unless they may be taken in parts, up to most_streamed.
+  HttpReader(Side side, Pool& pool, std::size_t most_body = kMostBody, std::size_t most_streamed = 0)
+      : side_(side),
+        pool_(&pool),
+        most_body_(std::max(most_body, most_streamed)),
+        streams_(most_streamed > 0),
+        message_(pool) {}
 
   // Returns how many bytes it used: after a whole message or a fault it takes no more.
   std::size_t feed(std::string_view bytes);
@@ -45,6 +53,11 @@
   bool started() const { return state_ != State::Start || !line_.empty() || head_ > 2; }
   bool in_body() const { return state_ >= State::Body && state_ < State::Whole; }
   Fault fault() const { return fault_; }
+  bool streams() const { return streams_; }
+  std::optional<std::size_t> declared() const { return declared_; }  // its body's length, once the head is read
+  std::size_t body_so_far() const { return seen_; }
+  HttpMessage take_begun();  // the message, with what there is of its body; what follows comes as take_part
+  Chain take_part();
   const HttpMessage& message() const { return message_; }
   HttpMessage take();
   // The answer to a HEAD says how long it would be and is not.
@@ -70,6 +83,9 @@
   Side side_;
   Pool* pool_;
   std::size_t most_body_;
+  bool streams_;
+  std::optional<std::size_t> declared_;
+  std::size_t seen_ = 0;  // of the body
   HttpMessage message_;
   State state_ = State::Start;
   Fault fault_ = Fault::None;
@@ -80,7 +96,17 @@
 
 // Headers that belong to one connection or that each hop words anew are not passed on.
 bool passes_on(std::string_view header);
-void write_request(Chain& out, const HttpMessage& request, std::string_view host, std::string_view time_left);
+// Of a body that comes in parts; size: all of it, where that is known, else it goes in chunks.
+struct Parts {
+  std::optional<std::size_t> size;
+  bool to_end = false;  // neither: its end is the connection's
+};
+// With parts only the head is written.
+void write_request(Chain& out, const HttpMessage& request, std::string_view host, std::string_view time_left,
+                   std::optional<Parts> parts = {});
+void write_answer_head(Chain& out, const HttpMessage& from, Parts parts, bool close);
+void write_chunk(Chain& out, const Chain& bytes);
+void write_last_chunk(Chain& out);
 void write_answer(Chain& out, int status, const HttpMessage* from, std::string_view more_headers,
                   std::string_view text, bool close, bool to_head = false);
 
--- a/sidecar/wire/stream.h
+++ b/sidecar/wire/stream.h
@@ -30,6 +30,8 @@
   void adopt(Ref<GSocket> socket);
   void send(Chain bytes);
   bool written() const { return out_.empty(); }
+  std::size_t unsent() const { return out_.size(); }
+  bool reads() const { return wants_in_; }
   GSocket* socket() const { return socket_.get(); }
   bool quiet() const;  // nothing has come that was not read, not even its end
   void read(bool wanted);
--- /dev/null
+++ b/tests/bulk.cpp
@@ -0,0 +1,229 @@
+// Stories of bodies that are too long to be held, on the whole program over loopback.
+#undef NDEBUG
+#include <algorithm>
+#include <cassert>
+#include <cstdio>
+#include <fstream>
+#include <thread>
+#include <vector>
+
+#include "tests/running.h"
+
+using namespace puffinvane;
+using namespace puffinvane::test;
+
+namespace {
+
+const Running::Options kSmall = [] {
+  Running::Options options;
+  options.limits = R"({"sockets":1024,"memory_mb":48})";
+  options.client_timeout = "20.0";
+  return options;
+}();
+constexpr std::size_t kLong = 8u << 20;
+
+std::string body_of(std::size_t size) {
+  std::string body(size, 'a');
+  for (std::size_t i = 0; i < size; ++i) body[i] = char('a' + (i * 7 + i / 1000) % 26);
+  return body;
+}
+std::string chunked(const std::string& body, std::size_t step) {
+  std::string text;
+  char size[32];
+  for (std::size_t at = 0; at < body.size(); at += step) {
+    std::string part = body.substr(at, step);
+    std::snprintf(size, sizeof size, "%zX;by=test\r\n", part.size());
+    text += size + part + "\r\n";
+  }
+  return text + "0\r\nX-Trailer: last\r\n\r\n";
+}
+std::size_t resident_kb(pid_t child) {
+  std::ifstream status("/proc/" + std::to_string(child) + "/status");
+  std::string line;
+  while (std::getline(status, line)) {
+    if (line.starts_with("VmHWM:")) return std::stoul(line.substr(6));
+  }
+  return 0;
+}
+// All of a message whose body may be as long as it likes.
+std::optional<HttpMessage> hear_long(Line& line, HttpReader::Side side) {
+  return line.hear(side, HttpReader::kMostStreamed);
+}
+
+void a_long_answer_is_passed_on_while_it_comes() {
+  Listener endpoint(2);
+  Running sidecar(entry("a", endpoint.address), kSmall);
+  std::string body = body_of(kLong);
+  for (bool in_chunks : {false, true}) {
+    Line caller(sidecar.listen);
+    caller.say(get("", in_chunks ? "c" : "l"));
+    auto [fetch, request] = endpoint.take_request();
+    std::string head = in_chunks ? "HTTP/1.1 200 OK\r\ntransfer-encoding: Chunked\r\n\r\n"
+                                 : "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+    std::string all = head + (in_chunks ? chunked(body, 50001) : body);
+    fetch.say(all.substr(0, 200000));
+    assert(caller.anything(1));  // its first bytes, before the endpoint has given the last
+    std::thread rest([&, &line = fetch] { assert(line.say(all.substr(200000))); });
+    auto answer = hear_long(caller, HttpReader::Side::Answer);
+    rest.join();
+    assert(answer && answer->status == 200 && answer->body.text() == body);
+    // Both connections are good for more.
+    caller.say(get("", in_chunks ? "c2" : "l2"));
+    assert(fetch.hear(HttpReader::Side::Request));
+    fetch.say(ok("x"));
+    assert(caller.answer_status() == 200);
+    fetch.shut();
+    sleep_for(0.05);
+  }
+}
+
+void a_long_answer_that_breaks_is_never_taken_for_whole() {
+  Listener endpoint(2);
+  Running sidecar(entry("a", endpoint.address), kSmall);
+  for (bool in_chunks : {false, true}) {
+    Line caller(sidecar.listen);
+    caller.say(get("", in_chunks ? "c" : "l"));
+    auto [fetch, request] = endpoint.take_request();
+    fetch.say(in_chunks ? "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n20000\r\n" + std::string(0x20000, 'x') + "\r\n"
+                        : "HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n" + std::string(100000, 'x'));
+    fetch.shut();
+    assert(!hear_long(caller, HttpReader::Side::Answer) && caller.ended(1));
+  }
+}
+
+void a_long_body_reaches_its_endpoint_whole(std::size_t size) {
+  Listener endpoint(2);
+  Running sidecar(entry("a", endpoint.address), kSmall);
+  std::string body = body_of(size);
+  for (bool in_chunks : {false, true}) {
+    Line caller(sidecar.listen);
+    std::string head = "POST /write HTTP/1.1\r\nX-Correlation-Id: " + std::string(in_chunks ? "c" : "l") + "\r\n" +
+                       (in_chunks ? "Transfer-Encoding: chunked\r\n\r\n"
+                                  : "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n");
+    std::thread sends([&] { assert(caller.say(head + (in_chunks ? chunked(body, 30011) : body))); });
+    Line fetch = endpoint.take();
+    auto request = hear_long(fetch, HttpReader::Side::Request);
+    sends.join();
+    assert(request && request->body.text() == body);
+    fetch.say(ok("done"));
+    assert(caller.answer_status() == 200);
+  }
+}
+
+void what_was_held_whole_is_fetched_again_and_what_streamed_is_not() {
+  for (std::size_t size : {std::size_t{500000}, kLong}) {
+    Listener one(2), other(4);
+    Running sidecar(entry("a", one.address) + "," + entry("b", other.address), kSmall);
+    std::string body = body_of(size);
+    Line caller(sidecar.listen);
+    std::thread sends([&] {
+      caller.say("POST /write HTTP/1.1\r\nX-Correlation-Id: a\r\nContent-Length: " + std::to_string(size) + "\r\n\r\n" +
+                 body);
+    });
+    while (!one.knocked(0) && !other.knocked(0)) sleep_for(0.001);
+    Listener& first = one.knocked(0) ? one : other;
+    Listener& second = &first == &one ? other : one;
+    Line fetch = first.take();
+    assert(fetch.anything(1));
+    if (size > 1000000) {
+      fetch.text_until("never", 0.1);
+      fetch.reset();  // before its last byte was written: it can't have run, but it is gone
+      assert(caller.answer_status() == 503 && !second.knocked(0.1));
+    } else {
+      fetch.reset();
+      Line again = second.take();
+      auto request = hear_long(again, HttpReader::Side::Request);
+      assert(request && request->body.text() == body);
+      again.say(ok("done"));
+      assert(caller.answer_status() == 200);
+    }
+    caller.shut();
+    sends.join();
+  }
+}
+
+void slow_callers_are_judged_by_their_pace() {
+  Listener endpoint(2);
+  Running sidecar(entry("a", endpoint.address), kSmall);
+  Line slow(sidecar.listen), dripping(sidecar.listen);
+  std::string head = "POST /write HTTP/1.1\r\nX-Correlation-Id: s\r\nContent-Length: 260000\r\n";
+  slow.say(head.substr(0, 40));
+  dripping.say("POST /write HTTP/1.1\r\nX-Correlation-Id: d\r\nContent-Length: 260000\r\n\r\n");
+  double since = now();
+  sleep_for(2);  // by right
+  slow.say(head.substr(40) + "\r\n");
+  bool cut = false;
+  for (int i = 0; i < 40; ++i) {
+    assert(slow.say(std::string(6500, 'x')));
+    cut = cut || !dripping.say("x") || dripping.anything(0);
+    sleep_for(0.1);
+  }
+  Line fetch = endpoint.take();
+  auto request = hear_long(fetch, HttpReader::Side::Request);
+  assert(request && request->body.size() == 260000 && now() - since > 5.5 && cut);
+  fetch.say(ok("x"));
+  assert(slow.answer_status() == 200);
+}
+
+void many_long_bodies_and_slow_readers_stay_within_the_memory(int count) {
+  Listener endpoint(2, 256);
+  Running sidecar(entry("a", endpoint.address), kSmall);
+  const std::string piece = body_of(1u << 20);
+  constexpr int kPieces = 32;
+  std::vector<std::thread> all;
+  std::thread accepts([&] {
+    for (int i = 0; i < count; ++i) {
+      all.emplace_back([line = endpoint.take(), &piece]() mutable {
+        if (!line.hear(HttpReader::Side::Request)) return;
+        line.say("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(kPieces * piece.size()) + "\r\n\r\n");
+        for (int k = 0; k < kPieces && line.say(piece); ++k) {
+        }
+      });
+    }
+  });
+  std::vector<Line> callers;
+  for (int i = 0; i < count; ++i) callers.emplace_back(sidecar.listen).say(get("", std::to_string(i)));
+  accepts.join();
+  sleep_for(1);  // nobody reads
+  std::size_t peak = resident_kb(sidecar.child());
+  assert(sidecar.status_of("GET /healthz HTTP/1.1\r\n\r\n") == 200);
+  callers.clear();
+  for (std::thread& one : all) one.join();
+  std::printf("%d answers of 32 MB under way and unread: %zu kB resident at the most\n", count, peak);
+  assert(peak < 40 * 1024);
+}
+
+void a_long_answer_cut_at_any_byte_of_its_head_comes_whole() {
+  Listener endpoint(2);
+  Running sidecar(entry("a", endpoint.address), kSmall);
+  std::string body = body_of(70000);
+  std::string all = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunked(body, 69990);
+  Line caller(sidecar.listen);
+  std::optional<Line> fetch;
+  for (std::size_t cut = 1; cut < 90; ++cut) {
+    caller.say(get("", std::to_string(cut)));
+    if (!fetch) fetch = endpoint.take();
+    assert(fetch->hear(HttpReader::Side::Request));
+    fetch->say(all.substr(0, cut));
+    sleep_for(0.002);
+    std::thread rest([&] { fetch->say(all.substr(cut, all.size() - 2 * cut)), sleep_for(0.002), fetch->say(all.substr(all.size() - cut)); });
+    auto answer = hear_long(caller, HttpReader::Side::Answer);
+    rest.join();
+    assert(answer && answer->body.text() == body);
+  }
+}
+
+}  // namespace
+
+int main(int count, char** words) {
+  assert(count == 2);
+  program = words[1];
+  a_long_answer_is_passed_on_while_it_comes();
+  a_long_answer_that_breaks_is_never_taken_for_whole();
+  a_long_body_reaches_its_endpoint_whole(kLong);
+  a_long_body_reaches_its_endpoint_whole(2u << 20);
+  what_was_held_whole_is_fetched_again_and_what_streamed_is_not();
+  slow_callers_are_judged_by_their_pace();
+  many_long_bodies_and_slow_readers_stay_within_the_memory(64);
+  a_long_answer_cut_at_any_byte_of_its_head_comes_whole();
+}
