Crowds go by how long they were silent; stories of orders, handover faults, low limits

Cause: a half-written connection was dropped by age alone, so a caller slow by right went before one that had stopped. Now who never spoke first, then the longest silent. A successor's socket file is left alone by its elder.

--- a/sidecar/handover/succession.cpp
+++ b/sidecar/handover/succession.cpp
@@ -27,11 +27,14 @@
     if (folder_ >= 0) ::close(folder_);
   }
   GSocketAddress* address() const { return address_.get(); }
-  // Only a socket: a file of another kind there is somebody's, and not ours to remove.
-  void clear() const {
+  // The socket file there; 0: none, or a file of another kind, which is somebody's and not ours to remove.
+  std::uint64_t file() const {
     struct stat seen {};
-    if (fstatat(folder_, name_.c_str(), &seen, AT_SYMLINK_NOFOLLOW) == 0 && S_ISSOCK(seen.st_mode))
-      unlinkat(folder_, name_.c_str(), 0);
+    bool found = fstatat(folder_, name_.c_str(), &seen, AT_SYMLINK_NOFOLLOW) == 0 && S_ISSOCK(seen.st_mode);
+    return found ? seen.st_ino : 0;
+  }
+  void clear() const {
+    if (file() != 0) unlinkat(folder_, name_.c_str(), 0);
   }
 
  private:
@@ -86,7 +89,8 @@
 }
 
 Succession::~Succession() {
-  if (listed_here_) Place(place_).clear();
+  // A successor's stands there in its place, also one that could not ask us.
+  if (Place place(place_); file_ != 0 && place.file() == file_) place.clear();
 }
 
 void Succession::serving() {
@@ -106,7 +110,7 @@
     loop_.log().warning() << "no handover at " << place_ << ": " << (error ? error->message : "no socket");
     return socket_.reset();
   }
-  listed_here_ = true;
+  file_ = place.file();
   GSource* source = g_socket_create_source(socket_.get(), G_IO_IN, nullptr);
   g_source_set_callback(source, G_SOURCE_FUNC(&Succession::knocked), this, nullptr);
   g_source_set_priority(source, G_PRIORITY_HIGH);
@@ -145,7 +149,6 @@
   if (!told) return void(loop_.log().warning() << "a word of the other process was not understood");
   if (told->what == Told::What::Caller && packet.socket)
     owner_.on_caller(std::move(packet.socket), told->asked);
-  if (told->what == Told::What::Serving) listed_here_ = false;  // the heir's name stands there now
   if (told->what == Told::What::Ordered) owner_.on_orders(told->orders), tell_orders(&from);
 }
 
--- a/sidecar/handover/succession.h
+++ b/sidecar/handover/succession.h
@@ -59,7 +59,7 @@
   std::unique_ptr<Channel> elder_, heir_;
   Ref<GSocket> socket_;
   Source source_;
-  bool listed_here_ = false;  // the file at the place is ours
+  std::uint64_t file_ = 0;  // at the place: ours
 };
 
 }  // namespace puffinvane
--- a/sidecar/wire/callers.cpp
+++ b/sidecar/wire/callers.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 constexpr double kSweep = 0.25;
+constexpr double kAtOnce = 0.02;   // where only so many may come: whole calls take no longer
+constexpr double kStopped = 0.3;   // and one that has begun it, for its next byte
 constexpr double kNewcomer = 0.1;  // seconds that a new connection has for its first request when all is full
 }  // namespace
 
@@ -58,17 +60,20 @@
 }
 
 bool Callers::drop_one() {
-  // Nothing was taken from any of them. Those that never sent a whole request go first: crowds that only
-  // connect would else push out callers between two visits.
+  // Nothing was taken from any of them. Those that never said a word go first, then those that stopped amid
+  // their first request, by how long they have been silent: crowds that only connect would else push out
+  // callers that are slow by right, or between two visits.
   double now = loop_.now();
-  auto before = [](const Client& one, const Client& other) {
-    if (one.newcomer() != other.newcomer()) return one.newcomer();
-    return one.used() < other.used();
+  auto rank = [](const Client& one) { return !one.newcomer() ? 2 : one.begun() ? 1 : 0; };
+  auto before = [rank](const Client& one, const Client& other) {
+    if (rank(one) != rank(other)) return rank(one) < rank(other);
+    return one.newcomer() ? one.heard() < other.heard() : one.used() < other.used();
   };
   Client* oldest = nullptr;
   for (auto& [key, client] : clients_) {
     if (oldest && !before(*client, *oldest)) continue;
-    bool spare = client->newcomer() ? now - client->used() > kNewcomer : client->idle() || client->lingers();
+    double silent = most_ > 0 ? kAtOnce : client->begun() ? kStopped : kNewcomer;
+    bool spare = client->newcomer() ? now - client->heard() > silent : client->idle() || client->lingers();
     if (spare) oldest = client.get();
   }
   if (oldest) oldest->part();
--- a/sidecar/wire/client.cpp
+++ b/sidecar/wire/client.cpp
@@ -11,7 +11,7 @@
 // Seconds that a connection on which nothing was ever sent may stand, and a body that makes a pause.
 constexpr double kHalf = 2.2;
 // Half a head: some take over two by right, and a caller that can't be served has to know within three.
-constexpr double kHalfHead = 2.75;
+constexpr double kHalfHead = 2.6;
 constexpr double kPace = 32 * 1024;  // bytes a second that a body has to make: half of what callers promise
 constexpr double kUnreadPart = 60;   // an answer of which nothing more goes out: the system holds megabytes
 // An answer that is not read; longer than any client timeout, as cutting it short would lose the visit.
--- a/sidecar/wire/client.h
+++ b/sidecar/wire/client.h
@@ -66,6 +66,8 @@
   // Ends what has stood for longer than is owed to it: half a request, nothing at all, an answer unread.
   void look(double now);
   double used() const { return used_; }
+  double heard() const { return heard_; }           // when its last byte came, or it did
+  bool begun() const { return reader_.started(); }  // some of a request has come
   int door() const { return door_; }                        // that it came in by
   void part_soon() { keep_alive_ = false, parts_ = true; }  // the next answer is the last
   std::optional<InHand> visit;
--- a/tests/bulk.cpp
+++ b/tests/bulk.cpp
@@ -125,12 +125,13 @@
     Listener& second = &first == &one ? other : one;
     Line fetch = first.take();
     assert(fetch.anything(1));
-    if (size > 1000000) {
+    if (size > 4000000) {  // more than the system holds for a connection
       fetch.text_until("never", 0.1);
       fetch.reset();  // before its last byte was written: it can't have run, but it is gone
       assert(caller.answer_status() == 503 && !second.knocked(0.1));
     } else {
-      fetch.reset();
+      assert(hear_long(fetch, HttpReader::Side::Request));
+      fetch.say("HTTP/1.1 503 Full\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n");
       Line again = second.take();
       auto request = hear_long(again, HttpReader::Side::Request);
       assert(request && request->body.text() == body);
--- a/tests/console.cpp
+++ b/tests/console.cpp
@@ -1,5 +1,7 @@
 // Stories of operators' calls, on the whole program over loopback: figures, exclusions, drains.
 #undef NDEBUG
+#include <algorithm>
+#include <atomic>
 #include <cassert>
 #include <cstdio>
 #include <vector>
@@ -146,6 +148,46 @@
   assert(yes && yes->status == 200 && yes->keep_alive && !again.anything(1.5));
 }
 
+// With few descriptors, and more connections than those that say nothing or half a request.
+void crowds_keep_neither_visits_nor_orders_out() {
+  Listener endpoint(2);
+  Running::Options options = with_console();
+  options.limits = R"({"sockets":128,"memory_mb":24})";
+  Running sidecar(entry("a", endpoint.address), options);
+  Line slow(sidecar.listen);
+  slow.say("GET /read/a HTTP/1.1\r\nX-Correlation-Id: slow\r\n");
+  std::atomic<bool> over = false;
+  std::thread slowly([&] {
+    for (; !over; sleep_for(0.05)) slow.say("X-Piece: x\r\n");
+  });
+  std::vector<Line> crowd;
+  std::optional<Line> fetch;
+  double worst = 0, cpu = sidecar.cpu_seconds();
+  for (int i = 0; i < 5; ++i) {
+    for (int k = 0; k < 60; ++k) {
+      crowd.emplace_back(sidecar.listen);
+      if (k % 2) crowd.back().say("GET /read/a HTTP/1.1\r\nX-Corr");
+    }
+    double asked = now();
+    assert(ask("GET", "/api/ready") == 200 && ask("GET", "/api/telemetry") == 200);
+    worst = std::max(worst, (now() - asked) / 2);
+    Line caller(sidecar.listen);
+    caller.say(get("", "n" + std::to_string(i)));
+    if (!fetch) fetch = endpoint.take();
+    assert(fetch->hear(HttpReader::Side::Request));
+    fetch->say(ok("x"));
+    assert(caller.answer_status() == 200 && now() - asked < 1);
+    sleep_for(0.1);
+  }
+  over = true, slowly.join();
+  slow.say("\r\n");  // a caller in progress was not closed for those that stand still
+  assert(fetch->hear(HttpReader::Side::Request));
+  fetch->say(ok("x"));
+  assert(slow.answer_status() == 200);
+  assert(sidecar.cpu_seconds() - cpu < 0.7);
+  std::printf("beside 300 idle or half connections: an operator's call takes %.4f s at the worst\n", worst);
+}
+
 }  // namespace
 
 int main(int count, char** words) {
@@ -156,4 +198,5 @@
   callers_that_hold_a_connection_keep_nobody_out();
   an_excluded_endpoint_gets_nothing_until_it_is_included();
   a_drained_sidecar_says_no_serves_on_and_parts();
+  crowds_keep_neither_visits_nor_orders_out();
 }
--- /dev/null
+++ b/tests/handover.cpp
@@ -0,0 +1,128 @@
+// What one process of a sidecar tells the next: said and read back, and any bytes at all in its place. The same
+// entry serves libFuzzer and, with a main of its own, what can be made of good packets and calls.
+#undef NDEBUG
+#include <cassert>
+#include <cstdint>
+#include <cstdio>
+#include <string>
+#include <vector>
+
+#include "sidecar/handover/message.h"
+#include "sidecar/wire/http.h"
+
+using namespace puffinvane;
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* bytes, std::size_t size) {
+  std::string_view text(reinterpret_cast<const char*>(bytes), size);
+  if (std::optional<Told> told = read_told(text, 0.5)) {
+    if (told->what == Told::What::Ordered) {
+      std::optional<Told> again = read_told(write_orders(told->orders), 0.5);
+      assert(again && again->orders.out.size() == told->orders.out.size());
+    }
+    if (told->what == Told::What::Listing) assert(told->list.entries.size() == told->list.addresses.size());
+  }
+  // The console's parser is the door's; a call's body is small.
+  Pool pool;
+  HttpReader reader(HttpReader::Side::Request, pool, 4096), parts(HttpReader::Side::Request, pool, 64, 1 << 20);
+  std::size_t used = reader.feed(text);
+  assert(used <= size && (!reader.whole() || reader.message().body.size() <= 4096));
+  Chain body(pool);
+  for (std::size_t at = 0; at < size && !parts.whole() && parts.fault() == HttpReader::Fault::None; ++at) {
+    parts.feed(text.substr(at, 1));  // byte by byte, its body taken as it comes
+    if (parts.in_body()) body.add(parts.take_part());
+  }
+  if (reader.whole()) {
+    assert(parts.whole());
+    body.add(parts.take_part());
+    assert(body.text() == reader.message().body.text());
+  }
+  return 0;
+}
+
+#ifndef PUFFINVANE_LIBFUZZER
+namespace {
+
+EndpointList some_list(std::size_t count) {
+  EndpointList list;
+  list.index = 41, list.whole = true;
+  for (std::size_t i = 0; i < count; ++i) {
+    Listed state = i % 3 == 0 ? Listed::Draining : Listed::Ready;
+    list.entries.push_back({"s-" + std::to_string(i), "z\"1", std::int64_t(i % 5), state, 0.5 + double(i), i % 2 ? 100.25 : 0});
+    list.addresses.push_back("127.0.0.1:" + std::to_string(5000 + i));
+  }
+  return list;
+}
+
+void a_list_of_any_length_is_read_back_as_it_was() {
+  for (std::size_t count : {0u, 1u, 400u, 1201u}) {
+    EndpointList list = some_list(count), back;
+    for (const std::string& packet : write_listing(list, 1000)) {
+      assert(packet.size() < 128 * 1024);
+      std::optional<Told> told = read_told(packet, 1000);
+      assert(told && told->what == Told::What::Listing && told->list.index == 41);
+      for (const ListEntry& entry : told->list.entries) back.entries.push_back(entry);
+      for (const std::string& address : told->list.addresses) back.addresses.push_back(address);
+    }
+    assert(back.entries.size() == count && back.addresses == list.addresses);
+    for (std::size_t i = 0; i < count; ++i) {
+      const ListEntry &one = list.entries[i], &other = back.entries[i];
+      assert(one.endpoint == other.endpoint && one.zone == other.zone && one.cell == other.cell &&
+             one.state == other.state && one.units == other.units && one.online_since == other.online_since);
+    }
+  }
+}
+
+void orders_are_read_back_as_they_were() {
+  Orders orders{{{"a \"quoted\"\n", 12.5}, {"b", 0}}, 7.25};
+  std::optional<Told> told = read_told(write_orders(orders), 0);
+  assert(told && told->orders == orders);
+  told = read_told(write_orders({}), 0);
+  assert(told && told->orders == Orders());
+}
+
+void another_format_is_not_understood() {
+  std::string newer = write_whole();
+  newer.replace(newer.find("\"format\":1"), 10, "\"format\":2");
+  assert(read_told(write_whole(), 0) && !read_told(newer, 0) && !read_told("", 0) && !read_told("[]", 0));
+  assert(!read_told(R"({"format":1,"say":"unheard of"})", 0) && !read_told(R"({"format":1,"say":"ordered"})", 0));
+}
+
+std::uint64_t state = 42;
+std::size_t below(std::size_t n) {  // xorshift: the same inputs at every run
+  state ^= state << 13, state ^= state >> 7, state ^= state << 17;
+  return state % n;
+}
+
+void any_bytes_end_well() {
+  std::vector<std::string> corpus = write_listing(some_list(3), 0);
+  corpus.insert(corpus.end(), {write_orders({{{"a", 1}}, 2}), write_caller(true), write_door(), write_whole(),
+                               "PUT /api/exclude HTTP/1.1\r\nContent-Length: 3\r\n\r\ns-1",
+                               "POST http://h/a?b HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n5;x=y\r\nhello\r\n0\r\nT: v\r\n\r\n"});
+  long runs = 0;
+  for (const std::string& whole : corpus) {
+    for (int i = 0; i < 2000; ++i, ++runs) {
+      std::string text = whole;
+      for (std::size_t k = below(4); k > 0 && !text.empty(); --k) {
+        std::size_t at = below(text.size());
+        switch (below(4)) {
+          case 0: text.resize(at); break;
+          case 1: text[at] = char(below(256)); break;
+          case 2: text.erase(at, 1 + below(9)); break;
+          default: text.insert(at, text.substr(below(text.size()), below(40)));
+        }
+      }
+      LLVMFuzzerTestOneInput(reinterpret_cast<const std::uint8_t*>(text.data()), text.size());
+    }
+  }
+  std::printf("handover: %ld inputs, all well\n", runs);
+}
+
+}  // namespace
+
+int main() {
+  a_list_of_any_length_is_read_back_as_it_was();
+  orders_are_read_back_as_they_were();
+  another_format_is_not_understood();
+  any_bytes_end_well();
+}
+#endif
--- a/tests/upgrade.cpp
+++ b/tests/upgrade.cpp
@@ -174,6 +174,33 @@
   kill(elder.child(), SIGCONT);
 }
 
+// A stand-in for the elder, which says so many of its packets and dies.
+void an_elder_that_dies_amid_its_account_or_speaks_otherwise_keeps_nobody_from_starting() {
+  Listener discovery(9);
+  Answering endpoint(2);
+  std::string place = std::string(std::getenv("TMPDIR")) + "/puffinvane-" + here(1) + ":5001";
+  const std::vector<std::string> account = {
+      R"({"format":1,"say":"listing","list":{"index":900,"snapshot":true,"endpoints":[]}})",
+      R"({"format":1,"say":"ordered","out":{"a":1.0}})", R"({"format":9,"say":"whole"})"};
+  for (std::size_t says = 0; says <= account.size(); ++says) {
+    std::filesystem::remove(place);
+    int elder = socket(AF_UNIX, SOCK_SEQPACKET | SOCK_CLOEXEC, 0);
+    sockaddr_un at{};
+    at.sun_family = AF_UNIX;
+    place.copy(at.sun_path, sizeof at.sun_path - 1);
+    assert(bind(elder, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0 && listen(elder, 4) == 0);
+    std::thread dies([&] {
+      int heir = accept4(elder, nullptr, nullptr, SOCK_CLOEXEC);
+      for (std::size_t i = 0; i < says; ++i) send(heir, account[i].data(), account[i].size(), MSG_NOSIGNAL);
+      close(heir);
+    });
+    Running alone(entry("a", endpoint.listener.address), options(0, discovery));
+    dies.join(), close(elder);
+    wait_ready(0);
+    assert(alone.status_of(get()) == 200);  // nothing that it half heard counts
+  }
+}
+
 void a_killed_process_leaves_a_socket_file_that_stops_nobody() {
   Listener discovery(9);
   Answering endpoint(2);
@@ -195,6 +222,7 @@
   orders_go_over_and_are_heard_by_both();
   an_heir_that_dies_before_its_yes_changes_nothing();
   a_silent_elder_or_a_strange_file_keeps_nobody_from_starting();
+  an_elder_that_dies_amid_its_account_or_speaks_otherwise_keeps_nobody_from_starting();
   a_killed_process_leaves_a_socket_file_that_stops_nobody();
   std::filesystem::remove_all(folder);
 }
