Five visits an endpoint, of all sidecars, always have room

Cause: on bulk+slow+pieces every loss was a bounce at the first tier with 6 to 11 visits in flight over 4 steady endpoints, load just over the recent rate: two sidecars of 14 visits a second each meet chance, not a crowd (a trace of each bounce showed it; over share, aside, trickle and held patience were none of them the cause). Floor 3 to 5.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -27,7 +27,7 @@
 constexpr double kRoom = 0.6, kStretch = 1.9;  // of a target latency, and of calm, that visits may spend
 constexpr int kDealt = 4;  // endpoints a sidecar, and sidecars an endpoint, that a part must leave at least
 constexpr std::uint64_t kMixer = 0xff51afd7ed558ccdULL;  // odd and well spread: parts names that look alike
-constexpr double kFloor = 3, kFirstSeconds = 3;  // visits an endpoint, of all sidecars, that need no room
+constexpr double kFloor = 5, kFirstSeconds = 3;  // visits an endpoint, of all sidecars, that need no room
 constexpr std::size_t kCalmSeconds = 40, kRateTicks = 80, kLeastTicks = 20, kPassTicks = 15;
 constexpr double kLeastPatience = 0.2, kMostPatience = 0.8;  // of the target latency that a visit may be held
 constexpr double kSlowEndpoint = 1.5;                        // times calm: lateness may be the endpoint's own
