--- a/operations/tests/operations.cpp
+++ b/operations/tests/operations.cpp
@@ -1,12 +1,12 @@
 // Stories of what operators ordered, without a socket: a host that writes down what it is asked for.
 #undef NDEBUG
+#include "operations/operations.h"
+
 #include <cassert>
 #include <set>
 #include <string>
 #include <vector>
 
-#include "operations/operations.h"
-
 using namespace puffinvane;
 
 namespace {
--- a/rehearsal/script/script.cpp
+++ b/rehearsal/script/script.cpp
@@ -37,12 +37,23 @@
       {Trouble::SidecarKill, "sidecar-kill", "SIGKILL, started again after 'for'"},
       {Trouble::SidecarStop, "sidecar-stop", "SIGSTOP, SIGCONT after 'for'"},
       {Trouble::SidecarHup, "sidecar-hup", "discovery moves and its file says so, SIGHUP"},
-      {Trouble::SiteReload, "site-reload", "its site is written anew in another version, SIGHUP"}};
+      {Trouble::SiteReload, "site-reload", "its site is written anew in another version, SIGHUP"},
+      {Trouble::SidecarUpgrade, "sidecar-upgrade",
+       "a second process takes over, SIGTERM to the first at its yes"},
+      {Trouble::SidecarEmpty, "sidecar-empty", "is emptied by an operator's call, called back after 'for'"},
+      {Trouble::Exclude, "exclude", "is taken out by operators' calls, back in after 'for'"}};
   return kNames;
 }
 
 const char* name_of(Trouble kind) { return trouble_names()[std::size_t(kind)].name; }
 
+bool Script::operated() const {
+  return std::any_of(faults.begin(), faults.end(), [](const Fault& fault) {
+    return fault.kind == Trouble::SidecarUpgrade || fault.kind == Trouble::SidecarEmpty ||
+           fault.kind == Trouble::Exclude;
+  });
+}
+
 Script default_script() {
   Script made;
   made.name = "default";
@@ -298,7 +309,7 @@
   bool reloads = std::any_of(script.faults.begin(), script.faults.end(),
                              [](const Fault& fault) { return fault.kind == Trouble::SiteReload; });
   if (reloads && !script.sites) throw Unusable("fault 'site-reload' needs sites = true");
-  auto sidecar_trouble = [](Trouble kind) { return kind >= Trouble::ListSilent; };
+  auto sidecar_trouble = [](Trouble kind) { return kind >= Trouble::ListSilent && kind != Trouble::Exclude; };
   for (const Fault& fault : script.faults) {
     if (fault.kind == Trouble::Burst) continue;
     std::string tier = fault.on.substr(0, fault.on.find('/'));
--- a/rehearsal/script/script.h
+++ b/rehearsal/script/script.h
@@ -88,7 +88,10 @@
   SidecarKill,
   SidecarStop,
   SidecarHup,
-  SiteReload
+  SiteReload,
+  SidecarUpgrade,
+  SidecarEmpty,
+  Exclude
 };
 
 struct Fault {
@@ -121,6 +124,7 @@
   ClientPlan clients;
   std::vector<Fault> faults;
 
+  bool operated() const;  // operators call its sidecars
   Bounds bounds() const;
 };
 
--- a/rehearsal/world/fleet.cpp
+++ b/rehearsal/world/fleet.cpp
@@ -129,7 +129,10 @@
                                    {Trouble::SidecarKill, &Fleet::kill},
                                    {Trouble::SidecarStop, &Fleet::stop},
                                    {Trouble::SidecarHup, &Fleet::hup},
-                                   {Trouble::SiteReload, &Fleet::reload_site}};
+                                   {Trouble::SiteReload, &Fleet::reload_site},
+                                   {Trouble::SidecarUpgrade, &Fleet::upgrade},
+                                   {Trouble::SidecarEmpty, &Fleet::empty},
+                                   {Trouble::Exclude, &Fleet::exclude}};
 
 Address Fleet::new_address() { return {host_, next_port_++}; }
 
@@ -222,6 +225,7 @@
                                 int(tiers_[std::size_t(of_tier_[at])].sidecars.size()));
   told.seed = seed_ * 1000003 + std::uint64_t(sidecar) * 101 + std::uint64_t(processes_[at]->starts());
   told.descriptors = world_.script.descriptors, told.memory_mb = world_.script.memory_mb;
+  if (world_.script.operated()) told.console = new_address().text();
   return told;
 }
 
@@ -461,6 +465,43 @@
   }
 }
 
+void Fleet::upgrade(const Fault& fault, bool begins) {
+  if (!begins) return;
+  for (int sidecar : chosen_sidecars(fault)) processes_[std::size_t(sidecar)]->succeed(told_to(sidecar));
+}
+
+void Fleet::empty(const Fault& fault, bool begins) {
+  for (int sidecar : chosen_sidecars(fault)) {
+    processes_[std::size_t(sidecar)]->call(
+        begins ? "evacuate" : "rejoin", "", [this, sidecar, begins](int status) {
+          if (status != 200) return;
+          world_.loop.at(world_.loop.now() + kFrontHears,
+                         [this, sidecar, begins] { clients_->avoid(sidecar, begins); });
+        });
+  }
+}
+
+// What operators say binds as discovery's word does, from the yes on.
+void Fleet::exclude(const Fault& fault, bool begins) {
+  int tier = tier_of(fault);
+  for (std::size_t which : chosen(fault)) {
+    for (int sidecar : tiers_[std::size_t(tier)].sidecars) {
+      auto told = [this, tier, which, sidecar](Event::State state) {
+        Event event{Event::Kind::Told};
+        event.sidecar = sidecar, event.state = state;
+        event.endpoint = tiers_[std::size_t(tier)].endpoints[which]->number();
+        world_.did(event);
+      };
+      if (!begins) told(Event::State::Ready);
+      processes_[std::size_t(sidecar)]->call(begins ? "exclude" : "include",
+                                             entry(tier, which, sidecar, Event::State::Ready).name,
+                                             [told, begins](int status) {
+                                               if (begins && status == 200) told(Event::State::Draining);
+                                             });
+    }
+  }
+}
+
 void Fleet::reload_site(const Fault& fault, bool begins) {
   if (!begins) return;
   for (int sidecar : chosen_sidecars(fault)) {
--- a/rehearsal/world/fleet.h
+++ b/rehearsal/world/fleet.h
@@ -65,6 +65,9 @@
   void stop(const Fault& fault, bool begins);
   void hup(const Fault& fault, bool begins);
   void reload_site(const Fault& fault, bool begins);
+  void upgrade(const Fault& fault, bool begins);
+  void empty(const Fault& fault, bool begins);
+  void exclude(const Fault& fault, bool begins);
 
   void on_ready(Process& process) override;
   void on_left(Process& process) override;
--- a/rehearsal/world/process.cpp
+++ b/rehearsal/world/process.cpp
@@ -5,6 +5,7 @@
 #include <signal.h>
 #include <sys/prctl.h>
 #include <sys/resource.h>
+#include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -49,29 +50,28 @@
   return usage;
 }
 
-// Asks for /healthz until it is 200.
+// Asks once, on a connection of its own; status 0: no whole answer came.
 class Process::Probe final : Line::Owner {
  public:
-  Probe(Process& process, const Address& to)
-      : process_(process), line_(process.world_.loop, *this), reader_(Reader::Of::Answers) {
+  Probe(World& world, const Address& to, const std::string& request, std::function<void(int status)> then)
+      : then_(std::move(then)), line_(world.loop, *this), reader_(Reader::Of::Answers) {
     up_ = line_.connect(to);
-    if (up_) line_.send("GET /healthz HTTP/1.1\r\nHost: sidecar\r\nConnection: close\r\n\r\n");
+    if (up_) line_.send(request);
   }
   bool failed() const { return !up_; }
 
  private:
   void on_bytes(Line&, std::string_view bytes) override {
     reader_.feed(bytes);
-    if (!reader_.whole()) return;
-    up_ = false;
+    if (reader_.whole()) over(reader_.take().status);
+  }
+  void on_end(Line&, bool) override { over(0); }
+  void over(int status) {
+    if (!std::exchange(up_, false)) return;
     line_.close();
-    if (reader_.take().status != 200 || process_.phase_ != Phase::Starting) return;
-    process_.phase_ = Phase::Ready;
-    process_.see(Event::Kind::SidecarUp);
-    process_.owner_.on_ready(process_);
+    then_(status);
   }
-  void on_end(Line&, bool) override { up_ = false; }
-  Process& process_;
+  std::function<void(int status)> then_;
   Line line_;
   Reader reader_;
   bool up_ = false;
@@ -87,9 +87,9 @@
 
 Process::~Process() {
   life_.reset();
-  if (process_ <= 0) return;
-  ::kill(process_, SIGKILL);
-  waitpid(process_, nullptr, 0);
+  for (pid_t one : {process_, heir_}) {
+    if (one > 0) ::kill(one, SIGKILL), waitpid(one, nullptr, 0);
+  }
 }
 
 void Process::see(Event::Kind kind, double figure, int status) {
@@ -120,25 +120,36 @@
     file << R"({"name":")" << told.name << R"(","listen":")" << told.listen << R"(","discovery":")"
          << told.discovery << R"(","seed":")" << seed << R"(","limits":{"cores":1.0,"memory_mb":)"
          << told.memory_mb << R"(,"sockets":)" << told.descriptors << R"(},"known":)" << told.known
-         << R"(,"settings":)" << told.settings << "}\n";
+         << (told.console.empty() ? "" : R"(,"console":")" + told.console + '"') << R"(,"settings":)"
+         << told.settings << "}\n";
   }
   std::rename(fresh.c_str(), path.c_str());
 }
 
 void Process::start(const Told& told) {
   if (phase_ != Phase::Down) return;
+  process_ = spawn(told);
+  listen_ = told.listen, console_ = told.console;
+  phase_ = Phase::Starting;
+  last_ = Usage();
+  probe();
+}
+
+pid_t Process::spawn(const Told& told) {
   write_file(told);
-  listen_ = told.listen;
   ++starts_;
+  std::string scratch = folder_ + "/" + told.name + ".tmp";
+  mkdir(scratch.c_str(), 0755);
   std::string log = folder_ + "/" + told.name + ".log", config = folder_ + "/" + told.name + ".json";
   rlim_t descriptors = rlim_t(told.descriptors);
-  process_ = fork();
-  if (process_ == 0) {
+  pid_t started = fork();
+  if (started == 0) {
     prctl(PR_SET_PDEATHSIG, SIGKILL);
     int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     dup2(out, 1), dup2(out, 2);
     rlimit most{descriptors, descriptors};
     setrlimit(RLIMIT_NOFILE, &most);
+    setenv("TMPDIR", scratch.c_str(), 1);
     setenv("BALANCER_CONFIG", config.c_str(), 1);
     setenv("BALANCER_NAME", told.name.c_str(), 1);
     setenv("BALANCER_LISTEN", told.listen.c_str(), 1);
@@ -148,17 +159,52 @@
     execl("/bin/sh", "sh", "-c", line.c_str(), nullptr);
     _exit(127);
   }
-  if (process_ < 0) throw std::runtime_error(std::string("can't start a sidecar: ") + std::strerror(errno));
-  phase_ = Phase::Starting;
-  last_ = Usage();
-  probe();
+  if (started < 0) throw std::runtime_error(std::string("can't start a sidecar: ") + std::strerror(errno));
+  return started;
+}
+
+void Process::ask(const std::string& at, const std::string& request, std::function<void(int status)> then) {
+  std::erase_if(calls_, [](const auto& call) { return call->failed(); });
+  calls_.push_back(std::make_unique<Probe>(world_, read_address(at), request, std::move(then)));
+}
+
+void Process::call(const std::string& order, const std::string& body, std::function<void(int status)> then) {
+  if (phase_ != Phase::Ready || console_.empty()) return;
+  ask(console_,
+      "PUT /api/" + order + " HTTP/1.1\r\nHost: console\r\nContent-Length: " + std::to_string(body.size()) +
+          "\r\n\r\n" + body,
+      std::move(then));
+}
+
+void Process::succeed(const Told& told) {
+  if (phase_ != Phase::Ready || heir_ > 0 || told.console.empty()) return;
+  heir_ = spawn(told), heir_console_ = told.console;
+  await_heir();
+}
+
+void Process::await_heir() {
+  world_.loop.at(world_.loop.now() + kProbeEvery, [this, life = std::weak_ptr<int>(life_)] {
+    if (life.expired() || heir_ <= 0) return;
+    ask(heir_console_, "GET /api/ready HTTP/1.1\r\nHost: console\r\n\r\n", [this](int status) {
+      if (status != 200) return await_heir();
+      ::kill(process_, SIGTERM);
+    });
+  });
 }
 
 void Process::probe() {
   if (phase_ != Phase::Starting) return;
   if (!probe_ || probe_->failed()) {
     world_.loop.bury(std::move(probe_));
-    probe_ = std::make_unique<Probe>(*this, read_address(listen_));
+    auto ready = [this](int status) {
+      if (status != 200 || phase_ != Phase::Starting) return;
+      phase_ = Phase::Ready;
+      see(Event::Kind::SidecarUp);
+      owner_.on_ready(*this);
+    };
+    probe_ =
+        std::make_unique<Probe>(world_, read_address(listen_),
+                                "GET /healthz HTTP/1.1\r\nHost: sidecar\r\nConnection: close\r\n\r\n", ready);
   }
   world_.loop.at(world_.loop.now() + kProbeEvery, [this, life = std::weak_ptr<int>(life_)] {
     if (!life.expired()) probe();
@@ -202,6 +248,11 @@
   if (phase_ == Phase::Down) return;
   int status = 0;
   if (waitpid(process_, &status, WNOHANG) == process_) {
+    if (heir_ > 0 && WIFEXITED(status) && WEXITSTATUS(status) == 0) {  // it gave way, as it should
+      process_ = std::exchange(heir_, -1), console_ = heir_console_;
+      cpu_before_ += std::exchange(last_, Usage()).cpu;
+      return;
+    }
     bool clean = phase_ == Phase::Leaving && WIFEXITED(status) && WEXITSTATUS(status) == 0;
     if (!clean)
       see(Event::Kind::SidecarCrashed, 0, WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status));
--- a/rehearsal/world/process.h
+++ b/rehearsal/world/process.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "rehearsal/world/world.h"
 
@@ -23,7 +24,8 @@
 
 struct Told {  // to one sidecar, in its file
   std::string name, listen, discovery, known, settings;
-  std::string site;  // not empty: it serves this, and is told nothing else
+  std::string console;  // where operators call; empty: nowhere
+  std::string site;     // not empty: it serves this, and is told nothing else
   std::uint64_t seed = 1;
   int descriptors = 512, memory_mb = 64;
 };
@@ -47,6 +49,9 @@
   void start(const Told& told);
   void write_file(const Told& told) const;
   void terminate();
+  // A second process beside it, which it gives way to. Both are this one sidecar: nothing of it is excused.
+  void succeed(const Told& told);
+  void call(const std::string& order, const std::string& body, std::function<void(int status)> then);
   void kill();
   void pause(double span);
   void hang_up();
@@ -64,6 +69,9 @@
 
  private:
   class Probe;
+  pid_t spawn(const Told& told);
+  void ask(const std::string& at, const std::string& request, std::function<void(int status)> then);
+  void await_heir();
   void probe();
   void gone();
   void see(Event::Kind kind, double figure = 0, int status = 0);
@@ -72,9 +80,10 @@
   Owner& owner_;
   const int sidecar_, tier_;
   const std::string command_, folder_;
-  std::string listen_;
+  std::string listen_, console_, heir_console_;
   Phase phase_ = Phase::Down;
-  pid_t process_ = -1;
+  pid_t process_ = -1, heir_ = -1;
+  std::vector<std::unique_ptr<Probe>> calls_;
   int starts_ = 0, paused_ = 0;
   double leave_by_ = 0, cpu_before_ = 0;
   Usage last_, most_;
--- a/sidecar/handover/channel.cpp
+++ b/sidecar/handover/channel.cpp
@@ -33,7 +33,8 @@
 }  // namespace
 
 Ref<GSocket> handover_socket() {
-  Ref<GSocket> made(g_socket_new(G_SOCKET_FAMILY_UNIX, G_SOCKET_TYPE_SEQPACKET, G_SOCKET_PROTOCOL_DEFAULT, nullptr));
+  Ref<GSocket> made(
+      g_socket_new(G_SOCKET_FAMILY_UNIX, G_SOCKET_TYPE_SEQPACKET, G_SOCKET_PROTOCOL_DEFAULT, nullptr));
   if (made) g_socket_set_blocking(made.get(), FALSE);
   return made;
 }
@@ -77,8 +78,8 @@
   }
   GSocketControlMessage* message = with.get();
   GError* raw = nullptr;
-  gssize sent = g_socket_send_message(socket_.get(), nullptr, &out, 1, with ? &message : nullptr, with ? 1 : 0,
-                                      0, nullptr, &raw);
+  gssize sent = g_socket_send_message(socket_.get(), nullptr, &out, 1, with ? &message : nullptr,
+                                      with ? 1 : 0, 0, nullptr, &raw);
   Error error(raw);
   return sent >= 0;
 }
@@ -95,7 +96,8 @@
 
 void Channel::flush() {
   while (!over_ && !waiting_.empty() && write(waiting_.front(), nullptr)) waiting_.pop_front();
-  loop_.watch(g_socket_get_fd(socket_.get()), EPOLLIN | (waiting_.empty() ? 0u : std::uint32_t(EPOLLOUT)), *this);
+  loop_.watch(g_socket_get_fd(socket_.get()), EPOLLIN | (waiting_.empty() ? 0u : std::uint32_t(EPOLLOUT)),
+              *this);
 }
 
 void Channel::on_ready(std::uint32_t) {
--- a/sidecar/handover/message.cpp
+++ b/sidecar/handover/message.cpp
@@ -29,8 +29,12 @@
     for (std::size_t i = from; i < std::min(list.entries.size(), from + kEntriesAPacket); ++i) {
       const ListEntry& one = list.entries[i];
       double since = one.online_since > 0 ? std::round((one.online_since + clock_offset) * 1000) : 0;
-      entries.push_back({{"name", one.endpoint}, {"address", list.addresses[i]}, {"zone", one.zone},
-                         {"group", one.cell}, {"status", status_of(one.state)}, {"weight", one.units},
+      entries.push_back({{"name", one.endpoint},
+                         {"address", list.addresses[i]},
+                         {"zone", one.zone},
+                         {"group", one.cell},
+                         {"status", status_of(one.state)},
+                         {"weight", one.units},
                          {"since_ms", since}});
     }
     json packet = head(Told::What::Listing);
--- a/sidecar/handover/succession.cpp
+++ b/sidecar/handover/succession.cpp
@@ -19,7 +19,8 @@
     std::size_t slash = path.rfind('/');
     folder_ = ::open(path.substr(0, slash).c_str(), O_PATH | O_DIRECTORY | O_CLOEXEC);
     name_ = path.substr(slash + 1);
-    address_.reset(g_unix_socket_address_new(("/proc/self/fd/" + std::to_string(folder_) + "/" + name_).c_str()));
+    address_.reset(
+        g_unix_socket_address_new(("/proc/self/fd/" + std::to_string(folder_) + "/" + name_).c_str()));
   }
   Place(const Place&) = delete;
   Place& operator=(const Place&) = delete;
@@ -51,7 +52,8 @@
   return std::string(folder) + "/puffinvane-" + std::string(listen);
 }
 
-std::optional<Inheritance> claim(const std::string& place, double clock_offset, double within, std::string& why) {
+std::optional<Inheritance> claim(const std::string& place, double clock_offset, double within,
+                                 std::string& why) {
   Inheritance left;
   left.elder = handover_socket();
   if (place.empty() || !left.elder) return {};
--- a/sidecar/handover/succession.h
+++ b/sidecar/handover/succession.h
@@ -22,7 +22,8 @@
 std::string meeting_place(std::string_view listen);
 // Asks there; nothing if nobody answers whole within that time, with why in a few words if somebody should
 // have. Blocks: nothing is served yet.
-std::optional<Inheritance> claim(const std::string& place, double clock_offset, double within, std::string& why);
+std::optional<Inheritance> claim(const std::string& place, double clock_offset, double within,
+                                 std::string& why);
 
 class Succession final : Channel::Owner {
  public:
--- a/sidecar/lifecycle/run.cpp
+++ b/sidecar/lifecycle/run.cpp
@@ -88,9 +88,11 @@
 Inheritance take_over(Log& log, Assignment& assignment, double offset) {
   std::string why;
   std::optional<Inheritance> inherited = claim(meeting_place(assignment.listen), offset, kClaim, why);
-  if (!why.empty()) log.warning() << assignment.name << " starts alone: there is an older process, but " << why;
+  if (!why.empty())
+    log.warning() << assignment.name << " starts alone: there is an older process, but " << why;
   if (!inherited) return {};
-  if (inherited->list && inherited->list->index >= assignment.known.index) assignment.known = *inherited->list;
+  if (inherited->list && inherited->list->index >= assignment.known.index)
+    assignment.known = *inherited->list;
   log.info() << assignment.name << " takes over from an older process";
   return std::move(*inherited);
 }
--- a/sidecar/lifecycle/sidecar.cpp
+++ b/sidecar/lifecycle/sidecar.cpp
@@ -30,7 +30,8 @@
       assigned_in_(std::move(assigned_in)),
       admission_(loop, assignment_.memory / kBufferShare),
       carrier_(loop, admission_, assignment_.deployment, assignment_.seed,
-               watching(assignment_.watched, differences_, make), Manner{false, HttpReader::kMostBody, "", true}),
+               watching(assignment_.watched, differences_, make),
+               Manner{false, HttpReader::kMostBody, "", true}),
       callers_(loop, admission_, *this, HttpReader::kMostBody, 0, HttpReader::kMostStreamed),
       door_(loop, callers_),
       watch_(loop, carrier_, assignment_.discovery, clock_offset, assignment_.known.index),
@@ -38,8 +39,8 @@
       inherited_(std::move(inherited)) {
   if (assignment_.console.empty()) return;
   if (inherited_.elder) admission_.share(true);
-  succession_.emplace(loop, static_cast<Succession::Owner&>(*this), meeting_place(assignment_.listen), clock_offset,
-                      std::move(inherited_.elder));
+  succession_.emplace(loop, static_cast<Succession::Owner&>(*this), meeting_place(assignment_.listen),
+                      clock_offset, std::move(inherited_.elder));
   console_.emplace(loop, admission_, operations_, static_cast<Console::Owner&>(*this));
 }
 
--- a/sidecar/lifecycle/sidecar.h
+++ b/sidecar/lifecycle/sidecar.h
@@ -63,7 +63,7 @@
   Operations operations_;
   Inheritance inherited_;
   std::optional<Succession> succession_;  // none: with nobody to order it, nobody to follow it either
-  std::optional<Console> console_;  // none: operators call nowhere
+  std::optional<Console> console_;        // none: operators call nowhere
   Alive alive_;
 };
 
--- a/sidecar/wire/backend.cpp
+++ b/sidecar/wire/backend.cpp
@@ -13,7 +13,8 @@
 constexpr double kStopped = 0.3;
 // The same in an answer that is passed on already: nothing better can be done with it.
 constexpr double kCutOff = 5;
-constexpr double kLongInComing = 0.15;  // an answer without a length goes on from here: it may be a slow long one
+constexpr double kLongInComing =
+    0.15;  // an answer without a length goes on from here: it may be a slow long one
 }  // namespace
 
 // An answer may come before the request is written whole: it counts, but what is left of the request can't
@@ -48,8 +49,7 @@
       owner_(&owner),
       endpoint_(std::move(endpoint)),
       stream_(loop, *this),
-      reader_(HttpReader::Side::Answer, loop.pool(), most_body,
-              streams ? HttpReader::kMostStreamed : 0) {}
+      reader_(HttpReader::Side::Answer, loop.pool(), most_body, streams ? HttpReader::kMostStreamed : 0) {}
 
 void Backend::turn(Input input) { step(kRows, *this, state_, input); }
 
@@ -102,7 +102,8 @@
     } else if (too_long_to_hold()) {
       // Before the request is written whole that is no answer to it. What it says then is not worth holding.
       if (state_ == State::Sending) return turn(Input::Nonsense);
-      owner_->outcome_of(reader_.message()) == Outcome::Delivered ? turn(Input::Begun) : turn(Input::Nonsense);
+      owner_->outcome_of(reader_.message()) == Outcome::Delivered ? turn(Input::Begun)
+                                                                  : turn(Input::Nonsense);
     }
     return;
   }
@@ -118,7 +119,8 @@
     if (state_ == State::Awaiting && too_long_to_hold() &&
         owner_->outcome_of(reader_.message()) == Outcome::Delivered)
       turn(Input::Begun);
-    loop_.now() - heard_ >= (state_ == State::Relaying ? kCutOff : kStopped) ? turn(Input::Stopped) : watch_answer(of);
+    loop_.now() - heard_ >= (state_ == State::Relaying ? kCutOff : kStopped) ? turn(Input::Stopped)
+                                                                             : watch_answer(of);
   }));
 }
 
--- a/sidecar/wire/backend.h
+++ b/sidecar/wire/backend.h
@@ -24,7 +24,8 @@
     virtual Chain on_ready(Backend& backend) = 0;
     // What comes next of a request's body, once all before is written; `whole`: after it there is no more.
     virtual Chain on_next(Backend& backend, bool& whole) = 0;
-    // An answer too long to be held: its head with what there is of its body, and then the rest, part by part.
+    // An answer too long to be held: its head with what there is of its body, and then the rest, part by
+    // part.
     virtual void on_begun(Backend& backend, HttpMessage answer, std::optional<std::size_t> size) = 0;
     virtual void on_more(Backend& backend, Chain bytes) = 0;
     virtual void on_finished(Backend& backend, Chain bytes) = 0;
@@ -38,7 +39,7 @@
   Backend(Loop& loop, Owner& owner, std::string endpoint, std::size_t most_body, bool streams);
   bool connect(std::string_view address, double timeout);  // false: it can't even begin
   void carry(Carried fetch, bool head);                    // once up, or at once on an idle connection
-  void push();                    // more of the request's body has come
+  void push();                                             // more of the request's body has come
   void hold_back(bool on) { stream_.read(!on), heard_ = loop_.now(); }  // of its answer
   void give_up() { stream_.close(), state_ = State::Over; }
   void pass_to(Owner& owner) { owner_ = &owner; }  // only while idle
@@ -51,7 +52,18 @@
 
  private:
   enum class State { Connecting, Idle, Sending, Awaiting, Relaying, Over };
-  enum class Input { Connected, Fetch, Written, Answered, AnsweredLast, Begun, Nonsense, Stopped, Ended, TimedOut };
+  enum class Input {
+    Connected,
+    Fetch,
+    Written,
+    Answered,
+    AnsweredLast,
+    Begun,
+    Nonsense,
+    Stopped,
+    Ended,
+    TimedOut
+  };
   static const Row<Backend, State, Input> kRows[];
   void turn(Input input);
   void write();
--- a/sidecar/wire/callers.cpp
+++ b/sidecar/wire/callers.cpp
@@ -32,7 +32,8 @@
 void Callers::take_over(Ref<GSocket> socket, bool asked) { enter(std::move(socket), 0, asked); }
 
 void Callers::enter(Ref<GSocket> socket, int door, bool asked) {
-  auto client = std::make_unique<Client>(loop_, *this, std::move(socket), door, most_body_, most_streamed_, asked);
+  auto client =
+      std::make_unique<Client>(loop_, *this, std::move(socket), door, most_body_, most_streamed_, asked);
   const Client* key = client.get();
   clients_.emplace(key, std::move(client));
 }
--- a/sidecar/wire/callers.h
+++ b/sidecar/wire/callers.h
@@ -26,7 +26,7 @@
   bool empty() const { return clients_.empty(); }
   std::size_t most() const { return most_; }
   void last_call(bool on) { last_call_ = on; }  // answers are the last on their connections from here on
-  void close_idle(double longer_than = 0);  // seconds
+  void close_idle(double longer_than = 0);      // seconds
   void close_door(int door);  // who came in by it gets the answer in hand, and that is the last
 
   // Those between two visits, to whoever takes them: `take` says whether it did.
--- a/sidecar/wire/carrier.cpp
+++ b/sidecar/wire/carrier.cpp
@@ -13,7 +13,7 @@
 namespace {
 constexpr double kIdleShare = 0.7;  // of the time after which endpoints close: a fetch must not cross that
 constexpr double kSweep = 0.25;
-constexpr std::size_t kLately = 256;  // endpoints that are known though no longer listed
+constexpr std::size_t kLately = 256;             // endpoints that are known though no longer listed
 constexpr std::size_t kInOne = 64 * 1024;        // of a body, written at a time
 constexpr std::size_t kMostUnsent = 256 * 1024;  // of one that streams, before it has a connection
 constexpr double kUploading = 3600;              // seconds: longer than any body takes at the least pace
@@ -155,7 +155,7 @@
   if (!visit || visit->concluded()) return;
   Client& client = *std::exchange(visit->client, nullptr);
   client.visit.reset();
-  figures_.note(number_of(*visit->prefix), status == 503 && !from ? Ended::Bounced
+  figures_.note(number_of(*visit->prefix), status == 503 && !from   ? Ended::Bounced
                                            : status == 502 && !from ? Ended::Errored
                                            : status < 500           ? Ended::Delivered
                                                                     : Ended::Errored);
@@ -421,7 +421,9 @@
 std::size_t Carrier::under_way() const { return visits_.under_way(); }
 
 std::size_t Carrier::avoided() const {
-  auto going = [this](const auto& one) { return one.second.state != Listed::Ready || out_.contains(one.first); };
+  auto going = [this](const auto& one) {
+    return one.second.state != Listed::Ready || out_.contains(one.first);
+  };
   return policy_->avoided() + std::size_t(std::count_if(listed_.begin(), listed_.end(), going));
 }
 
--- a/sidecar/wire/carrier.h
+++ b/sidecar/wire/carrier.h
@@ -61,11 +61,11 @@
     return std::size_t(&prefix - deployment_.path_prefixes.data());
   }
   const Figures& figures() const { return figures_; }
-  std::size_t under_way() const;                      // visits taken and not ended
+  std::size_t under_way() const;  // visits taken and not ended
   std::size_t listed() const { return listed_.size(); }
-  EndpointList listing() const;  // as it was had last
-  std::size_t avoided() const;                        // of those
-  bool knows(std::string_view endpoint) const;        // it is listed, or was lately
+  EndpointList listing() const;                 // as it was had last
+  std::size_t avoided() const;                  // of those
+  bool knows(std::string_view endpoint) const;  // it is listed, or was lately
   // Nothing new to it, whatever the list says, until it is used again. out_since: when that was ordered.
   void stop(std::string_view endpoint);
   void use_again(std::string_view endpoint, double out_since);
--- a/sidecar/wire/client.h
+++ b/sidecar/wire/client.h
@@ -16,8 +16,8 @@
    public:
     virtual ~Owner() = default;
     virtual void on_request(Client& client, HttpMessage request) = 0;
-    virtual void on_left(Client& client) = 0;  // its connection is over; the owner lets go of it
-    virtual bool last_call() const = 0;        // answers are the last on their connections
+    virtual void on_left(Client& client) = 0;   // its connection is over; the owner lets go of it
+    virtual bool last_call() const = 0;         // answers are the last on their connections
     virtual std::size_t most_held() const = 0;  // of a body, before it is handed over in parts
   };
   class Visited {  // who has its visit in hand
@@ -61,13 +61,13 @@
     stream_.release();
     part();
   }
-  bool lingers() const { return state_ == State::Lingering; }             // it has its last answer
+  bool lingers() const { return state_ == State::Lingering; }            // it has its last answer
   bool newcomer() const { return state_ == State::Reading && !asked_; }  // has not sent one whole request
   // Ends what has stood for longer than is owed to it: half a request, nothing at all, an answer unread.
   void look(double now);
   double used() const { return used_; }
-  double heard() const { return heard_; }           // when its last byte came, or it did
-  bool begun() const { return reader_.started(); }  // some of a request has come
+  double heard() const { return heard_; }                   // when its last byte came, or it did
+  bool begun() const { return reader_.started(); }          // some of a request has come
   int door() const { return door_; }                        // that it came in by
   void part_soon() { keep_alive_ = false, parts_ = true; }  // the next answer is the last
   std::optional<InHand> visit;
@@ -101,7 +101,8 @@
   HttpReader reader_;
   Chain unread_;
   State state_ = State::Reading;
-  bool keep_alive_ = true, continued_ = false, asked_ = false, parts_ = false, to_head_ = false, old_ = false, chunks_ = false;
+  bool keep_alive_ = true, continued_ = false, asked_ = false, parts_ = false, to_head_ = false, old_ = false,
+       chunks_ = false;
   const int door_;
   double used_, heard_, held_since_ = 0;
   Alive alive_;
--- a/sidecar/wire/http.cpp
+++ b/sidecar/wire/http.cpp
@@ -174,7 +174,8 @@
   std::string_view version = line.substr(last + 1);
   bool known = version == "HTTP/1.1" || version == "HTTP/1.0";
   // The absolute form, as to a proxy, names the same target.
-  if (std::size_t scheme = target.find("://"); scheme != std::string_view::npos && token(target.substr(0, scheme))) {
+  if (std::size_t scheme = target.find("://");
+      scheme != std::string_view::npos && token(target.substr(0, scheme))) {
     std::size_t path = target.find_first_of("/?", scheme + 3);
     target = path == std::string_view::npos ? "/" : target.substr(path);
   }
--- a/sidecar/wire/http.h
+++ b/sidecar/wire/http.h
@@ -54,7 +54,9 @@
   bool in_body() const { return state_ >= State::Body && state_ < State::Whole; }
   Fault fault() const { return fault_; }
   bool streams() const { return streams_; }
-  std::optional<std::size_t> declared() const { return declared_; }  // its body's length, once the head is read
+  std::optional<std::size_t> declared() const {
+    return declared_;
+  }  // its body's length, once the head is read
   std::size_t body_so_far() const { return seen_; }
   HttpMessage take_begun();  // the message, with what there is of its body; what follows comes as take_part
   Chain take_part();
--- a/tests/bulk.cpp
+++ b/tests/bulk.cpp
@@ -58,8 +58,9 @@
     Line caller(sidecar.listen);
     caller.say(get("", in_chunks ? "c" : "l"));
     auto [fetch, request] = endpoint.take_request();
-    std::string head = in_chunks ? "HTTP/1.1 200 OK\r\ntransfer-encoding: Chunked\r\n\r\n"
-                                 : "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+    std::string head = in_chunks
+                           ? "HTTP/1.1 200 OK\r\ntransfer-encoding: Chunked\r\n\r\n"
+                           : "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
     std::string all = head + (in_chunks ? chunked(body, 50001) : body);
     fetch.say(all.substr(0, 200000));
     assert(caller.anything(1));  // its first bytes, before the endpoint has given the last
@@ -84,7 +85,8 @@
     Line caller(sidecar.listen);
     caller.say(get("", in_chunks ? "c" : "l"));
     auto [fetch, request] = endpoint.take_request();
-    fetch.say(in_chunks ? "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n20000\r\n" + std::string(0x20000, 'x') + "\r\n"
+    fetch.say(in_chunks ? "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n20000\r\n" +
+                              std::string(0x20000, 'x') + "\r\n"
                         : "HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n" + std::string(100000, 'x'));
     fetch.shut();
     assert(!hear_long(caller, HttpReader::Side::Answer) && caller.ended(1));
@@ -97,7 +99,8 @@
   std::string body = body_of(size);
   for (bool in_chunks : {false, true}) {
     Line caller(sidecar.listen);
-    std::string head = "POST /write HTTP/1.1\r\nX-Correlation-Id: " + std::string(in_chunks ? "c" : "l") + "\r\n" +
+    std::string head = "POST /write HTTP/1.1\r\nX-Correlation-Id: " + std::string(in_chunks ? "c" : "l") +
+                       "\r\n" +
                        (in_chunks ? "Transfer-Encoding: chunked\r\n\r\n"
                                   : "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n");
     std::thread sends([&] { assert(caller.say(head + (in_chunks ? chunked(body, 30011) : body))); });
@@ -117,8 +120,8 @@
     std::string body = body_of(size);
     Line caller(sidecar.listen);
     std::thread sends([&] {
-      caller.say("POST /write HTTP/1.1\r\nX-Correlation-Id: a\r\nContent-Length: " + std::to_string(size) + "\r\n\r\n" +
-                 body);
+      caller.say("POST /write HTTP/1.1\r\nX-Correlation-Id: a\r\nContent-Length: " + std::to_string(size) +
+                 "\r\n\r\n" + body);
     });
     while (!one.knocked(0) && !other.knocked(0)) sleep_for(0.001);
     Listener& first = one.knocked(0) ? one : other;
@@ -207,7 +210,10 @@
     assert(fetch->hear(HttpReader::Side::Request));
     fetch->say(all.substr(0, cut));
     sleep_for(0.002);
-    std::thread rest([&] { fetch->say(all.substr(cut, all.size() - 2 * cut)), sleep_for(0.002), fetch->say(all.substr(all.size() - cut)); });
+    std::thread rest([&] {
+      fetch->say(all.substr(cut, all.size() - 2 * cut)), sleep_for(0.002),
+          fetch->say(all.substr(all.size() - cut));
+    });
     auto answer = hear_long(caller, HttpReader::Side::Answer);
     rest.join();
     assert(answer && answer->body.text() == body);
--- a/tests/console.cpp
+++ b/tests/console.cpp
@@ -102,7 +102,8 @@
   std::string line = R"({"index":9,"snapshot":false,"endpoints":[)" + entry("a", first.address) + "]}\n";
   char size[16];
   std::snprintf(size, sizeof size, "%zx", line.size());
-  watch.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + std::string(size) + "\r\n" + line + "\r\n");
+  watch.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + std::string(size) + "\r\n" + line +
+            "\r\n");
   sleep_for(0.05);
   assert(shows("sidecar_cluster_unhealthy 1") && !first.knocked(0));
   // Taken back, it is cold, and used again within the time that operators are promised.
@@ -162,15 +163,20 @@
   });
   std::vector<Line> crowd;
   std::optional<Line> fetch;
-  double worst = 0, cpu = sidecar.cpu_seconds();
+  std::vector<double> took;
+  double cpu = sidecar.cpu_seconds();
   for (int i = 0; i < 5; ++i) {
     for (int k = 0; k < 60; ++k) {
       crowd.emplace_back(sidecar.listen);
       if (k % 2) crowd.back().say("GET /read/a HTTP/1.1\r\nX-Corr");
     }
+    for (int k = 0; k < 4; ++k) crowd.emplace_back(kConsole).say("PUT /api/excl");
+    for (int k = 0; k < 40; ++k) {
+      double asked = now();
+      assert(k % 2 ? ask("GET", "/api/ready") == 200 : ask("GET", "/api/telemetry") == 200);
+      took.push_back(now() - asked);
+    }
     double asked = now();
-    assert(ask("GET", "/api/ready") == 200 && ask("GET", "/api/telemetry") == 200);
-    worst = std::max(worst, (now() - asked) / 2);
     Line caller(sidecar.listen);
     caller.say(get("", "n" + std::to_string(i)));
     if (!fetch) fetch = endpoint.take();
@@ -185,7 +191,12 @@
   fetch->say(ok("x"));
   assert(slow.answer_status() == 200);
   assert(sidecar.cpu_seconds() - cpu < 0.7);
-  std::printf("beside 300 idle or half connections: an operator's call takes %.4f s at the worst\n", worst);
+  std::sort(took.begin(), took.end());
+  assert(took.back() < 1);
+  std::printf(
+      "beside 300 idle or half connections and held calls, operators' calls: p50 %.5f, p99 %.5f, worst %.5f "
+      "s\n",
+      took[took.size() / 2], took[took.size() * 99 / 100], took.back());
 }
 
 }  // namespace
--- a/tests/handover.cpp
+++ b/tests/handover.cpp
@@ -1,5 +1,5 @@
-// What one process of a sidecar tells the next: said and read back, and any bytes at all in its place. The same
-// entry serves libFuzzer and, with a main of its own, what can be made of good packets and calls.
+// What one process of a sidecar tells the next: said and read back, and any bytes at all in its place. The
+// same entry serves libFuzzer and, with a main of its own, what can be made of good packets and calls.
 #undef NDEBUG
 #include <cassert>
 #include <cstdint>
@@ -23,7 +23,8 @@
   }
   // The console's parser is the door's; a call's body is small.
   Pool pool;
-  HttpReader reader(HttpReader::Side::Request, pool, 4096), parts(HttpReader::Side::Request, pool, 64, 1 << 20);
+  HttpReader reader(HttpReader::Side::Request, pool, 4096),
+      parts(HttpReader::Side::Request, pool, 64, 1 << 20);
   std::size_t used = reader.feed(text);
   assert(used <= size && (!reader.whole() || reader.message().body.size() <= 4096));
   Chain body(pool);
@@ -47,7 +48,8 @@
   list.index = 41, list.whole = true;
   for (std::size_t i = 0; i < count; ++i) {
     Listed state = i % 3 == 0 ? Listed::Draining : Listed::Ready;
-    list.entries.push_back({"s-" + std::to_string(i), "z\"1", std::int64_t(i % 5), state, 0.5 + double(i), i % 2 ? 100.25 : 0});
+    list.entries.push_back(
+        {"s-" + std::to_string(i), "z\"1", std::int64_t(i % 5), state, 0.5 + double(i), i % 2 ? 100.25 : 0});
     list.addresses.push_back("127.0.0.1:" + std::to_string(5000 + i));
   }
   return list;
@@ -84,7 +86,8 @@
   std::string newer = write_whole();
   newer.replace(newer.find("\"format\":1"), 10, "\"format\":2");
   assert(read_told(write_whole(), 0) && !read_told(newer, 0) && !read_told("", 0) && !read_told("[]", 0));
-  assert(!read_told(R"({"format":1,"say":"unheard of"})", 0) && !read_told(R"({"format":1,"say":"ordered"})", 0));
+  assert(!read_told(R"({"format":1,"say":"unheard of"})", 0) &&
+         !read_told(R"({"format":1,"say":"ordered"})", 0));
 }
 
 std::uint64_t state = 42;
@@ -97,7 +100,8 @@
   std::vector<std::string> corpus = write_listing(some_list(3), 0);
   corpus.insert(corpus.end(), {write_orders({{{"a", 1}}, 2}), write_caller(true), write_door(), write_whole(),
                                "PUT /api/exclude HTTP/1.1\r\nContent-Length: 3\r\n\r\ns-1",
-                               "POST http://h/a?b HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n5;x=y\r\nhello\r\n0\r\nT: v\r\n\r\n"});
+                               "POST http://h/a?b HTTP/1.1\r\nTransfer-Encoding: "
+                               "chunked\r\n\r\n5;x=y\r\nhello\r\n0\r\nT: v\r\n\r\n"});
   long runs = 0;
   for (const std::string& whole : corpus) {
     for (int i = 0; i < 2000; ++i, ++runs) {
--- a/tests/running.h
+++ b/tests/running.h
@@ -11,7 +11,8 @@
 
 namespace puffinvane::test {
 
-inline std::string entry(const std::string& name, const std::string& address, const std::string& status = "active") {
+inline std::string entry(const std::string& name, const std::string& address,
+                         const std::string& status = "active") {
   return R"({"name":")" + name + R"(","address":")" + address + R"(","zone":"z","group":1,"status":")" +
          status + R"(","weight":1,"since_ms":0})";
 }
@@ -23,7 +24,7 @@
   struct Options {
     std::string limits = R"({"sockets":1024,"memory_mb":192})", connect_timeout = "0.1", watched, console;
     std::string client_timeout = "1.0";
-    int number = 0;                  // of several processes of one sidecar
+    int number = 0;                 // of several processes of one sidecar
     Listener* discovery = nullptr;  // another's
   };
   Running(const std::string& known, const std::string& limits, const std::string& connect_timeout = "0.1",
@@ -35,8 +36,9 @@
         own_discovery_(options.discovery ? nullptr : std::make_unique<Listener>(9)),
         discovery_(options.discovery ? *options.discovery : *own_discovery_),
         folder_("/tmp/puffinvane-" + std::to_string(getpid()) + "-" + std::to_string(options.number)) {
-    told_ = R"(,"seed":"1f","limits":)" + options.limits + R"(,"known":{"index":7,"snapshot":true,"endpoints":[)" +
-            known + R"(]},"settings":)" + settings("3", options.connect_timeout, options.client_timeout) +
+    told_ = R"(,"seed":"1f","limits":)" + options.limits +
+            R"(,"known":{"index":7,"snapshot":true,"endpoints":[)" + known + R"(]},"settings":)" +
+            settings("3", options.connect_timeout, options.client_timeout) +
             (options.watched.empty() ? "" : R"(,"watch":)" + options.watched) +
             (options.console.empty() ? "" : R"(,"console":")" + options.console + '"') + "}";
     assign(discovery_.address);
@@ -50,7 +52,8 @@
     }
     double until = now() + 5;
     // A later process is waited for at its console: the door may be the earlier one's yet.
-    while (options.number == 0 && now() < until && status_of("GET /healthz HTTP/1.1\r\n\r\n") != 200) sleep_for(0.01);
+    while (options.number == 0 && now() < until && status_of("GET /healthz HTTP/1.1\r\n\r\n") != 200)
+      sleep_for(0.01);
     assert(now() < until);
   }
   Running(const Running&) = delete;
@@ -62,9 +65,11 @@
   static std::string settings(const std::string& fetches, const std::string& connect_timeout = "0.1",
                               const std::string& client_timeout = "1.0") {
     return R"({"PathPrefixes":[
-             {"Name":"read","Idempotency":"repeatable","ClientTimeoutS":)" + client_timeout +
+             {"Name":"read","Idempotency":"repeatable","ClientTimeoutS":)" +
+           client_timeout +
            R"(,"TargetLatencyS":0.5},
-             {"Name":"write","Idempotency":"once","ClientTimeoutS":)" + client_timeout + R"(,"TargetLatencyS":0.5}],
+             {"Name":"write","Idempotency":"once","ClientTimeoutS":)" +
+           client_timeout + R"(,"TargetLatencyS":0.5}],
            "Limits":{"ParallelTries":true,"MayCancel":true,"RetryAfter":true,
              "MaxRetryAfterS":1.5,"ConnIdleS":2.0,"MaxBackendFetches":)" +
            fetches + R"(,"ConnectTimeoutS":)" + connect_timeout +
--- a/tests/upgrade.cpp
+++ b/tests/upgrade.cpp
@@ -1,4 +1,5 @@
-// Stories of a second process of one sidecar that takes over under load: nobody's visit is lost, orders stand.
+// Stories of a second process of one sidecar that takes over under load: nobody's visit is lost, orders
+// stand.
 #undef NDEBUG
 #include <sys/un.h>
 
@@ -28,11 +29,13 @@
 int ask(int number, const std::string& method, const std::string& path, const std::string& body = "") {
   Line line(console_of(number));
   if (!line.connected) return 0;
-  line.say(method + " " + path + " HTTP/1.1\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+  line.say(method + " " + path + " HTTP/1.1\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+           body);
   return line.answer_status();
 }
 void wait_ready(int number) {
-  for (double until = now() + 6; ask(number, "GET", "/api/ready") != 200; sleep_for(0.01)) assert(now() < until);
+  for (double until = now() + 6; ask(number, "GET", "/api/ready") != 200; sleep_for(0.01))
+    assert(now() < until);
 }
 
 // An endpoint that answers all that comes, from a thread for each connection.
@@ -50,7 +53,8 @@
  private:
   void accept() {
     while (!over_) {
-      if (listener.knocked(0.02)) serving_.emplace_back([this, line = listener.take()]() mutable { serve(line); });
+      if (listener.knocked(0.02))
+        serving_.emplace_back([this, line = listener.take()]() mutable { serve(line); });
     }
   }
   void serve(Line& line) {
@@ -114,8 +118,8 @@
   load.over = true;
   for (std::thread& one : load.callers) one.join();
   load.callers.clear();
-  std::printf("%d upgrades: %d visits served, %d lost at the door, %d connections ended\n", upgrades, load.served.load(),
-              load.lost.load(), load.ended.load());
+  std::printf("%d upgrades: %d visits served, %d lost at the door, %d connections ended\n", upgrades,
+              load.served.load(), load.lost.load(), load.ended.load());
   assert(load.lost == 0 && load.ended == 0);
 }
 
