A watch that goes on for ever is no body too large; exclusions kept once

Cause: the reader's count of a body that is taken as it comes held for discovery's watch too, which would have been opened anew after 8 MB in all. Carrier's times of exclusions were never read; alarms of streamed uploads stand 20 minutes, not an hour.

--- a/sidecar/wire/carrier.cpp
+++ b/sidecar/wire/carrier.cpp
@@ -16,7 +16,7 @@
 constexpr std::size_t kLately = 256;             // endpoints that are known though no longer listed
 constexpr std::size_t kInOne = 64 * 1024;        // of a body, written at a time
 constexpr std::size_t kMostUnsent = 256 * 1024;  // of one that streams, before it has a connection
-constexpr double kUploading = 3600;              // seconds: longer than any body takes at the least pace
+constexpr double kUploading = 1200;              // seconds: longer than any body takes at the least pace
 constexpr double kBeforeEnd = 0.01;
 constexpr double kAfterLast = 0.5;  // seconds, for what is put off to the next turn or the next tick
 }  // namespace
@@ -433,7 +433,7 @@
 
 void Carrier::stop(std::string_view endpoint) {
   std::string name(endpoint);
-  out_[name] = loop_.now();
+  out_.insert(name);
   drop_connections(name);
   if (auto found = listed_.find(endpoint); found != listed_.end()) tell(found->second);
 }
--- a/sidecar/wire/carrier.h
+++ b/sidecar/wire/carrier.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 
@@ -139,7 +140,7 @@
   double last_visit_ = 0;
   Addresses addresses_;
   std::map<std::string, ListEntry, std::less<>> listed_;  // as discovery says
-  std::map<std::string, double, std::less<>> out_;        // by order: since when
+  std::set<std::string, std::less<>> out_;                // by order
   std::deque<std::string> lately_;                        // listed no more
   std::int64_t index_ = 0;                                // of the list
   Figures figures_;
--- a/tests/wire.cpp
+++ b/tests/wire.cpp
@@ -445,9 +445,20 @@
   }
 }
 
+void a_watch_that_goes_on_for_ever_is_no_body_too_large() {
+  Pool pool;
+  HttpReader reader(HttpReader::Side::Answer, pool, 1000);
+  reader.feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+  for (int i = 0; i < 50; ++i) {
+    reader.feed("64\r\n" + std::string(100, 'x') + "\r\n");
+    assert(reader.fault() == HttpReader::Fault::None && reader.take_body().size() == 100);
+  }
+}
+
 }  // namespace
 
 int main() {
+  a_watch_that_goes_on_for_ever_is_no_body_too_large();
   settings_of_the_new_shape_are_read_or_refused();
   a_request_reads_the_same_wherever_it_is_cut();
   a_chunked_answer_reads_the_same_wherever_it_is_cut();
