A new version starts with what the old one's module has learned

Lines at fault: Succession told list and orders only; Policy::inherit took another Policy and could not pass a process. Now a module tells Learned (plain samples) and inherits from it, whole or in parts; sites' pools use the same. Lanes by path prefix go over as well. After 'whole', so an heir of an earlier build takes no harm. Story fails with the heir not told (guard taken out).

--- /dev/null
+++ b/include/puffinvane/learned.h
@@ -0,0 +1,48 @@
+// What a module has learned and hands on to one that takes its place: plain samples, and no visit in hand.
+#pragma once
+
+#include <deque>
+#include <string>
+#include <vector>
+
+namespace puffinvane {
+
+enum class Health { Steady, Aside, Trickle, Gone };
+
+struct Answer {
+  double at = 0, stretch = 0;  // stretch: its latency over the calm one of its path prefix
+  int depth = 0;
+  bool in_time = false, failed = false;
+  friend bool operator==(const Answer&, const Answer&) = default;
+};
+
+// Of an endpoint as a whole, or of one path prefix's visits there.
+struct Repute {
+  Health health = Health::Gone;
+  double hold = 1, hold_until = 0, last_answer = -1e9;
+  int allowance = 0;
+  std::deque<Answer> answers;
+  friend bool operator==(const Repute&, const Repute&) = default;
+};
+
+// May be told in parts: what one does not speak of is empty.
+struct Learned {
+  struct OfPrefix {
+    std::string name;
+    std::deque<double> latencies, means;
+    friend bool operator==(const OfPrefix&, const OfPrefix&) = default;
+  };
+  struct OfEndpoint {
+    std::string name;
+    double online_since = 0;
+    Repute whole;
+    std::vector<Repute> lanes;  // in the order of prefixes
+    friend bool operator==(const OfEndpoint&, const OfEndpoint&) = default;
+  };
+  std::vector<OfPrefix> prefixes;
+  std::vector<OfEndpoint> endpoints;
+  std::deque<double> late, rates;
+  double started = 0;  // 0: not told
+};
+
+}  // namespace puffinvane
--- a/include/puffinvane/policy.h
+++ b/include/puffinvane/policy.h
@@ -9,6 +9,8 @@
 #include <string_view>
 #include <vector>
 
+#include "puffinvane/learned.h"
+
 namespace puffinvane {
 
 using VisitId = std::uint32_t;
@@ -135,8 +137,9 @@
   // How many listed endpoints it avoids: set aside, or listed as going.
   virtual std::size_t avoided() const { return 0; }
   // Takes over what an earlier one has learned: of endpoints and path prefixes that both have, and of its
-  // rates the share that this one's visits will be. May be called once for each of several.
-  virtual void inherit(double, const Policy&, double /*share*/) {}
+  // rates the share that this one's visits will be. May be called once for each of several, and for parts.
+  virtual Learned learned() const { return {}; }
+  virtual void inherit(double, const Learned&, double /*share*/) {}
 };
 
 std::unique_ptr<Policy> make_policy(double now, Deployment deployment, std::uint64_t seed, Host& host);
--- a/serving/server.cpp
+++ b/serving/server.cpp
@@ -226,7 +226,7 @@
     });
     for (Running* one : fresh) {
       if (site::share_endpoints(one->pool, old->pool))
-        one->carrier->inherit(*old->carrier, 1.0 / double(heirs));
+        one->carrier->inherit(old->carrier->learned(), 1.0 / double(heirs));
     }
   }
 }
--- a/sidecar/handover/message.cpp
+++ b/sidecar/handover/message.cpp
@@ -9,8 +9,10 @@
 
 using nlohmann::json;
 
-constexpr std::size_t kEntriesAPacket = 400;
-constexpr std::string_view kWords[] = {"listing", "ordered", "door", "caller", "whole", "serving"};
+constexpr std::size_t kEntriesAPacket = 400, kLearnedAPacket = 12, kMostLearned = 200;
+constexpr std::size_t kMostSamples = 1000, kMostAnswers = 64;  // no module keeps more
+constexpr std::string_view kWords[] = {"listing", "ordered", "door", "caller", "whole", "serving",
+                                       "learned"};
 
 json head(Told::What what) { return {{"format", kHandoverFormat}, {"say", kWords[std::size_t(what)]}}; }
 
@@ -20,22 +22,125 @@
   return state == Listed::Ready ? "active" : state == Listed::Draining ? "leaving" : "left";
 }
 
+// As in the list: to the millisecond, so that both processes read the same time.
+double to_unix_ms(double at, double clock_offset) {
+  return at > 0 ? std::round((at + clock_offset) * 1000) : 0;
+}
+
+json written(const Repute& repute) {
+  json answers = json::array();
+  for (const Answer& one : repute.answers)
+    answers.push_back(json::array({one.at, one.stretch, one.depth, one.in_time, one.failed}));
+  return json::array({int(repute.health), repute.hold, repute.hold_until, repute.last_answer,
+                      repute.allowance, std::move(answers)});
+}
+
+using Element = simdjson::dom::element;
+
+template <typename T>
+T value(Element from) {
+  T found{};
+  if (from.get(found)) throw Malformed("a value of another kind");
+  return found;
+}
+simdjson::dom::array fields(Element from, std::size_t count) {
+  auto found = value<simdjson::dom::array>(from);
+  if (found.size() != count) throw Malformed("fields are missing");
+  return found;
+}
+std::deque<double> samples(Element from) {
+  std::deque<double> read;
+  for (Element one : value<simdjson::dom::array>(from)) read.push_back(value<double>(one));
+  if (read.size() > kMostSamples) throw Malformed("more samples than any module keeps");
+  return read;
+}
+int whole(Element from, int least, int most) {
+  auto found = value<std::int64_t>(from);
+  if (found < least || found > most) throw Malformed("a number out of its bounds");
+  return int(found);
+}
+
+Repute read_repute(Element from) {
+  auto told = fields(from, 6);
+  Repute repute;
+  repute.health = Health(whole(told.at(0).value(), 0, int(Health::Trickle)));
+  repute.hold = value<double>(told.at(1).value()), repute.hold_until = value<double>(told.at(2).value());
+  repute.last_answer = value<double>(told.at(3).value());
+  repute.allowance = whole(told.at(4).value(), 0, 1 << 20);
+  for (Element each : value<simdjson::dom::array>(told.at(5).value())) {
+    auto answer = fields(each, 5);
+    repute.answers.push_back({value<double>(answer.at(0).value()), value<double>(answer.at(1).value()),
+                                whole(answer.at(2).value(), 0, 1 << 20), value<bool>(answer.at(3).value()),
+                                value<bool>(answer.at(4).value())});
+  }
+  if (repute.answers.size() > kMostAnswers || repute.hold < 0)
+    throw Malformed("a repute out of its bounds");
+  return repute;
+}
+
+Learned read_learned(Element told, double clock_offset) {
+  Learned learned;
+  learned.late = samples(told["late"].value()), learned.rates = samples(told["rates"].value());
+  learned.started = value<double>(told["started"].value());
+  for (Element each : value<simdjson::dom::array>(told["prefixes"].value())) {
+    auto prefix = fields(each, 3);
+    learned.prefixes.push_back({std::string(value<std::string_view>(prefix.at(0).value())),
+                                samples(prefix.at(1).value()), samples(prefix.at(2).value())});
+    if (learned.prefixes.back().latencies.empty() && !learned.prefixes.back().means.empty())
+      throw Malformed("means of nothing");
+  }
+  for (Element each : value<simdjson::dom::array>(told["endpoints"].value())) {
+    auto one = fields(each, 4);
+    auto since = value<double>(one.at(1).value());
+    Learned::OfEndpoint read{std::string(value<std::string_view>(one.at(0).value())),
+                             since > 0 ? since / 1000 - clock_offset : 0, read_repute(one.at(2).value()), {}};
+    for (Element lane : value<simdjson::dom::array>(one.at(3).value()))
+      read.lanes.push_back(read_repute(lane));
+    learned.endpoints.push_back(std::move(read));
+  }
+  return learned;
+}
+
 }  // namespace
 
+std::vector<std::string> write_learned(const Learned& learned, double clock_offset) {
+  std::vector<std::string> packets;
+  std::size_t count = std::min(kMostLearned, learned.endpoints.size());
+  for (std::size_t from = 0; from == 0 || from < count; from += kLearnedAPacket) {
+    json packet = head(Told::What::Learned), prefixes = json::array(), endpoints = json::array();
+    bool first = from == 0;  // with all that is not one endpoint's
+    for (const auto& [name, latencies, means] : learned.prefixes)
+      prefixes.push_back(
+          json::array({name, first ? json(latencies) : json::array(), first ? json(means) : json::array()}));
+    for (std::size_t i = from; i < std::min(count, from + kLearnedAPacket); ++i) {
+      const Learned::OfEndpoint& one = learned.endpoints[i];
+      json lanes = json::array();
+      for (const Repute& lane : one.lanes) lanes.push_back(written(lane));
+      endpoints.push_back(json::array({one.name, to_unix_ms(one.online_since, clock_offset),
+                                       written(one.whole), std::move(lanes)}));
+    }
+    packet["prefixes"] = std::move(prefixes), packet["endpoints"] = std::move(endpoints);
+    packet["late"] = first ? json(learned.late) : json::array();
+    packet["rates"] = first ? json(learned.rates) : json::array();
+    packet["started"] = first ? learned.started : 0;
+    packets.push_back(text(packet));
+  }
+  return packets;
+}
+
 std::vector<std::string> write_listing(const EndpointList& list, double clock_offset) {
   std::vector<std::string> packets;
   for (std::size_t from = 0; from < std::max<std::size_t>(1, list.entries.size()); from += kEntriesAPacket) {
     json entries = json::array();
     for (std::size_t i = from; i < std::min(list.entries.size(), from + kEntriesAPacket); ++i) {
       const ListEntry& one = list.entries[i];
-      double since = one.online_since > 0 ? std::round((one.online_since + clock_offset) * 1000) : 0;
       entries.push_back({{"name", one.endpoint},
                          {"address", list.addresses[i]},
                          {"zone", one.zone},
                          {"group", one.cell},
                          {"status", status_of(one.state)},
                          {"weight", one.units},
-                         {"since_ms", since}});
+                         {"since_ms", to_unix_ms(one.online_since, clock_offset)}});
     }
     json packet = head(Told::What::Listing);
     packet["list"] = {{"index", list.index}, {"snapshot", from == 0}, {"endpoints", std::move(entries)}};
@@ -92,6 +197,12 @@
     }
     double since = 0;
     if (!said["drains_since"].get(since)) told.orders.drains_since = since;
+  } else if (told.what == Told::What::Learned) {
+    try {
+      told.learned = read_learned(said, clock_offset);
+    } catch (const std::exception&) {
+      told.learned = {};  // its heir starts as one that knows nothing
+    }
   } else if (told.what == Told::What::Caller && said["asked"].get(told.asked)) {
     return {};
   }
--- a/sidecar/handover/message.h
+++ b/sidecar/handover/message.h
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "puffinvane/learned.h"
 #include "sidecar/wire/discovery.h"
 
 namespace puffinvane {
@@ -19,9 +20,10 @@
 
 // What a packet says; whatever it does not speak of is empty.
 struct Told {
-  enum class What { Listing, Ordered, Door, Caller, Whole, Serving } what = What::Whole;
+  enum class What { Listing, Ordered, Door, Caller, Whole, Serving, Learned } what = What::Whole;
   EndpointList list;
   Orders orders;
+  Learned learned;     // a part of it; empty where it can't be right
   bool asked = false;  // of a caller: it has sent a whole request before
 };
 
@@ -34,6 +36,8 @@
 std::string write_caller(bool asked);
 std::string write_whole();
 std::string write_serving();
+// Of the endpoints the first two hundred: what an heir does not hear it learns anew.
+std::vector<std::string> write_learned(const Learned& learned, double clock_offset);
 std::optional<Told> read_told(std::string_view packet, double clock_offset);  // none: not to be understood
 
 }  // namespace puffinvane
--- a/sidecar/handover/succession.cpp
+++ b/sidecar/handover/succession.cpp
@@ -131,6 +131,9 @@
   self.heir_->send(write_orders(self.owner_.orders()));
   if (GSocket* door = self.owner_.door()) self.heir_->send(write_door(), door);
   self.heir_->send(write_whole());
+  // After the account is whole: an heir of an earlier build takes no harm, and none waits for it.
+  for (std::string& packet : write_learned(self.owner_.learned(), self.clock_offset_))
+    self.heir_->send(std::move(packet));
   self.owner_.on_company(true);
   return G_SOURCE_CONTINUE;
 }
@@ -151,6 +154,7 @@
   if (!told) return void(loop_.log().warning() << "a word of the other process was not understood");
   if (told->what == Told::What::Caller && packet.socket)
     owner_.on_caller(std::move(packet.socket), told->asked);
+  if (told->what == Told::What::Learned && &from == elder_.get()) owner_.on_learned(told->learned);
   if (told->what == Told::What::Ordered) owner_.on_orders(told->orders), tell_orders(&from);
 }
 
--- a/sidecar/handover/succession.h
+++ b/sidecar/handover/succession.h
@@ -33,6 +33,8 @@
     virtual GSocket* door() = 0;
     virtual EndpointList listing() const = 0;
     virtual Orders orders() const = 0;
+    virtual Learned learned() const = 0;
+    virtual void on_learned(const Learned& part) = 0;
     virtual void on_orders(const Orders& orders) = 0;
     virtual void on_caller(Ref<GSocket> socket, bool asked) = 0;
     virtual void on_company(bool two) = 0;  // whether two processes share the limits
--- a/sidecar/lifecycle/sidecar.h
+++ b/sidecar/lifecycle/sidecar.h
@@ -46,6 +46,8 @@
   EndpointList listing() const override { return carrier_.listing(); }
   Orders orders() const override { return {operations_.all_out(), operations_.drains_since()}; }
   void on_orders(const Orders& orders) override;
+  Learned learned() const override { return carrier_.learned(); }
+  void on_learned(const Learned& part) override { carrier_.inherit(part, 1); }
   void on_caller(Ref<GSocket> socket, bool asked) override { callers_.take_over(std::move(socket), asked); }
   void on_company(bool two) override { admission_.share(two); }
   void look_at_drain();
--- a/sidecar/watching/watched.h
+++ b/sidecar/watching/watched.h
@@ -33,6 +33,10 @@
   void withdrawn(double now, VisitId visit) override;
   void woken(double now, std::uint64_t token) override;
   std::size_t avoided() const override { return sides_[Acting]->avoided(); }
+  Learned learned() const override { return sides_[Acting]->learned(); }
+  void inherit(double now, const Learned& earlier, double share) override {
+    for (const auto& side : sides_) side->inherit(now, earlier, share);
+  }
 
  private:
   enum Side { Acting, Imagined, kSides };
--- a/sidecar/wire/carrier.h
+++ b/sidecar/wire/carrier.h
@@ -53,9 +53,8 @@
   void retire(const std::vector<Carrier*>& heirs);
   bool spent() const;
   // What an earlier one's module has learned, and that share of its rates.
-  void inherit(const Carrier& earlier, double share) {
-    policy_->inherit(loop_.now(), *earlier.policy_, share);
-  }
+  void inherit(const Learned& earlier, double share) { policy_->inherit(loop_.now(), earlier, share); }
+  Learned learned() const { return policy_->learned(); }
   const Deployment& deployment() const { return deployment_; }
   const PathPrefix* find_prefix(std::string_view name) const;
   std::size_t number_of(const PathPrefix& prefix) const {
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -57,23 +57,12 @@
   return std::accumulate(samples.begin(), samples.end(), 0.0) / double(samples.size());
 }
 
-enum class Health { Steady, Aside, Trickle, Gone };
 enum class Sign { Failing, HoldOver, Good, Restored, Listed, Unlisted };
 
-struct Answer {
-  double at = 0, stretch = 0;  // stretch: its latency over the calm one of its path prefix
-  int depth = 0;
-  bool in_time = false, failed = false;
-};
-
 // What is known and thought of an endpoint as a whole, and of one path prefix's visits there.
-struct Lane {
-  Health health = Health::Gone;
-  double hold = kFirstHold, hold_until = 0, last_answer = -1e9;
-  int allowance = 0;
+struct Lane : Repute {
   std::set<std::pair<double, std::uint64_t>> out;  // by time of sending
-  std::deque<Answer> answers;
-  mutable double slow_until = 0, slow = 1;  // kept until then, or until an answer
+  mutable double slow_until = 0, slow = 1;         // kept until then, or until an answer
 };
 
 struct Endpoint : Lane {
@@ -191,34 +180,43 @@
     forget_if_over(found), pump();
   }
 
-  void inherit(double now, const Policy& earlier, double share) override {
+  Learned learned() const override {
+    Learned told{{}, {}, late_, rates_, started_};
+    for (std::size_t i = 0; i < latencies_.size(); ++i)
+      told.prefixes.push_back({deployment_.path_prefixes[i].name, latencies_[i], means_[i]});
+    for (const Endpoint& one : endpoints_) {
+      std::vector<Repute> lanes(one.lanes.begin(), one.lanes.end());
+      if (one.health != Health::Gone) told.endpoints.push_back({one.name, one.online_since, one, lanes});
+    }
+    return told;
+  }
+  void inherit(double now, const Learned& from, double share) override {
     pass_time(now);
-    const auto* from = dynamic_cast<const Module*>(&earlier);
-    if (!from) return;
-    for (Endpoint& endpoint : endpoints_) {
-      for (const Endpoint& known : from->endpoints_) {
-        bool same = known.name == endpoint.name && known.online_since == endpoint.online_since;
-        if (!same || endpoint.health == Health::Gone || known.health == Health::Gone) continue;
-        Lane out = std::move(static_cast<Lane&>(endpoint));
-        static_cast<Lane&>(endpoint) = known;
-        endpoint.out = std::move(out.out), endpoint.slow_until = 0;
-      }
+    const auto& all = deployment_.path_prefixes;
+    std::vector<std::size_t> as;  // our number of each of theirs
+    for (const auto& [name, latencies, means] : from.prefixes) {
+      auto same = [&](const PathPrefix& one) { return one.name == name; };
+      std::size_t i = std::size_t(std::find_if(all.begin(), all.end(), same) - all.begin());
+      as.push_back(i);
+      if (i == all.size() || latencies.empty()) continue;
+      latencies_[i] = latencies, means_[i] = means, thresholds_[i] = percentile(latencies, kHedgePercentile);
     }
-    const auto &theirs = from->deployment_.path_prefixes, &ours = deployment_.path_prefixes;
-    for (std::size_t i = 0; i < ours.size(); ++i) {
-      for (std::size_t k = 0; k < theirs.size(); ++k) {
-        if (theirs[k].name != ours[i].name) continue;
-        latencies_[i] = from->latencies_[k], thresholds_[i] = from->thresholds_[k],
-        means_[i] = from->means_[k];
+    for (Endpoint& endpoint : endpoints_) {
+      for (const auto& [name, online_since, whole, lanes] : from.endpoints) {
+        bool same = name == endpoint.name && online_since == endpoint.online_since;
+        if (!same || endpoint.health == Health::Gone || whole.health == Health::Gone) continue;
+        static_cast<Repute&>(endpoint) = whole, endpoint.slow_until = 0;
+        for (std::size_t k = 0; k < std::min(as.size(), lanes.size()); ++k)
+          if (as[k] < all.size()) static_cast<Repute&>(endpoint.lanes[as[k]]) = lanes[k];
       }
     }
-    late_ = from->late_;
+    if (!from.late.empty()) late_ = from.late;
     // Its first seconds are over: nobody knows less of the endpoints than a sidecar that has just started.
-    started_ = std::min(started_, from->started_);
-    while (rates_.size() < from->rates_.size()) rates_.push_front(0);
-    for (std::size_t i = 1; i <= from->rates_.size(); ++i)
-      rates_[rates_.size() - i] += share * from->rates_[from->rates_.size() - i];
-    recent_rate_ += share * from->recent_rate_, calm_rate_ += share * from->calm_rate_;
+    if (from.started > 0) started_ = std::min(started_, from.started);
+    while (rates_.size() < from.rates.size()) rates_.push_front(0);
+    for (std::size_t i = 1; i <= from.rates.size(); ++i)
+      rates_[rates_.size() - i] += share * from.rates[from.rates.size() - i];
+    recent_rate_ = best_rate(rates_, kRateTicks), calm_rate_ = best_rate(rates_, rates_.size());
   }
 
   std::size_t avoided() const override { return std::size_t(count(Health::Aside)); }
--- a/tests/handover.cpp
+++ b/tests/handover.cpp
@@ -19,6 +19,8 @@
       std::optional<Told> again = read_told(write_orders(told->orders), 0.5);
       assert(again && again->orders.out.size() == told->orders.out.size());
     }
+    for (const Learned::OfEndpoint& one : told->learned.endpoints)
+      assert(one.whole.health != Health::Gone && one.whole.answers.size() <= 64);
     if (told->what == Told::What::Listing) assert(told->list.entries.size() == told->list.addresses.size());
   }
   // The console's parser is the door's; a call's body is small.
@@ -82,6 +84,41 @@
   assert(told && told->orders == Orders());
 }
 
+Learned some_learned(std::size_t endpoints) {
+  Learned learned{{{"read", {0.1, 0.25}, {0.2}}, {"write \"x\"", {}, {}}}, {}, {0, 1, 1}, {3, 0, 5}, 12.125};
+  for (std::size_t i = 0; i < endpoints; ++i) {
+    Repute whole{Health(i % 3), 2, 30.5, 29.25, int(i), {{29, 1.5, 2, true, false}, {30, 3, 1, false, true}}};
+    Repute lane = whole;
+    lane.answers.pop_back();
+    learned.endpoints.push_back({"s-" + std::to_string(i), i % 2 ? 100.25 : 0, whole, {whole, lane}});
+  }
+  return learned;
+}
+
+void what_was_learned_is_read_back_as_it_was_and_is_bounded() {
+  for (std::size_t count : {0u, 1u, 13u, 200u, 900u}) {
+    Learned learned = some_learned(count), back;
+    for (const std::string& packet : write_learned(learned, 1000)) {
+      assert(packet.size() < 128 * 1024);
+      std::optional<Told> told = read_told(packet, 1000);
+      assert(told && told->what == Told::What::Learned && told->learned.prefixes.size() == 2);
+      if (back.prefixes.empty()) back = told->learned;
+      else back.endpoints.insert(back.endpoints.end(), told->learned.endpoints.begin(),
+                                 told->learned.endpoints.end());
+    }
+    learned.endpoints.resize(std::min<std::size_t>(count, 200));
+    assert(back.endpoints == learned.endpoints && back.prefixes == learned.prefixes &&
+           back.late == learned.late && back.rates == learned.rates && back.started == learned.started);
+  }
+  // What no module can have learned is left out whole, and ends no handover.
+  std::string gone = write_learned(some_learned(1), 0)[0];
+  std::size_t at = gone.find("[0,2.0,30.5");
+  assert(at != std::string::npos);
+  gone[at + 1] = '3';
+  std::optional<Told> told = read_told(gone, 0);
+  assert(told && told->what == Told::What::Learned && told->learned.endpoints.empty());
+}
+
 void another_format_is_not_understood() {
   std::string newer = write_whole();
   newer.replace(newer.find("\"format\":1"), 10, "\"format\":2");
@@ -98,6 +135,7 @@
 
 void any_bytes_end_well() {
   std::vector<std::string> corpus = write_listing(some_list(3), 0);
+  corpus.push_back(write_learned(some_learned(2), 0)[0]);
   corpus.insert(corpus.end(), {write_orders({{{"a", 1}}, 2}), write_caller(true), write_door(), write_whole(),
                                "PUT /api/exclude HTTP/1.1\r\nContent-Length: 3\r\n\r\ns-1",
                                "POST http://h/a?b HTTP/1.1\r\nTransfer-Encoding: "
@@ -126,6 +164,7 @@
 int main() {
   a_list_of_any_length_is_read_back_as_it_was();
   orders_are_read_back_as_they_were();
+  what_was_learned_is_read_back_as_it_was_and_is_bounded();
   another_format_is_not_understood();
   any_bytes_end_well();
 }
--- a/tests/upgrade.cpp
+++ b/tests/upgrade.cpp
@@ -142,6 +142,28 @@
   assert(heir.status_of(get("", "last")) == 503 && !first.knocked(0) && !second.knocked(0));
 }
 
+// One endpoint of four answers nothing: who takes over knows it before it has sent anything itself.
+void what_the_elder_learned_goes_over() {
+  Listener discovery(9);
+  Answering one(2), two(4), three(5);
+  std::string known = entry("dead", here(7) + ":5007") + "," + entry("a", one.listener.address) + "," +
+                      entry("b", two.listener.address) + "," + entry("c", three.listener.address);
+  auto avoids_one = [](int number) {
+    Line line(console_of(number));
+    line.say("GET /api/telemetry HTTP/1.1\r\n\r\n");
+    auto answer = line.hear(HttpReader::Side::Answer);
+    return answer && answer->body.text().find("\nsidecar_cluster_unhealthy 1\n") != std::string::npos;
+  };
+  Running elder(known, options(0, discovery));
+  for (int i = 0; i < 400 && !avoids_one(0); ++i) elder.status_of(get("", "e" + std::to_string(i)));
+  assert(avoids_one(0));
+  Running heir(known, options(1, discovery));
+  wait_ready(1);
+  bool heard = avoids_one(1);
+  for (double until = now() + 0.3; !heard && now() < until; sleep_for(0.01)) heard = avoids_one(1);
+  assert(heard);
+}
+
 void an_heir_that_dies_before_its_yes_changes_nothing() {
   Listener discovery(9);
   Answering endpoint(2);
@@ -224,6 +246,7 @@
   setenv("TMPDIR", folder.c_str(), 1);
   twenty_upgrades_under_load_lose_no_visit(std::atoi(words[2]));
   orders_go_over_and_are_heard_by_both();
+  what_the_elder_learned_goes_over();
   an_heir_that_dies_before_its_yes_changes_nothing();
   a_silent_elder_or_a_strange_file_keeps_nobody_from_starting();
   an_elder_that_dies_amid_its_account_or_speaks_otherwise_keeps_nobody_from_starting();
