With all endpoints leaving, a visit is bounced at once

Cause: with every endpoint excluded each visit waited out its patience (0.2 to 0.8 of a target latency) before its bounce, as room() lets one wait whenever none is in flight; nothing can come of the wait. Now a list that once named endpoints and names none that is ready bounces on arrival. Before any list is had visits still wait.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -150,7 +150,8 @@
     bool hopeless = deployment_.answers_tell_load ||
                     (recent_rate_ > 0 && ahead > recent_rate_ * (taken.held_until - now));
     Taken& held = visits_[visit.id] = std::move(taken);
-    if (hopeless && !room(held)) turn(held, gave_up(held)), visits_.erase(visit.id);
+    bool nobody = !endpoints_.empty() && listed() == 0;  // all leave, by order or list: nothing to wait for
+    if (nobody || (hopeless && !room(held))) turn(held, gave_up(held)), visits_.erase(visit.id);
     pump();
   }
 
--- a/tests/stories.cpp
+++ b/tests/stories.cpp
@@ -159,6 +159,14 @@
 }
 
 // Rule 3.
+void with_all_endpoints_leaving_a_visit_is_bounced_at_once() {
+  FakeHost host(deployment());
+  host.ready(2);
+  host.list({{"a0", "here", 1, Listed::Draining, 1, 0}, {"a1", "here", 1, Listed::Draining, 1, 0}});
+  VisitId late = host.visit();
+  assert(host.sent.empty() && host.bounced == std::vector<VisitId>{late});
+}
+
 void nothing_goes_to_an_endpoint_that_drains_or_is_missing() {
   FakeHost host(deployment());
   host.ready(3);
@@ -735,6 +743,7 @@
   a_tagged_visit_is_bounced_only_if_the_whole_fleet_drops_its_repeat();
   each_visit_gets_one_answer_though_outcomes_cross_and_come_late();
   a_visit_without_any_endpoint_is_bounced_before_its_client_leaves();
+  with_all_endpoints_leaving_a_visit_is_bounced_at_once();
   nothing_goes_to_an_endpoint_that_drains_or_is_missing();
   a_failed_list_call_is_asked_again_spread_and_ever_later_and_the_old_list_serves();
   all_sidecars_together_give_a_fresh_endpoint_less_than_a_warm_one_gets();
