What passes goes by told load only where answers tell what is served; DrainBindsAlone

A list whose drains alone bind is read (Rules.DrainBindsAlone): what is missing from it is used until own fetches find it failing; off, nothing changes.

--- a/deployment/deployment.cpp
+++ b/deployment/deployment.cpp
@@ -68,6 +68,17 @@
   return word == "zone" ? Group::Zone : Group::Cell;
 }
 
+// Whose answers tell how many they serve; a depth alone does not tell how full a fleet is.
+bool served_told(element report) {
+  simdjson::dom::array fields;
+  if (report["Fields"].get(fields)) return true;
+  for (element field : fields) {
+    std::string_view name;
+    if (!field.get(name) && name == "served_ps") return true;
+  }
+  return false;
+}
+
 }  // namespace
 
 Deployment read_deployment(element options) {
@@ -106,11 +117,12 @@
     std::string via = word(report, "Via", "silent");
     if (via != "piggyback" && via != "pull" && via != "silent")
       throw Malformed("Via is '" + via + "', not piggyback, pull or silent");
-    deployment.answers_tell_load = via == "piggyback";
+    deployment.answers_tell_load = via == "piggyback" && served_told(report);
   }
   element rules = child(options, "Rules");
   deployment.cold.share = option(rules, "ColdShare", deployment.cold.share);
   deployment.cold.warm_after = option(rules, "ColdS", deployment.cold.warm_after);
+  deployment.only_draining_binds = flag(rules, "DrainBindsAlone", false);
   deployment.ask_within = option(rules, "AskWithinS", deployment.ask_within);
   deployment.credit_by_work = option<std::string>(options, "CreditBasis", "request") == "work";
   deployment.me = option(options, "Me", 0);
--- a/include/puffinvane/policy.h
+++ b/include/puffinvane/policy.h
@@ -51,12 +51,14 @@
   bool last_tier = false;  // nothing behind its endpoints: what they fail is their own doing
   int max_fetches = 1;
   bool parallel_fetches = false;
-  bool answers_tell_load = false;  // endpoints report it with answers, so it holds all sidecars' fetches
+  // Endpoints report with answers what they serve and how full they are, so it holds all sidecars' fetches.
+  bool answers_tell_load = false;
   bool may_cancel = false;
   bool advises_wait = false;
   double connect_timeout = 0.25;
   double idle_time = 10;  // an endpoint closes a connection that has stood idle for longer
   bool list_on_request = false;
+  bool only_draining_binds = false;  // listed as gone, or left out, an endpoint may still run and be sent to
   double crossing_price = 0;  // of the whole service, were each visit fetched into another zone
   bool warm_keys = false;     // endpoints of a cell do less work for a key that one of them met lately
   std::string zone;
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -73,6 +73,7 @@
   Load load;
   double load_at = -1e9;
   double units = 1, dealt = 0;  // dealt: the part of its units that is ours
+  bool missing = false;         // from the list, or listed as gone
   std::vector<Lane> lanes;      // by path prefix
 };
 
@@ -119,7 +120,7 @@
     std::set<std::string_view> seen;
     for (const ListEntry& entry : entries) seen.insert(entry.endpoint), note_listed(entry);
     for (Endpoint& endpoint : endpoints_) {
-      if (scope != ListScope::Changes && !seen.contains(endpoint.name)) turn_all(endpoint, Sign::Unlisted);
+      if (scope != ListScope::Changes && !seen.contains(endpoint.name)) note_missing(endpoint);
       // Names are ever new on long days: what is gone leaves its place to the next once nothing is out there.
       if (endpoint.health == Health::Gone && endpoint.out.empty()) endpoint = Endpoint();
     }
@@ -681,7 +682,9 @@
     if (found == endpoints_.end()) found = endpoints_.insert(found, Endpoint());
     Endpoint& endpoint = *found;
     endpoint.name = entry.endpoint, endpoint.lanes.resize(deployment_.path_prefixes.size());
-    if (entry.state != Listed::Ready) return turn_all(endpoint, Sign::Unlisted);
+    if (entry.state == Listed::Gone) return note_missing(endpoint);
+    if (entry.state == Listed::Draining) return turn_all(endpoint, Sign::Unlisted);
+    endpoint.missing = false;
     endpoint.zone = entry.zone, endpoint.cell = entry.cell, endpoint.units = entry.units;
     if (entry.online_since != endpoint.online_since) {
       // Restarted: nothing learned holds. Rule 4: by their numbers sidecars' first fetches come in turn.
@@ -693,6 +696,12 @@
     }
     turn_all(endpoint, Sign::Listed);
   }
+  // Where such a list does not bind, what is missing from it is gone once own fetches find it failing, too.
+  void note_missing(Endpoint& endpoint) {
+    endpoint.missing = true;
+    if (!deployment_.only_draining_binds || endpoint.health == Health::Aside)
+      turn_all(endpoint, Sign::Unlisted);
+  }
   void ask_again_later() {
     // The list service is one for all: without spread and back-off every sidecar would knock at once.
     asked_until_ = 0;
@@ -765,6 +774,7 @@
         double share = deployment_.cold.share + (1 - deployment_.cold.share) * std::clamp(warmth, 0.0, 1.0);
         endpoint.cold_credit = std::min(endpoint.cold_credit + pace * share * endpoint.dealt, 1.5);
       }
+      if (endpoint.missing && endpoint.health == Health::Aside) turn_all(endpoint, Sign::Unlisted);
       if (endpoint.health == Health::Aside && now_ >= endpoint.hold_until)
         turn_health(endpoint, Sign::HoldOver);
       // Lost with its connection rather than late, it would fill the room until its client timeout.
--- a/tests/stories.cpp
+++ b/tests/stories.cpp
@@ -159,6 +159,26 @@
 }
 
 // Rule 3.
+// Where only draining binds a list that lost an endpoint is not believed, until it fails as well.
+void an_endpoint_missing_from_the_list_is_sent_to_where_only_draining_binds() {
+  Deployment alone = deployment();
+  alone.only_draining_binds = true;
+  FakeHost binding(deployment()), host(alone);
+  for (FakeHost* one : {&binding, &host}) one->ready(2), one->ready(1), one->calm(20, 0.01);
+  assert(binding.sent_to("a1") == 0 && host.sent_to("a1") > 0);
+  for (host.visit(); host.sent.back().endpoint != "a1"; host.visit())
+    host.end(host.sent.back(), Outcome::Delivered);
+  host.end(host.sent.back(), Outcome::ConnectFailed);
+  host.end(host.sent.back(), Outcome::Delivered);  // fetched again, at the other
+  host.run(20);
+  double since = host.now;
+  host.calm(20, 0.01);
+  assert(host.sent_to("a1", since) == 0);
+  host.ready(2), host.list({{"a1", "here", 1, Listed::Draining, 1, 0}}, ListScope::Changes);
+  since = host.now, host.calm(20, 0.01);
+  assert(host.sent_to("a1", since) == 0);
+}
+
 void with_all_endpoints_leaving_a_visit_is_bounced_at_once() {
   FakeHost host(deployment());
   host.ready(2);
@@ -743,6 +763,7 @@
   a_tagged_visit_is_bounced_only_if_the_whole_fleet_drops_its_repeat();
   each_visit_gets_one_answer_though_outcomes_cross_and_come_late();
   a_visit_without_any_endpoint_is_bounced_before_its_client_leaves();
+  an_endpoint_missing_from_the_list_is_sent_to_where_only_draining_binds();
   with_all_endpoints_leaving_a_visit_is_bounced_at_once();
   nothing_goes_to_an_endpoint_that_drains_or_is_missing();
   a_failed_list_call_is_asked_again_spread_and_ever_later_and_the_old_list_serves();
--- a/tests/wire.cpp
+++ b/tests/wire.cpp
@@ -430,6 +430,10 @@
   Deployment moved = read(R"(,"Report":{"Via":"piggyback"},"Tiers":["a","b"],"Layer":1,
                              "Extra":{"WarmKeys":true},"Fees":{"CrossZone":0.03})");
   assert(moved.answers_tell_load && moved.last_tier && moved.warm_keys && moved.crossing_price == 0.03);
+  // A depth told without what is served says nothing of how full the fleet is.
+  assert(read(R"(,"Report":{"Via":"piggyback","Fields":["busy_reqs","served_ps"]})").answers_tell_load);
+  assert(!read(R"(,"Report":{"Via":"piggyback","Fields":["busy_reqs","cpu_share"]})").answers_tell_load);
+  assert(!plain.only_draining_binds);
   for (const char* bad :
        {R"(,"Report":{"Via":"shout"})", R"(,"Report":{"Via":null})", R"(,"Report":{"Via":3})",
         R"(,"Extra":{"WarmKeys":"yes"})", R"(,"Extra":{"WarmKeys":null})", R"(,"Fees":{"CrossZone":-0.1})",
