A path prefix slow everywhere has its own room; the worst-served one's part counts in the order

Checked and dropped: copies (2 to 9 sent), endpoints set aside, crossings. Lines: room(), rank(). Holds too against a path prefix whose backend alone fails; may hurt where two path prefixes share one cause.

--- a/include/puffinvane/policy.h
+++ b/include/puffinvane/policy.h
@@ -63,6 +63,7 @@
   bool warm_keys = false;     // endpoints of a cell do less work for a key that one of them met lately
   std::string zone;
   bool credit_by_work = false;  // else by visit
+  double worst_prefix_counts = 0;  // the part of service that is counted by the worst-served path prefix alone
   double ask_within = 10;
   double longest_wait_advice = 0;
   double round = 0;
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -23,6 +23,7 @@
 constexpr std::size_t kFewLatencies = 20;      // below this a 95th percentile is the maximum and says nothing
 constexpr std::size_t kEndpointSamples = 16;   // an endpoint's state changes within a dozen or two answers
 constexpr double kSampleAge = 15;              // an endpoint's older answers tell of another time
+constexpr double kHopeAge = 5;                 // seconds after which a path prefix is given a new try
 constexpr double kSharedLate = 0.25;           // of the last visits: not one endpoint's doing
 constexpr double kRoom = 0.6, kStretch = 1.9;  // of a target latency, and of calm, that visits may spend
 constexpr int kDealt = 4;  // endpoints a sidecar, and sidecars an endpoint, that a part must leave at least
@@ -108,6 +109,8 @@
       : deployment_(std::move(deployment)), host_(host), chance_(seed * 2 + 1), now_(now), started_(now) {
     std::size_t prefixes = deployment_.path_prefixes.size();
     latencies_.resize(prefixes), thresholds_.resize(prefixes), means_.resize(prefixes);
+    served_.resize(prefixes), let_out_.resize(prefixes);
+    loads_.resize(prefixes), calm_loads_.resize(prefixes);
     double turn = (deployment_.me % deployment_.sidecars + chance()) / deployment_.sidecars;
     if (deployment_.list_on_request) ask_at_ = now + turn * deployment_.ask_within * 0.4;
     host_.wake(now + kTick * (0.5 + chance()), kTickToken);
@@ -138,6 +141,7 @@
     taken.heavy = std::clamp(4 * visit.work / prefix(taken).target_latency, 1.0, kHeaviest);
     taken.until = now + visit.time_left;
     taken.held_until = now + std::min(patience(taken), visit.time_left / 2);
+    keep(arrived_, taken.prefix, kLatencies);
     taken.place = {rank(taken), ++turns_};
     double worse = 0, mine = taken.place.first + 1e-3 * chance();
     for (double other : ranks_) worse += other > mine;
@@ -289,10 +293,11 @@
   }
   void bounce(Taken& visit) {
     double wait = visit.over_share ? deployment_.longest_wait_advice : prefix(visit).target_latency / 4;
+    note_served(visit, false);
     host_.bounce(visit.id, deployment_.advises_wait ? std::min(wait, deployment_.longest_wait_advice) : 0);
     finish(visit);
   }
-  void fail(Taken& visit) { host_.error(visit.id), finish(visit); }
+  void fail(Taken& visit) { note_served(visit, false), host_.error(visit.id), finish(visit); }
 
   // ---- effects of the health table
   void nothing(Lane&) {}
@@ -509,6 +514,7 @@
     if (!std::exchange(visit.counted, true)) {
       visit.weight = 1 / (kRoom * prefix(visit).target_latency);
       visit.calm_weight = 1 / calm(visit.prefix);
+      loads_[visit.prefix] += visit.weight, calm_loads_[visit.prefix] += visit.calm_weight;
       ++in_flight_, load_ += visit.weight, calm_load_ += visit.calm_weight;
     }
     host_.fetch(visit.id, endpoint.name, 0);
@@ -564,25 +570,65 @@
     // Before any rate is known twice C's first value: with C itself the first seconds bounced a tenth.
     double each = now_ < started_ + kFirstSeconds ? 2 * kFirstCapacity : kFloor;
     if (in_flight_ < std::max(1.0, each * count(Health::Steady) / deployment_.sidecars)) return true;
+    // What is slow by itself would fill the others' room: it has one of its own, as large as its hope.
+    double load = load_, share = double(std::count(arrived_.begin(), arrived_.end(), visit.prefix));
+    if (slow_alone(visit.prefix))
+      return loads_[visit.prefix] < hope(visit.prefix) * recent_rate_ * share / double(arrived_.size());
+    double calm_load = calm_load_;
+    for (int i = 0; i < int(loads_.size()); ++i)
+      if (slow_alone(i)) load -= loads_[i], calm_load -= calm_loads_[i];
     // Calm goes by the best rate of a long while: a recent one is lowered by the very limit that it sets.
-    return load_ < recent_rate_ && calm_load_ < kStretch * calm_rate_;
+    return load < recent_rate_ && calm_load < kStretch * calm_rate_;
   }
   void pump() {
     for (auto next = held_.begin(); next != held_.end();) {
       Taken& visit = visits_.at(next->second);
-      if (!room(visit)) break;
-      bool goes = choose(visit, false) >= 0;
+      bool waits = slow_alone(visit.prefix);
+      if (!room(visit) && !waits) break;
+      bool goes = (!waits || room(visit)) && choose(visit, false) >= 0;
       next = goes ? held_.erase(next) : std::next(next);
       if (goes) turn(visit, Input::Room);
     }
   }
-  // Who waits longest, and is shed first: those over their customer's share, then low credit for the work.
+  // Who waits longest, and is shed first: those over their customer's share, then by what service counts for
+  // the work: credit, and for the path prefix that is served worst its own part as well.
   double rank(const Taken& visit) const {
-    double credit = prefix(visit).credit / (deployment_.credit_by_work ? 1 : calm(visit.prefix));
-    return visit.over_share ? 1 / (1 + credit) : -credit;
+    if (visit.over_share) return 1 / (1 + prefix(visit).credit);
+    double whole = 0, works = 0, worst = 2, credit = 0;
+    int last = -1;
+    for (int i = 0; i < int(served_.size()); ++i) {
+      const PathPrefix& each = deployment_.path_prefixes[i];
+      double work = double(std::count(arrived_.begin(), arrived_.end(), i)) * calm(i);
+      double earned = each.credit / (deployment_.credit_by_work ? 1 : calm(i));
+      double share = served_[i].empty() ? 1 : mean(served_[i]);
+      whole += earned * work;
+      if (work > 0 && share < worst) worst = share, last = i;
+      if (i == visit.prefix) credit = earned, works = work;
+    }
+    double bonus = last == visit.prefix && hope(last) > 0.6 ? deployment_.worst_prefix_counts / works : 0;
+    double earns = (1 - deployment_.worst_prefix_counts) * credit / std::max(whole, 1e-9) + bonus;
+    return -earns * hope(visit.prefix);
+  }
+  // The share in time of what was let out lately: where all come late, no place in the queue helps.
+  double hope(int prefix) const {
+    double good = 3, all = 3;
+    for (const auto& [at, well] : let_out_[prefix])
+      if (now_ - at < kHopeAge) good += well, ++all;
+    return good / all;
+  }
+  // Late everywhere while others come in time: neither the endpoints' fault nor a crowd.
+  bool slow_alone(int prefix) const {
+    double best = 0;
+    for (int i = 0; i < int(let_out_.size()); ++i) best = std::max(best, hope(i));
+    return hope(prefix) < 0.3 && best > 0.8;
+  }
+  void note_served(const Taken& visit, bool well) {
+    if (!visit.over_share) keep(served_[visit.prefix], well ? 1.0 : 0.0, kLatencies);
+    if (!visit.fetches.empty()) keep(let_out_[visit.prefix], {now_, well ? 1.0 : 0.0}, kEndpointSamples * 2);
   }
   void leave_count(Taken& visit) {
     if (!std::exchange(visit.counted, false)) return;
+    loads_[visit.prefix] -= visit.weight, calm_loads_[visit.prefix] -= visit.calm_weight;
     --in_flight_, load_ -= visit.weight, calm_load_ -= visit.calm_weight;
   }
   void forget_if_over(std::map<VisitId, Taken>::iterator at) {
@@ -614,6 +660,7 @@
       case Outcome::Delivered:
         endpoint.last_answer = lane.last_answer = now_;
         if (!slept) note_answer(endpoint, answer), note_answer(lane, answer);
+        if (visit.state != State::Done) note_served(visit, whole <= prefix(visit).target_latency);
         if (visit.state != State::Done && !slept) {
           keep(late_, whole > threshold(visit.prefix) ? 1.0 : 0.0, std::size_t{40});
           keep(latencies_[visit.prefix], whole, kLatencies);
@@ -816,8 +863,10 @@
   std::vector<int> ring_, dealt_;  // the listed endpoints in this sidecar's order, and its part of them
   std::map<VisitId, Taken> visits_;
   std::map<Held, VisitId> held_;
-  std::vector<std::deque<double>> latencies_, means_;
-  std::vector<double> thresholds_;  // by path prefix, of latencies_
+  std::vector<std::deque<double>> latencies_, means_, served_;  // served_: 1 in time, 0 not
+  std::vector<std::deque<std::pair<double, double>>> let_out_;  // when it ended, and as served_
+  std::deque<int> arrived_;                                     // the last ones' path prefixes
+  std::vector<double> thresholds_, loads_, calm_loads_;  // by path prefix, of latencies_ and of load_
   std::deque<double> late_;         // 1: a visit past its threshold, 0: one within
   std::deque<double> rates_;
   double pass_ = 1, fleet_rate_ = 0;
--- a/tests/stories.cpp
+++ b/tests/stories.cpp
@@ -585,6 +585,49 @@
   assert(host.fetches(dear) == 1 && host.fetches(over) == 0);
 }
 
+// Where the worst-served path prefix counts by itself, the one that was shed gets its turn before a dearer one.
+void the_worst_served_path_prefix_goes_before_a_dearer_one_where_that_counts() {
+  for (double counts : {0.0, 0.9}) {
+    Deployment made = deployment();
+    made.worst_prefix_counts = counts;
+    FakeHost host(made);
+    host.ready(1);
+    host.calm(100, 0.05), host.calm(20, 0.05, "mutating");
+    for (int i = 0; i < 60; ++i) host.visit();
+    assert(host.bounced.size() > 20);  // all of them reads
+    std::size_t out = host.sent.size();
+    VisitId dear = host.visit("mutating");
+    for (std::size_t at = out - 1; host.sent.size() == out; --at) host.end(Sent(host.sent[at]), Outcome::Delivered);
+    assert(host.fetches(dear) == (counts > 0 ? 0 : 1));  // else a read that has waited
+  }
+}
+
+// What waits at every endpoint is neither their fault nor a crowd: it is held to a part of the room, and the
+// others keep theirs.
+void a_path_prefix_that_is_slow_everywhere_leaves_the_others_their_room() {
+  FakeHost host(deployment());
+  host.ready(2);
+  host.calm(100, 0.02);
+  std::set<VisitId> slow;
+  std::size_t at = host.sent.size();
+  int shed = 0, let_out = 0;
+  for (int i = 0; i < 400; ++i) {
+    slow.insert(host.visit("tagged", 3));
+    let_out += i >= 200 && host.fetches(*slow.rbegin()) > 0;
+    VisitId read = host.visit();
+    host.run(0.02);
+    shed += i >= 200 && host.fetches(read) == 0;
+    std::vector<Sent> due;
+    for (std::size_t k = at; k < host.sent.size(); ++k) {
+      const Sent& fetch = host.sent[k];
+      if (!host.ended(fetch.visit) && host.now - fetch.at >= (slow.contains(fetch.visit) ? 1.5 : 0.01))
+        due.push_back(fetch);
+    }
+    for (const Sent& fetch : due) host.end(fetch, Outcome::Delivered);
+  }
+  assert(shed < 10 && let_out < 100);
+}
+
 // Incident ib6ff54: half the fleet fell silent and what was lost there filled the room of the living.
 void what_is_lost_at_an_endpoint_set_aside_does_not_fill_the_room() {
   FakeHost host(deployment());
@@ -788,6 +831,8 @@
   without_room_visits_are_bounced_promptly_and_none_waits_for_its_client_timeout();
   a_sidecar_that_has_just_started_lets_out_twice_its_first_capacity();
   an_over_share_customer_waits_behind_and_high_credit_goes_first();
+  the_worst_served_path_prefix_goes_before_a_dearer_one_where_that_counts();
+  a_path_prefix_that_is_slow_everywhere_leaves_the_others_their_room();
   what_is_lost_at_an_endpoint_set_aside_does_not_fill_the_room();
   a_visit_out_for_very_long_fills_no_room_unless_others_are_late_too();
   risen_traffic_at_calm_latencies_is_let_in_and_a_crowd_is_not();
