A visit lost at two endpoints goes to no third; room for many sidecars ends by lot

Checked and dropped: the pace of cold endpoints (the flood came first), drains. Lines: after_loss(). Now a visit that two endpoints lost, and may have run, is given up; the first failure is still followed by another fetch. Holds too against what lies behind both; may hurt where two endpoints die by chance under one visit. Where a room ends within a visit it is drawn by lot, and its floor of one visit falls with the share in time. The trickle's story no longer rests on one order of draws.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -98,6 +98,7 @@
   bool over_share = false, counted = false;
   double until = 0, held_until = 0, standing = 0, weight = 0, calm_weight = 0;
   std::uint64_t key = 0;  // 0: none that counts
+  double lot = 0;         // where the room ends within a visit: whether it still counts
   double heavy = 1;       // its work against a quarter of its target latency, as far as told
   Held place;
   std::vector<Fetch> fetches;
@@ -139,7 +140,7 @@
     if (taken.over_share) host_.judged(Judged::OverShare, visit.id);
     if (deployment_.warm_keys && !visit.key.empty()) taken.key = mixed(kMixer, visit.key);
     taken.heavy = std::clamp(4 * visit.work / prefix(taken).target_latency, 1.0, kHeaviest);
-    taken.until = now + visit.time_left;
+    taken.until = now + visit.time_left, taken.lot = chance();
     taken.held_until = now + std::min(patience(taken), visit.time_left / 2);
     keep(arrived_, taken.prefix, kLatencies);
     taken.place = {rank(taken), ++turns_};
@@ -348,6 +349,9 @@
   }
   Input after_loss(const Taken& visit) const {
     if (visit.state == State::Paired) return Input::OneLost;
+    // What two endpoints lost may be what breaks them, or what lies behind both: a third would be the next.
+    auto ran = [](const Fetch& fetch) { return fetch.may_have_run; };
+    if (std::count_if(visit.fetches.begin(), visit.fetches.end(), ran) > 1) return gave_up(visit);
     for (int i = 0; i < int(endpoints_.size()) && now_ < visit.until - 2 * deployment_.round; ++i) {
       bool usable = endpoints_[i].health == Health::Steady &&
                     endpoints_[i].lanes[visit.prefix].health == Health::Steady &&
@@ -569,7 +573,10 @@
     if (deployment_.answers_tell_load) return visit.standing >= 1 - pass_;
     // Before any rate is known twice C's first value: with C itself the first seconds bounced a tenth.
     double each = now_ < started_ + kFirstSeconds ? 2 * kFirstCapacity : kFloor;
-    if (in_flight_ < std::max(1.0, each * count(Health::Steady) / deployment_.sidecars)) return true;
+    // Rounded up to a visit for each of many sidecars a room is too wide: where it ends, and with it the
+    // first visit of all where few come in time, is drawn by lot.
+    double floor = each * count(Health::Steady) / deployment_.sidecars;
+    if (in_flight_ + visit.lot < std::max(hope(visit.prefix), floor)) return true;
     // What is slow by itself would fill the others' room: it has one of its own, as large as its hope.
     double load = load_, share = double(std::count(arrived_.begin(), arrived_.end(), visit.prefix));
     if (slow_alone(visit.prefix))
@@ -578,7 +585,8 @@
     for (int i = 0; i < int(loads_.size()); ++i)
       if (slow_alone(i)) load -= loads_[i], calm_load -= calm_loads_[i];
     // Calm goes by the best rate of a long while: a recent one is lowered by the very limit that it sets.
-    return load < recent_rate_ && calm_load < kStretch * calm_rate_;
+    load += visit.lot / (kRoom * prefix(visit).target_latency);
+    return load < recent_rate_ && calm_load + visit.lot / calm(visit.prefix) < kStretch * calm_rate_;
   }
   void pump() {
     for (auto next = held_.begin(); next != held_.end();) {
--- a/tests/stories.cpp
+++ b/tests/stories.cpp
@@ -3,6 +3,7 @@
 
 #include <cstdio>
 #include <set>
+#include <utility>
 
 #include "helpers.h"
 
@@ -484,14 +485,13 @@
     for (int i = 0; i < 20; ++i) host.visit();
     assert(host.sent_to("a0", back) == allowance);
     host.run(0.05);
+    bool doubled = false;  // one good answer doubles it once
     for (std::size_t at = first; at < first + 20; ++at) {
       bool trickle = host.sent[at].endpoint == "a0";
-      if (trickle && allowance > 1 && at > first) continue;  // one good answer doubles it once
-      host.end(Sent(host.sent[at]), Outcome::Delivered);
+      if (!trickle || !std::exchange(doubled, true)) host.end(Sent(host.sent[at]), Outcome::Delivered);
     }
-    for (std::size_t at = first + 1; at < first + 20; ++at) {
+    for (std::size_t at = first; at < first + 20; ++at)
       if (host.sent[at].endpoint == "a0") host.end(Sent(host.sent[at]), Outcome::Cancelled);
-    }
   }
 }
 
@@ -602,6 +602,40 @@
   }
 }
 
+// Found by hunt ha15b40: visits that broke whatever took them were sent on to four endpoints in each tier.
+void a_visit_lost_at_two_endpoints_that_may_have_run_it_goes_to_no_third() {
+  FakeHost host(deployment());
+  host.ready(8);
+  for (Outcome lost : {Outcome::Broken, Outcome::Failed}) {
+    VisitId visit = host.visit();
+    for (int i = 0; i < 2; ++i) host.end(Sent(host.sent.back()), lost);
+    assert(host.fetches(visit) == 2 && host.bounced.back() == visit);
+  }
+  VisitId unheard = host.visit();  // what never ran broke nothing
+  for (int i = 0; i < 3; ++i) host.end(Sent(host.sent.back()), Outcome::Refused);
+  assert(host.fetches(unheard) == 4);
+}
+
+// Winnipeg's big-1: four hundred sidecars with a visit or two each, rounded up, choked every endpoint for good.
+void many_sidecars_of_few_visits_let_out_less_than_one_each_while_all_come_late() {
+  int let_out[2] = {};
+  for (bool late : {false, true}) {
+    Deployment made = deployment();
+    made.sidecars = 100;
+    FakeHost host(made);
+    host.ready(4);
+    for (int i = 0; i < 60; ++i) {
+      VisitId visit = host.visit();
+      host.run(late ? 1.5 : 0.1);
+      if (host.fetches(visit) == 0) continue;
+      for (const Sent& fetch : std::vector<Sent>(host.sent.end() - host.fetches(visit), host.sent.end()))
+        host.end(fetch, Outcome::Delivered);
+      let_out[late] += i >= 10;
+    }
+  }
+  assert(let_out[false] == 50 && let_out[true] > 5 && let_out[true] < 45);
+}
+
 // What waits at every endpoint is neither their fault nor a crowd: it is held to a part of the room, and the
 // others keep theirs.
 void a_path_prefix_that_is_slow_everywhere_leaves_the_others_their_room() {
@@ -833,6 +867,8 @@
   an_over_share_customer_waits_behind_and_high_credit_goes_first();
   the_worst_served_path_prefix_goes_before_a_dearer_one_where_that_counts();
   a_path_prefix_that_is_slow_everywhere_leaves_the_others_their_room();
+  a_visit_lost_at_two_endpoints_that_may_have_run_it_goes_to_no_third();
+  many_sidecars_of_few_visits_let_out_less_than_one_each_while_all_come_late();
   what_is_lost_at_an_endpoint_set_aside_does_not_fill_the_room();
   a_visit_out_for_very_long_fills_no_room_unless_others_are_late_too();
   risen_traffic_at_calm_latencies_is_let_in_and_a_crowd_is_not();
