--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -14,6 +14,8 @@
 #include <set>
 #include <utility>
 
+#include "records.h"
+
 namespace puffinvane {
 namespace {
 
@@ -60,40 +62,15 @@
 
 enum class Sign { Failing, HoldOver, Good, Restored, Listed, Unlisted };
 
-// What is known and thought of an endpoint as a whole, and of one path prefix's visits there.
-struct Lane : Repute {
-  std::set<std::pair<double, std::uint64_t>> out;  // by time of sending
-  mutable double slow_until = 0, slow = 1;         // kept until then, or until an answer
-};
-
-struct Endpoint : Lane {
-  std::string name, zone;
-  std::int64_t cell = 0;
-  double online_since = 0;
-  double cold_credit = 0;  // fetches that the cold rule still leaves this sidecar
-  Load load;
-  double load_at = -1e9;
-  double units = 1, dealt = 0;  // dealt: the part of its units that is ours
-  bool missing = false;         // from the list, or listed as gone
-  std::vector<Lane> lanes;      // by path prefix
-};
-
 enum class State { Held, Out, Paired, Done };
 enum class Input { Room, Late, Over, OneLost, Again, Bounce, Fail };
 
-struct Fetch {
-  int endpoint = 0, depth = 0;
-  double sent = 0;
-  bool out = true, may_have_run = true;
-  std::string zone;  // and cell: kept here, as the endpoint's place may be another's by then
-  std::int64_t cell = 0;
-};
-
 using Held = std::pair<double, std::uint64_t>;  // rank and turn
 struct Taken {
   explicit Taken(VisitId visit = 0) : id(visit) {}
   VisitId id;
   int prefix = 0;
+  std::vector<Service*> services;  // its path prefix's, and its customer's if known
   State state = State::Held;
   bool over_share = false, counted = false;
   double until = 0, held_until = 0, standing = 0, weight = 0, calm_weight = 0;
@@ -110,8 +87,8 @@
       : deployment_(std::move(deployment)), host_(host), chance_(seed * 2 + 1), now_(now), started_(now) {
     std::size_t prefixes = deployment_.path_prefixes.size();
     latencies_.resize(prefixes), thresholds_.resize(prefixes), means_.resize(prefixes);
-    served_.resize(prefixes), let_out_.resize(prefixes);
-    loads_.resize(prefixes), calm_loads_.resize(prefixes);
+    services_.resize(prefixes + deployment_.customers.size());
+    weigh();
     double turn = (deployment_.me % deployment_.sidecars + chance()) / deployment_.sidecars;
     if (deployment_.list_on_request) ask_at_ = now + turn * deployment_.ask_within * 0.4;
     host_.wake(now + kTick * (0.5 + chance()), kTickToken);
@@ -136,7 +113,8 @@
     Taken taken{visit.id};
     const auto& all = deployment_.path_prefixes;
     while (taken.prefix + 1 < int(all.size()) && all[taken.prefix].name != visit.path_prefix) ++taken.prefix;
-    taken.over_share = over_share(visit.customer);
+    taken.services = {&services_[taken.prefix]};
+    taken.over_share = over_share(visit.customer, taken);
     if (taken.over_share) host_.judged(Judged::OverShare, visit.id);
     if (deployment_.warm_keys && !visit.key.empty()) taken.key = mixed(kMixer, visit.key);
     taken.heavy = std::clamp(4 * visit.work / prefix(taken).target_latency, 1.0, kHeaviest);
@@ -518,8 +496,7 @@
     if (!std::exchange(visit.counted, true)) {
       visit.weight = 1 / (kRoom * prefix(visit).target_latency);
       visit.calm_weight = 1 / calm(visit.prefix);
-      loads_[visit.prefix] += visit.weight, calm_loads_[visit.prefix] += visit.calm_weight;
-      ++in_flight_, load_ += visit.weight, calm_load_ += visit.calm_weight;
+      count_load(visit, 1);
     }
     host_.fetch(visit.id, endpoint.name, 0);
     if (prefix(visit).kind == Kind::ReadLike && deployment_.parallel_fetches && visit.state == State::Out) {
@@ -576,14 +553,12 @@
     // Rounded up to a visit for each of many sidecars a room is too wide: where it ends, and with it the
     // first visit of all where few come in time, is drawn by lot.
     double floor = each * count(Health::Steady) / deployment_.sidecars;
-    if (in_flight_ + visit.lot < std::max(hope(visit.prefix), floor)) return true;
+    if (in_flight_ + visit.lot < std::max(services_[visit.prefix].hope, floor)) return true;
     // What is slow by itself would fill the others' room: it has one of its own, as large as its hope.
-    double load = load_, share = double(std::count(arrived_.begin(), arrived_.end(), visit.prefix));
-    if (slow_alone(visit.prefix))
-      return loads_[visit.prefix] < hope(visit.prefix) * recent_rate_ * share / double(arrived_.size());
-    double calm_load = calm_load_;
-    for (int i = 0; i < int(loads_.size()); ++i)
-      if (slow_alone(i)) load -= loads_[i], calm_load -= calm_loads_[i];
+    if (const Service* own = alone(visit)) return own->load < own->hope * own->part * recent_rate_;
+    double load = load_, calm_load = calm_load_;
+    for (const Service& each : services_)
+      if (each.alone) load -= each.load, calm_load -= each.calm_load;
     // Calm goes by the best rate of a long while: a recent one is lowered by the very limit that it sets.
     load += visit.lot / (kRoom * prefix(visit).target_latency);
     return load < recent_rate_ && calm_load + visit.lot / calm(visit.prefix) < kStretch * calm_rate_;
@@ -591,9 +566,9 @@
   void pump() {
     for (auto next = held_.begin(); next != held_.end();) {
       Taken& visit = visits_.at(next->second);
-      bool waits = slow_alone(visit.prefix);
-      if (!room(visit) && !waits) break;
-      bool goes = (!waits || room(visit)) && choose(visit, false) >= 0;
+      bool has_room = room(visit);
+      if (!has_room && !alone(visit)) break;
+      bool goes = has_room && choose(visit, false) >= 0;
       next = goes ? held_.erase(next) : std::next(next);
       if (goes) turn(visit, Input::Room);
     }
@@ -601,43 +576,60 @@
   // Who waits longest, and is shed first: those over their customer's share, then by what service counts for
   // the work: credit, and for the path prefix that is served worst its own part as well.
   double rank(const Taken& visit) const {
-    if (visit.over_share) return 1 / (1 + prefix(visit).credit);
-    double whole = 0, works = 0, worst = 2, credit = 0;
-    int last = -1;
-    for (int i = 0; i < int(served_.size()); ++i) {
-      const PathPrefix& each = deployment_.path_prefixes[i];
-      double work = double(std::count(arrived_.begin(), arrived_.end(), i)) * calm(i);
-      double earned = each.credit / (deployment_.credit_by_work ? 1 : calm(i));
-      double share = served_[i].empty() ? 1 : mean(served_[i]);
-      whole += earned * work;
-      if (work > 0 && share < worst) worst = share, last = i;
-      if (i == visit.prefix) credit = earned, works = work;
+    return visit.over_share ? 1 / (1 + prefix(visit).credit) : -services_[visit.prefix].earns;
+  }
+  // Worked out each tick, as it is asked for several times a visit.
+  void weigh() {
+    const auto& all = deployment_.path_prefixes;
+    double whole = 1e-9, least = 2, best[2] = {};
+    std::size_t worst = 0;
+    for (std::size_t i = 0; i < services_.size(); ++i) {
+      Service& each = services_[i];
+      double good = 3, ended = 3;
+      for (const auto& [at, well] : each.let_out)
+        if (now_ - at < kHopeAge) good += well, ++ended;
+      each.hope = good / ended;
+      best[i < all.size()] = std::max(best[i < all.size()], each.hope);
+      auto its = i < all.size() ? std::count(arrived_.begin(), arrived_.end(), int(i))
+                                : std::count(customers_.begin(), customers_.end(),
+                                             deployment_.customers[i - all.size()].name);
+      each.part = double(its) / double(arrived_.size() + 1);
+      if (i >= all.size()) continue;
+      each.earns = all[i].credit / (deployment_.credit_by_work ? 1 : calm(int(i)));
+      whole += each.earns * each.part * calm(int(i));
+      double share = each.served.empty() ? 1 : mean(each.served);
+      if (each.part > 0 && share < least) least = share, worst = i;
+    }
+    for (std::size_t i = 0; i < services_.size(); ++i) {
+      // Late everywhere while others come in time: neither the endpoints' fault nor a crowd.
+      Service& each = services_[i];
+      each.alone = each.hope < 0.3 && best[i < all.size()] > 0.8;
+      if (i >= all.size()) continue;
+      // Where all that is let out comes late, no place in the queue helps.
+      bool helps = i == worst && each.part > 0 && each.hope > 0.6;
+      double bonus = helps ? deployment_.worst_prefix_counts / (each.part * calm(int(i))) : 0;
+      each.earns = ((1 - deployment_.worst_prefix_counts) * each.earns / whole + bonus) * each.hope;
     }
-    double bonus = last == visit.prefix && hope(last) > 0.6 ? deployment_.worst_prefix_counts / works : 0;
-    double earns = (1 - deployment_.worst_prefix_counts) * credit / std::max(whole, 1e-9) + bonus;
-    return -earns * hope(visit.prefix);
-  }
-  // The share in time of what was let out lately: where all come late, no place in the queue helps.
-  double hope(int prefix) const {
-    double good = 3, all = 3;
-    for (const auto& [at, well] : let_out_[prefix])
-      if (now_ - at < kHopeAge) good += well, ++all;
-    return good / all;
-  }
-  // Late everywhere while others come in time: neither the endpoints' fault nor a crowd.
-  bool slow_alone(int prefix) const {
-    double best = 0;
-    for (int i = 0; i < int(let_out_.size()); ++i) best = std::max(best, hope(i));
-    return hope(prefix) < 0.3 && best > 0.8;
+  }
+  static const Service* alone(const Taken& visit) {
+    auto its = [](const Service* each) { return each->alone; };
+    auto found = std::find_if(visit.services.begin(), visit.services.end(), its);
+    return found == visit.services.end() ? nullptr : *found;
   }
   void note_served(const Taken& visit, bool well) {
-    if (!visit.over_share) keep(served_[visit.prefix], well ? 1.0 : 0.0, kLatencies);
-    if (!visit.fetches.empty()) keep(let_out_[visit.prefix], {now_, well ? 1.0 : 0.0}, kEndpointSamples * 2);
+    for (Service* each : visit.services) {
+      if (!visit.over_share) keep(each->served, well ? 1.0 : 0.0, kLatencies);
+      if (!visit.fetches.empty()) keep(each->let_out, {now_, well ? 1.0 : 0.0}, kEndpointSamples * 2);
+    }
+  }
+  void count_load(const Taken& visit, int sign) {
+    in_flight_ += sign, load_ += sign * visit.weight, calm_load_ += sign * visit.calm_weight;
+    for (Service* each : visit.services)
+      each->load += sign * visit.weight, each->calm_load += sign * visit.calm_weight;
   }
   void leave_count(Taken& visit) {
     if (!std::exchange(visit.counted, false)) return;
-    loads_[visit.prefix] -= visit.weight, calm_loads_[visit.prefix] -= visit.calm_weight;
-    --in_flight_, load_ -= visit.weight, calm_load_ -= visit.calm_weight;
+    count_load(visit, -1);
   }
   void forget_if_over(std::map<VisitId, Taken>::iterator at) {
     const Taken& visit = at->second;
@@ -645,12 +637,13 @@
     if (visit.state == State::Done && !out) visits_.erase(at);
   }
   // Sidecars' traffic is uneven but its mixture alike: a customer's part of it here is that of the fleet.
-  bool over_share(std::string_view name) {
+  bool over_share(std::string_view name, Taken& visit) {
     keep(arrivals_, now_, kLatencies);
     const auto& all = deployment_.customers;
     auto found = std::find_if(all.begin(), all.end(), [&](const Customer& one) { return one.name == name; });
     if (found == all.end()) return false;
     keep(customers_, std::string(name), kLatencies);
+    visit.services.push_back(&services_[latencies_.size() + std::size_t(found - all.begin())]);
     auto its = std::count(customers_.begin(), customers_.end(), found->name);
     return chance() * double(its) / double(customers_.size()) * fleet_rate_ > found->quota_per_s;
   }
@@ -802,7 +795,7 @@
   }
   void tick() {
     host_.wake(now_ + kTick, kTickToken);
-    hear_crowd();
+    hear_crowd(), weigh();
     if (ask_at_ > 0 && now_ >= ask_at_) {
       ask_at_ = 0;
       asked_until_ = now_ + deployment_.ask_within;
@@ -871,10 +864,10 @@
   std::vector<int> ring_, dealt_;  // the listed endpoints in this sidecar's order, and its part of them
   std::map<VisitId, Taken> visits_;
   std::map<Held, VisitId> held_;
-  std::vector<std::deque<double>> latencies_, means_, served_;  // served_: 1 in time, 0 not
-  std::vector<std::deque<std::pair<double, double>>> let_out_;  // when it ended, and as served_
-  std::deque<int> arrived_;                                     // the last ones' path prefixes
-  std::vector<double> thresholds_, loads_, calm_loads_;  // by path prefix, of latencies_ and of load_
+  std::vector<std::deque<double>> latencies_, means_;
+  std::vector<Service> services_;   // path prefixes, then customers
+  std::deque<int> arrived_;         // the last ones' path prefixes
+  std::vector<double> thresholds_;  // by path prefix, of latencies_
   std::deque<double> late_;         // 1: a visit past its threshold, 0: one within
   std::deque<double> rates_;
   double pass_ = 1, fleet_rate_ = 0;
--- a/tests/stories.cpp
+++ b/tests/stories.cpp
@@ -638,17 +638,19 @@
 
 // What waits at every endpoint is neither their fault nor a crowd: it is held to a part of the room, and the
 // others keep theirs.
-void a_path_prefix_that_is_slow_everywhere_leaves_the_others_their_room() {
-  FakeHost host(deployment());
+void who_is_slow_everywhere_leaves_the_others_their_room(const char* prefix, const char* customer) {
+  Deployment made = deployment();
+  made.customers = {{"dull", 1000}, {"keen", 1000}};
+  FakeHost host(made);
   host.ready(2);
   host.calm(100, 0.02);
   std::set<VisitId> slow;
   std::size_t at = host.sent.size();
   int shed = 0, let_out = 0;
   for (int i = 0; i < 400; ++i) {
-    slow.insert(host.visit("tagged", 3));
+    slow.insert(host.visit(prefix, 3, customer));
     let_out += i >= 200 && host.fetches(*slow.rbegin()) > 0;
-    VisitId read = host.visit();
+    VisitId read = host.visit("read", 4, "keen");
     host.run(0.02);
     shed += i >= 200 && host.fetches(read) == 0;
     std::vector<Sent> due;
@@ -866,7 +868,8 @@
   a_sidecar_that_has_just_started_lets_out_twice_its_first_capacity();
   an_over_share_customer_waits_behind_and_high_credit_goes_first();
   the_worst_served_path_prefix_goes_before_a_dearer_one_where_that_counts();
-  a_path_prefix_that_is_slow_everywhere_leaves_the_others_their_room();
+  who_is_slow_everywhere_leaves_the_others_their_room("tagged", "keen");
+  who_is_slow_everywhere_leaves_the_others_their_room("read", "dull");
   a_visit_lost_at_two_endpoints_that_may_have_run_it_goes_to_no_third();
   many_sidecars_of_few_visits_let_out_less_than_one_each_while_all_come_late();
   what_is_lost_at_an_endpoint_set_aside_does_not_fill_the_room();
