--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -39,6 +39,7 @@
 constexpr double kKnownRate = 2, kWarm = 5, kHeaviest = 4;  // kWarm: depth that a key met lately is worth
 constexpr double kBack = 100;  // and going back to the same endpoint: for want of any other
 constexpr double kReportAge = 3, kFull = 0.9, kMend = 0.7, kFewLags = 4;
+constexpr int kWholeTicks = 5;  // of these, one looks at all endpoints, the others at those dealt
 constexpr double kTick = 0.1, kStoodStill = 0.35, kFirstOfAll = -1e9;
 constexpr double kFirstHold = 1, kLongestHold = 8;  // seconds set aside, doubling
 constexpr int kTrickleDone = 8;  // fetches at a time that a trickle has to bear before it is over
@@ -125,7 +126,7 @@
     double worse = 0, mine = taken.place.first + 1e-3 * chance();
     for (double other : ranks_) worse += other > mine;
     taken.standing = worse / double(std::max<std::size_t>(1, ranks_.size()));
-    keep(ranks_, mine, kLatencies);
+    if (deployment_.answers_tell_load) keep(ranks_, mine, kLatencies);
     held_.emplace(taken.place, taken.id);
     // Rule 1: the answer has to be out before the client timeout.
     host_.wake(std::max(now, taken.until - 2 * deployment_.round), kUntilToken | taken.id);
@@ -283,7 +284,7 @@
   void set_aside(Lane& lane) {
     lane.hold_until = now_ + lane.hold * (0.75 + 0.5 * chance());
     lane.hold = std::min(lane.hold * 2, kLongestHold);
-    forget_answers(lane), host_.judged(Judged::Aside, 0);
+    forget_answers(lane), host_.judged(Judged::Aside, 0), stale_ = true;
     // What is lost there must not fill the room of the living until its client timeout.
     for (const auto& [sent, what] : lane.out) leave_count(visits_.at(VisitId(what >> 8)));
   }
@@ -591,8 +592,7 @@
       each.hope = good / ended;
       best[i < all.size()] = std::max(best[i < all.size()], each.hope);
       auto its = i < all.size() ? std::count(arrived_.begin(), arrived_.end(), int(i))
-                                : std::count(customers_.begin(), customers_.end(),
-                                             deployment_.customers[i - all.size()].name);
+                                : std::count(customers_.begin(), customers_.end(), int(i - all.size()));
       each.part = double(its) / double(arrived_.size() + 1);
       if (i >= all.size()) continue;
       each.earns = all[i].credit / (deployment_.credit_by_work ? 1 : calm(int(i)));
@@ -642,9 +642,10 @@
     const auto& all = deployment_.customers;
     auto found = std::find_if(all.begin(), all.end(), [&](const Customer& one) { return one.name == name; });
     if (found == all.end()) return false;
-    keep(customers_, std::string(name), kLatencies);
-    visit.services.push_back(&services_[latencies_.size() + std::size_t(found - all.begin())]);
-    auto its = std::count(customers_.begin(), customers_.end(), found->name);
+    int number = int(found - all.begin());
+    keep(customers_, number, kLatencies);
+    visit.services.push_back(&services_[latencies_.size() + std::size_t(number)]);
+    auto its = std::count(customers_.begin(), customers_.end(), number);
     return chance() * double(its) / double(customers_.size()) * fleet_rate_ > found->quota_per_s;
   }
 
@@ -795,7 +796,8 @@
   }
   void tick() {
     host_.wake(now_ + kTick, kTickToken);
-    hear_crowd(), weigh();
+    hear_crowd();
+    if (deployment_.tier == 0) weigh();  // behind it nothing is shed
     if (ask_at_ > 0 && now_ >= ask_at_) {
       ask_at_ = 0;
       asked_until_ = now_ + deployment_.ask_within;
@@ -810,13 +812,17 @@
         if (latencies_[i].size() >= kFewLatencies) keep(means_[i], mean(latencies_[i]), kCalmSeconds);
       }
     }
-    deal();
+    // With hundreds of endpoints a look at each, every tick, was most of what a sidecar cost.
+    bool whole = ++ticks_ % kWholeTicks == 0 || deployment_.answers_tell_load;
+    if (whole || std::exchange(stale_, false)) deal();
     double warm = 0;
     for (int i : dealt_)
       if (endpoints_[i].health == Health::Steady && !cold(endpoints_[i])) warm += endpoints_[i].dealt;
     // A fresh one gets the cold share, growing evenly, of a warm one's; with none warm, a fetch a second.
     double pace = std::max(warm > 0 ? recent_rate_ * kTick / warm : 0, kTick / rings());
-    for (Endpoint& endpoint : endpoints_) {
+    double late = mean(late_);
+    for (int i : whole ? ring_ : dealt_) {
+      Endpoint& endpoint = endpoints_[i];
       if (cold(endpoint)) {
         double warmth = (now_ - endpoint.online_since) / deployment_.cold.warm_after;
         double share = deployment_.cold.share + (1 - deployment_.cold.share) * std::clamp(warmth, 0.0, 1.0);
@@ -829,14 +835,14 @@
       for (const auto& [sent, what] : endpoint.out) {
         Taken& visit = visits_.at(VisitId(what >> 8));
         bool lost = now_ - sent > kHopeless * threshold(visit.prefix);
-        if (lost && !(mean(late_) > kSharedLate / 2)) leave_count(visit);
+        if (lost && !(late > kSharedLate / 2)) leave_count(visit);
       }
       if (silent(endpoint)) note_failing(endpoint);
-      for (std::size_t i = 0; i < endpoint.lanes.size(); ++i) {
-        Lane& lane = endpoint.lanes[i];
+      for (std::size_t k = 0; k < endpoint.lanes.size(); ++k) {
+        Lane& lane = endpoint.lanes[k];
         if (lane.health == Health::Aside && now_ >= lane.hold_until) turn_health(lane, Sign::HoldOver);
-        if (deployment_.last_tier && !(mean(late_) > kSharedLate) && silent(lane))
-          note_failing(endpoint, int(i));
+        if (deployment_.last_tier && !(late > kSharedLate) && silent(lane))
+          note_failing(endpoint, int(k));
       }
     }
     for (auto next = held_.begin(); next != held_.end();) {
@@ -866,18 +872,18 @@
   std::map<Held, VisitId> held_;
   std::vector<std::deque<double>> latencies_, means_;
   std::vector<Service> services_;   // path prefixes, then customers
-  std::deque<int> arrived_;         // the last ones' path prefixes
+  std::deque<int> arrived_, customers_;  // of the last: which path prefix, and which customer if known
   std::vector<double> thresholds_;  // by path prefix, of latencies_
   std::deque<double> late_;         // 1: a visit past its threshold, 0: one within
   std::deque<double> rates_;
   double pass_ = 1, fleet_rate_ = 0;
   std::deque<std::pair<double, double>> lags_;  // of the last answers: when, and latency against target
   std::deque<double> passes_, ranks_, arrivals_;
-  std::deque<std::string> customers_;
   double answers_ = 0, recent_rate_ = 0, calm_rate_ = 0, load_ = 0, calm_load_ = 0;
   int in_flight_ = 0, copy_to_ = -1, parts_ = 1;
   double ask_at_ = 0, asked_until_ = 0, ask_back_off_ = 0.5, report_at_ = 0, means_at_ = 0;
-  std::uint64_t turns_ = 0;
+  std::uint64_t turns_ = 0, ticks_ = 0;
+  bool stale_ = false;  // the dealt part, as one of it was set aside
   std::array<std::uint64_t, Counted> counts_{};
 };
 
