An endpoint's last absences stand for its return, in place of a fixed first hold

The first hold is half of what the endpoint's last four absences lasted (a second while none is known), doubling as before. Holds against what fails and recovers by turns; may hurt where an absence was long by accident: then the next test comes up to 8 s later.

--- a/include/puffinvane/learned.h
+++ b/include/puffinvane/learned.h
@@ -19,9 +19,11 @@
 // Of an endpoint as a whole, or of one path prefix's visits there.
 struct Repute {
   Health health = Health::Gone;
-  double hold = 1, hold_until = 0, last_answer = -1e9;
+  double hold = 0, hold_until = 0, last_answer = -1e9;
   int allowance = 0;
-  std::deque<Answer> answers;
+  std::deque<Answer> answers{};
+  double away_since = 0;       // set aside, and not in full use since
+  std::deque<double> aways{};  // how long its last absences were
   friend bool operator==(const Repute&, const Repute&) = default;
 };
 
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -282,6 +282,9 @@
   // ---- effects of the health table
   void nothing(Lane&) {}
   void set_aside(Lane& lane) {
+    // Half of what its last absences lasted stands for its return; a second while none is known.
+    if (lane.away_since == 0)
+      lane.away_since = now_, lane.hold = std::max(lane.hold, usual_absence(lane) / 2);
     lane.hold_until = now_ + lane.hold * (0.75 + 0.5 * chance());
     lane.hold = std::min(lane.hold * 2, kLongestHold);
     forget_answers(lane), host_.judged(Judged::Aside, 0), stale_ = true;
@@ -290,7 +293,13 @@
   }
   void open_trickle(Lane& lane) { lane.allowance = 1, forget_answers(lane); }
   void double_trickle(Lane& lane) { lane.allowance *= 2; }
-  void restore(Lane& lane) { lane.hold = kFirstHold; }
+  void restore(Lane& lane) {
+    if (lane.away_since > 0) keep(lane.aways, now_ - std::exchange(lane.away_since, 0.0), std::size_t{4});
+    lane.hold = 0;
+  }
+  double usual_absence(const Lane& lane) const {
+    return lane.aways.empty() ? 2 * kFirstHold : std::clamp(mean(lane.aways), kFirstHold, 2 * kLongestHold);
+  }
 
   const PathPrefix& prefix(const Taken& visit) const { return deployment_.path_prefixes[visit.prefix]; }
   static std::uint64_t key(VisitId id, int number) { return std::uint64_t{id} << 8 | unsigned(number); }
