--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -563,7 +563,7 @@
     // Rounded up to a visit for each of many sidecars a room is too wide: where it ends, and with it the
     // first visit of all where few come in time, is drawn by lot.
     double floor = each * count(Health::Steady) / deployment_.sidecars;
-    if (in_flight_ + visit.lot < std::max(services_[visit.prefix].hope, floor)) return true;
+    if (in_flight_ + visit.lot < std::max(2 * services_[visit.prefix].hope, floor)) return true;
     // What is slow by itself would fill the others' room: it has one of its own, as large as its hope.
     if (const Service* own = alone(visit)) return own->load < own->hope * own->part * recent_rate_;
     double load = load_, calm_load = calm_load_;
@@ -806,7 +806,7 @@
   void tick() {
     host_.wake(now_ + kTick, kTickToken);
     hear_crowd();
-    if (deployment_.tier == 0) weigh();  // behind it nothing is shed
+    if (deployment_.tier == 0 && turns_ != std::exchange(weighed_, turns_)) weigh();  // else nothing is shed
     if (ask_at_ > 0 && now_ >= ask_at_) {
       ask_at_ = 0;
       asked_until_ = now_ + deployment_.ask_within;
@@ -891,7 +891,7 @@
   double answers_ = 0, recent_rate_ = 0, calm_rate_ = 0, load_ = 0, calm_load_ = 0;
   int in_flight_ = 0, copy_to_ = -1, parts_ = 1;
   double ask_at_ = 0, asked_until_ = 0, ask_back_off_ = 0.5, report_at_ = 0, means_at_ = 0;
-  std::uint64_t turns_ = 0, ticks_ = 0;
+  std::uint64_t turns_ = 0, weighed_ = 0, ticks_ = 0;
   bool stale_ = false;  // the dealt part, as one of it was set aside
   std::array<std::uint64_t, Counted> counts_{};
 };
