--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -9,12 +9,13 @@
 #include <cmath>
 #include <deque>
 #include <map>
-#include <numeric>
 #include <pcg_random.hpp>
 #include <set>
 #include <utility>
 
+#include "inheritance.h"
 #include "records.h"
+#include "samples.h"
 
 namespace puffinvane {
 namespace {
@@ -29,7 +30,6 @@
 constexpr double kSharedLate = 0.25;           // of the last visits: not one endpoint's doing
 constexpr double kRoom = 0.6, kStretch = 1.9;  // of a target latency, and of calm, that visits may spend
 constexpr int kDealt = 4;  // endpoints a sidecar, and sidecars an endpoint, that a part must leave at least
-constexpr std::uint64_t kMixer = 0xff51afd7ed558ccdULL;  // odd and well spread: parts names that look alike
 constexpr double kFloor = 5, kFirstSeconds = 3;  // visits an endpoint, of all sidecars, that need no room
 constexpr std::size_t kCalmSeconds = 40, kRateTicks = 80, kLeastTicks = 20, kPassTicks = 15;
 constexpr double kLeastPatience = 0.2, kMostPatience = 0.8;  // of the target latency that a visit may be held
@@ -44,44 +44,10 @@
 constexpr double kFirstHold = 1, kLongestHold = 8;  // seconds set aside, doubling
 constexpr int kTrickleDone = 8;  // fetches at a time that a trickle has to bear before it is over
 
-template <typename T>
-void keep(std::deque<T>& samples, const T& sample, std::size_t most) {
-  samples.push_back(sample);
-  if (samples.size() > most) samples.pop_front();
-}
-
-double percentile(const std::deque<double>& samples, double share) {
-  std::vector<double> sorted(samples.begin(), samples.end());
-  auto at = sorted.begin() + static_cast<std::ptrdiff_t>(share * double(sorted.size() - 1));
-  std::nth_element(sorted.begin(), at, sorted.end());
-  return *at;
-}
-
-double mean(const std::deque<double>& samples) {
-  return std::accumulate(samples.begin(), samples.end(), 0.0) / double(samples.size());
-}
-
 enum class Sign { Failing, HoldOver, Good, Restored, Listed, Unlisted };
 
-enum class State { Held, Out, Paired, Done };
 enum class Input { Room, Late, Over, OneLost, Again, Bounce, Fail };
 
-using Held = std::pair<double, std::uint64_t>;  // rank and turn
-struct Taken {
-  explicit Taken(VisitId visit = 0) : id(visit) {}
-  VisitId id;
-  int prefix = 0;
-  std::vector<Service*> services;  // its path prefix's, and its customer's if known
-  State state = State::Held;
-  bool over_share = false, counted = false;
-  double until = 0, held_until = 0, standing = 0, weight = 0, calm_weight = 0;
-  std::uint64_t key = 0;  // 0: none that counts
-  double lot = 0;         // where the room ends within a visit: whether it still counts
-  double heavy = 1;       // its work against a quarter of its target latency, as far as told
-  Held place;
-  std::vector<Fetch> fetches;
-};
-
 class Module final : public Policy {
  public:
   Module(double now, Deployment deployment, std::uint64_t seed, Host& host)
@@ -167,42 +133,20 @@
   }
 
   Learned learned() const override {
-    Learned told{{}, {}, late_, rates_, started_};
-    for (std::size_t i = 0; i < latencies_.size(); ++i)
-      told.prefixes.push_back({deployment_.path_prefixes[i].name, latencies_[i], means_[i]});
-    for (const Endpoint& one : endpoints_) {
-      std::vector<Repute> lanes(one.lanes.begin(), one.lanes.end());
-      if (one.health != Health::Gone) told.endpoints.push_back({one.name, one.online_since, one, lanes});
-    }
-    return told;
+    return {tell(deployment_, latencies_, means_), tell(endpoints_), late_, rates_, started_};
   }
   void inherit(double now, const Learned& from, double share) override {
     pass_time(now);
-    const auto& all = deployment_.path_prefixes;
-    std::vector<std::size_t> as;  // our number of each of theirs
-    for (const auto& [name, latencies, means] : from.prefixes) {
-      auto same = [&](const PathPrefix& one) { return one.name == name; };
-      std::size_t i = std::size_t(std::find_if(all.begin(), all.end(), same) - all.begin());
-      as.push_back(i);
-      if (i == all.size() || latencies.empty()) continue;
-      latencies_[i] = latencies, means_[i] = means, thresholds_[i] = percentile(latencies, kHedgePercentile);
-    }
-    for (Endpoint& endpoint : endpoints_) {
-      for (const auto& [name, online_since, whole, lanes] : from.endpoints) {
-        bool same = name == endpoint.name && online_since == endpoint.online_since;
-        if (!same || endpoint.health == Health::Gone || whole.health == Health::Gone) continue;
-        static_cast<Repute&>(endpoint) = whole, endpoint.slow_until = 0;
-        for (std::size_t k = 0; k < std::min(as.size(), lanes.size()); ++k)
-          if (as[k] < all.size()) static_cast<Repute&>(endpoint.lanes[as[k]]) = lanes[k];
-      }
-    }
+    take_over(from, deployment_, latencies_, means_, endpoints_);
+    for (std::size_t i = 0; i < latencies_.size(); ++i)
+      if (!latencies_[i].empty()) thresholds_[i] = percentile(latencies_[i], kHedgePercentile);
     if (!from.late.empty()) late_ = from.late;
     // Its first seconds are over: nobody knows less of the endpoints than a sidecar that has just started.
     if (from.started > 0) started_ = std::min(started_, from.started);
     while (rates_.size() < from.rates.size()) rates_.push_front(0);
     for (std::size_t i = 1; i <= from.rates.size(); ++i)
       rates_[rates_.size() - i] += share * from.rates[from.rates.size() - i];
-    recent_rate_ = best_rate(rates_, kRateTicks), calm_rate_ = best_rate(rates_, rates_.size());
+    recent_rate_ = best_rate(kRateTicks), calm_rate_ = best_rate(rates_.size());
   }
 
   std::size_t avoided() const override { return std::size_t(count(Health::Aside)); }
@@ -283,8 +227,8 @@
   void nothing(Lane&) {}
   void set_aside(Lane& lane) {
     // Half of what its last absences lasted stands for its return; a second while none is known.
-    if (lane.away_since == 0)
-      lane.away_since = now_, lane.hold = std::max(lane.hold, usual_absence(lane) / 2);
+    double usual = lane.aways.empty() ? kFirstHold : std::clamp(mean(lane.aways) / 2, 0.5, kLongestHold);
+    if (lane.away_since == 0) lane.away_since = now_, lane.hold = std::max(lane.hold, usual);
     lane.hold_until = now_ + lane.hold * (0.75 + 0.5 * chance());
     lane.hold = std::min(lane.hold * 2, kLongestHold);
     forget_answers(lane), host_.judged(Judged::Aside, 0), stale_ = true;
@@ -297,9 +241,6 @@
     if (lane.away_since > 0) keep(lane.aways, now_ - std::exchange(lane.away_since, 0.0), std::size_t{4});
     lane.hold = 0;
   }
-  double usual_absence(const Lane& lane) const {
-    return lane.aways.empty() ? 2 * kFirstHold : std::clamp(mean(lane.aways), kFirstHold, 2 * kLongestHold);
-  }
 
   const PathPrefix& prefix(const Taken& visit) const { return deployment_.path_prefixes[visit.prefix]; }
   static std::uint64_t key(VisitId id, int number) { return std::uint64_t{id} << 8 | unsigned(number); }
@@ -323,10 +264,6 @@
     }
     return true;
   }
-  static bool tried(const Taken& visit, int endpoint) {
-    auto there = [&](const Fetch& fetch) { return fetch.endpoint == endpoint; };
-    return std::any_of(visit.fetches.begin(), visit.fetches.end(), there);
-  }
   // A group may have no other endpoint, and what spoils one answer need not spoil the next.
   bool may_go_back(const Taken& visit) const {
     return prefix(visit).kind == Kind::Tagged && !all_known_not_run(visit);
@@ -405,13 +342,6 @@
     }
     return capacity;
   }
-  static double failures(const Lane& lane) {
-    return double(std::count_if(lane.answers.begin(), lane.answers.end(),
-                                [](const Answer& answer) { return answer.failed; }));
-  }
-  static double error_share(const Lane& lane) {
-    return failures(lane) / std::max(1.0, double(lane.answers.size()));
-  }
   bool cold(const Endpoint& endpoint) const {
     return endpoint.online_since > 0 && now_ < endpoint.online_since + deployment_.cold.warm_after;
   }
@@ -425,11 +355,6 @@
   // With the whole list for many sidecars of few visits no endpoint is known to any. So a ring of the list,
   // shuffled alike at all, is cut evenly among as many sidecars as it gives parts; the next cut another ring.
   int rings() const { return deployment_.sidecars / parts_; }
-  static std::uint64_t mixed(std::uint64_t at, std::string_view name) {
-    for (char each : name) at = (at ^ std::uint8_t(each)) * kMixer, at ^= at >> 29;
-    return at;
-  }
-  static double to_share(std::uint64_t mixed) { return double(mixed >> 11) / double(1ULL << 53); }
   void shuffle() {
     // Cut anew only for a list that is clearly another: each new cut is a round of new connections for all.
     int parts = std::max(1, std::min(listed(), deployment_.sidecars) / kDealt);
@@ -539,14 +464,9 @@
 
   // ---- room: what may be out at once, measured in target latencies
   // Over windows long enough for a few dozen answers: the best of a few handfuls is only their luck.
-  static double best_rate(const std::deque<double>& rates, std::size_t ticks) {
-    double best = 0, sum = 0;
-    for (std::size_t i = rates.size() - std::min(ticks, rates.size()), n = 0; i < rates.size(); ++i) {
-      sum += rates[i];
-      if (++n > kRateTicks) sum -= rates[i - kRateTicks];
-      best = std::max(best, sum);
-    }
-    return best / (double(std::clamp(rates.size(), kLeastTicks, kRateTicks)) * kTick);
+  double best_rate(std::size_t last) const {
+    double seconds = double(std::clamp(rates_.size(), kLeastTicks, kRateTicks)) * kTick;
+    return best_sum(rates_, last, kRateTicks) / seconds;
   }
   int count(Health health) const {
     return int(std::count_if(endpoints_.begin(), endpoints_.end(),
@@ -566,9 +486,12 @@
     if (in_flight_ + visit.lot < std::max(2 * services_[visit.prefix].hope, floor)) return true;
     // What is slow by itself would fill the others' room: it has one of its own, as large as its hope.
     if (const Service* own = alone(visit)) return own->load < own->hope * own->part * recent_rate_;
-    double load = load_, calm_load = calm_load_;
-    for (const Service& each : services_)
-      if (each.alone) load -= each.load, calm_load -= each.calm_load;
+    double load = 0, calm_load = 0;
+    for (std::size_t i = 0; i < services_.size(); ++i) {
+      // All visits are some path prefix's; those of a customer apart are taken out of them.
+      int sign = int(i < latencies_.size()) - int(services_[i].alone);
+      load += sign * services_[i].load, calm_load += sign * services_[i].calm_load;
+    }
     // Calm goes by the best rate of a long while: a recent one is lowered by the very limit that it sets.
     load += visit.lot / (kRoom * prefix(visit).target_latency);
     return load < recent_rate_ && calm_load + visit.lot / calm(visit.prefix) < kStretch * calm_rate_;
@@ -620,11 +543,6 @@
       each.earns = ((1 - deployment_.worst_prefix_counts) * each.earns / whole + bonus) * each.hope;
     }
   }
-  static const Service* alone(const Taken& visit) {
-    auto its = [](const Service* each) { return each->alone; };
-    auto found = std::find_if(visit.services.begin(), visit.services.end(), its);
-    return found == visit.services.end() ? nullptr : *found;
-  }
   void note_served(const Taken& visit, bool well) {
     for (Service* each : visit.services) {
       if (!visit.over_share) keep(each->served, well ? 1.0 : 0.0, kLatencies);
@@ -632,7 +550,7 @@
     }
   }
   void count_load(const Taken& visit, int sign) {
-    in_flight_ += sign, load_ += sign * visit.weight, calm_load_ += sign * visit.calm_weight;
+    in_flight_ += sign;
     for (Service* each : visit.services)
       each->load += sign * visit.weight, each->calm_load += sign * visit.calm_weight;
   }
@@ -814,7 +732,7 @@
     }
     if (asked_until_ > 0 && now_ > asked_until_) ask_again_later();
     keep(rates_, std::exchange(answers_, 0.0), std::size_t(kCalmSeconds / kTick));
-    recent_rate_ = best_rate(rates_, kRateTicks), calm_rate_ = best_rate(rates_, rates_.size());
+    recent_rate_ = best_rate(kRateTicks), calm_rate_ = best_rate(rates_.size());
     if (now_ >= means_at_) {
       means_at_ = now_ + 1;
       for (std::size_t i = 0; i < latencies_.size(); ++i) {
@@ -830,8 +748,8 @@
     // A fresh one gets the cold share, growing evenly, of a warm one's; with none warm, a fetch a second.
     double pace = std::max(warm > 0 ? recent_rate_ * kTick / warm : 0, kTick / rings());
     double late = mean(late_);
-    for (int i : whole ? ring_ : dealt_) {
-      Endpoint& endpoint = endpoints_[i];
+    for (std::size_t n = 0; n < (whole ? endpoints_.size() : dealt_.size()); ++n) {
+      Endpoint& endpoint = endpoints_[whole ? n : std::size_t(dealt_[n])];
       if (cold(endpoint)) {
         double warmth = (now_ - endpoint.online_since) / deployment_.cold.warm_after;
         double share = deployment_.cold.share + (1 - deployment_.cold.share) * std::clamp(warmth, 0.0, 1.0);
@@ -888,7 +806,7 @@
   double pass_ = 1, fleet_rate_ = 0;
   std::deque<std::pair<double, double>> lags_;  // of the last answers: when, and latency against target
   std::deque<double> passes_, ranks_, arrivals_;
-  double answers_ = 0, recent_rate_ = 0, calm_rate_ = 0, load_ = 0, calm_load_ = 0;
+  double answers_ = 0, recent_rate_ = 0, calm_rate_ = 0;
   int in_flight_ = 0, copy_to_ = -1, parts_ = 1;
   double ask_at_ = 0, asked_until_ = 0, ask_back_off_ = 0.5, report_at_ = 0, means_at_ = 0;
   std::uint64_t turns_ = 0, weighed_ = 0, ticks_ = 0;
--- a/src/records.h
+++ b/src/records.h
@@ -1,6 +1,7 @@
-// What the module keeps of endpoints, fetches and those it serves: plain records, all decisions are policy.cpp's.
+// What the module keeps of endpoints, visits and those it serves: plain records; policy.cpp decides.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <set>
@@ -46,4 +47,40 @@
   bool alone = false;
 };
 
+enum class State { Held, Out, Paired, Done };
+
+using Held = std::pair<double, std::uint64_t>;  // rank and turn
+struct Taken {
+  explicit Taken(VisitId visit = 0) : id(visit) {}
+  VisitId id;
+  int prefix = 0;
+  std::vector<Service*> services;  // its path prefix's, and its customer's if known
+  State state = State::Held;
+  bool over_share = false, counted = false;
+  double until = 0, held_until = 0, standing = 0, weight = 0, calm_weight = 0;
+  std::uint64_t key = 0;  // 0: none that counts
+  double lot = 0;         // where the room ends within a visit: whether it still counts
+  double heavy = 1;       // its work against a quarter of its target latency, as far as told
+  Held place;
+  std::vector<Fetch> fetches;
+};
+
+inline double failures(const Lane& lane) {
+  return double(std::count_if(lane.answers.begin(), lane.answers.end(),
+                              [](const Answer& answer) { return answer.failed; }));
+}
+inline double error_share(const Lane& lane) {
+  return failures(lane) / std::max(1.0, double(lane.answers.size()));
+}
+inline bool tried(const Taken& visit, int endpoint) {
+  auto there = [&](const Fetch& fetch) { return fetch.endpoint == endpoint; };
+  return std::any_of(visit.fetches.begin(), visit.fetches.end(), there);
+}
+// Whoever of its path prefix and its customer is served apart from the others.
+inline const Service* alone(const Taken& visit) {
+  auto its = [](const Service* each) { return each->alone; };
+  auto found = std::find_if(visit.services.begin(), visit.services.end(), its);
+  return found == visit.services.end() ? nullptr : *found;
+}
+
 }  // namespace puffinvane
