--- a/include/puffinvane/policy.h
+++ b/include/puffinvane/policy.h
@@ -79,6 +79,7 @@
   Listed state = Listed::Ready;
   double units = 1;         // its size against the others'
   double online_since = 0;  // 0: a long time back
+  friend bool operator==(const ListEntry&, const ListEntry&) = default;
 };
 
 enum class ListScope { Changes, Cached, Full, Failed };
--- a/tests/bulk.cpp
+++ b/tests/bulk.cpp
@@ -14,12 +14,7 @@
 
 namespace {
 
-const Running::Options kSmall = [] {
-  Running::Options options;
-  options.limits = R"({"sockets":1024,"memory_mb":48})";
-  options.client_timeout = "20.0";
-  return options;
-}();
+const Running::Options kSmall{.limits = R"({"sockets":1024,"memory_mb":48})", .client_timeout = "20.0"};
 constexpr std::size_t kLong = 8u << 20;
 
 std::string body_of(std::size_t size) {
@@ -39,11 +34,13 @@
 }
 std::size_t resident_kb(pid_t child) {
   std::ifstream status("/proc/" + std::to_string(child) + "/status");
-  std::string line;
-  while (std::getline(status, line)) {
-    if (line.starts_with("VmHWM:")) return std::stoul(line.substr(6));
-  }
-  return 0;
+  std::string all(std::istreambuf_iterator<char>(status), {});
+  return std::stoul(all.substr(all.find("VmHWM:") + 6));
+}
+// A body behind the header lines that frame it.
+std::string framed(const std::string& body, bool in_chunks, std::size_t step) {
+  if (in_chunks) return "transfer-encoding: Chunked\r\n\r\n" + chunked(body, step);
+  return "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 // All of a message whose body may be as long as it likes.
 std::optional<HttpMessage> hear_long(Line& line, HttpReader::Side side) {
@@ -58,10 +55,7 @@
     Line caller(sidecar.listen);
     caller.say(get("", in_chunks ? "c" : "l"));
     auto [fetch, request] = endpoint.take_request();
-    std::string head = in_chunks
-                           ? "HTTP/1.1 200 OK\r\ntransfer-encoding: Chunked\r\n\r\n"
-                           : "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
-    std::string all = head + (in_chunks ? chunked(body, 50001) : body);
+    std::string all = "HTTP/1.1 200 OK\r\n" + framed(body, in_chunks, 50001);
     fetch.say(all.substr(0, 200000));
     assert(caller.anything(1));  // its first bytes, before the endpoint has given the last
     std::thread rest([&, &line = fetch] { assert(line.say(all.substr(200000))); });
@@ -99,11 +93,8 @@
   std::string body = body_of(size);
   for (bool in_chunks : {false, true}) {
     Line caller(sidecar.listen);
-    std::string head = "POST /write HTTP/1.1\r\nX-Correlation-Id: " + std::string(in_chunks ? "c" : "l") +
-                       "\r\n" +
-                       (in_chunks ? "Transfer-Encoding: chunked\r\n\r\n"
-                                  : "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n");
-    std::thread sends([&] { assert(caller.say(head + (in_chunks ? chunked(body, 30011) : body))); });
+    std::string head = "POST /write HTTP/1.1\r\nX-Correlation-Id: " + std::to_string(in_chunks) + "\r\n";
+    std::thread sends([&] { assert(caller.say(head + framed(body, in_chunks, 30011))); });
     Line fetch = endpoint.take();
     auto request = hear_long(fetch, HttpReader::Side::Request);
     sends.join();
@@ -119,10 +110,7 @@
     Running sidecar(entry("a", one.address) + "," + entry("b", other.address), kSmall);
     std::string body = body_of(size);
     Line caller(sidecar.listen);
-    std::thread sends([&] {
-      caller.say("POST /write HTTP/1.1\r\nX-Correlation-Id: a\r\nContent-Length: " + std::to_string(size) +
-                 "\r\n\r\n" + body);
-    });
+    std::thread sends([&] { caller.say(post(body)); });
     while (!one.knocked(0) && !other.knocked(0)) sleep_for(0.001);
     Listener& first = one.knocked(0) ? one : other;
     Listener& second = &first == &one ? other : one;
@@ -201,7 +189,7 @@
   Listener endpoint(2);
   Running sidecar(entry("a", endpoint.address), kSmall);
   std::string body = body_of(70000);
-  std::string all = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunked(body, 69990);
+  std::string all = "HTTP/1.1 200 OK\r\n" + framed(body, true, 69990);
   Line caller(sidecar.listen);
   std::optional<Line> fetch;
   for (std::size_t cut = 1; cut < 90; ++cut) {
--- a/tests/handover.cpp
+++ b/tests/handover.cpp
@@ -67,12 +67,7 @@
       for (const ListEntry& entry : told->list.entries) back.entries.push_back(entry);
       for (const std::string& address : told->list.addresses) back.addresses.push_back(address);
     }
-    assert(back.entries.size() == count && back.addresses == list.addresses);
-    for (std::size_t i = 0; i < count; ++i) {
-      const ListEntry &one = list.entries[i], &other = back.entries[i];
-      assert(one.endpoint == other.endpoint && one.zone == other.zone && one.cell == other.cell &&
-             one.state == other.state && one.units == other.units && one.online_since == other.online_since);
-    }
+    assert(back.entries == list.entries && back.addresses == list.addresses);
   }
 }
 
