--- a/tests/running.h
+++ b/tests/running.h
@@ -22,7 +22,7 @@
 class Running {
  public:
   struct Options {
-    std::string limits = R"({"sockets":1024,"memory_mb":192})", connect_timeout = "0.1", watched, console;
+    std::string limits = R"({"sockets":1024,"memory_mb":192})", connect_timeout = "0.1", watched{}, console{};
     std::string client_timeout = "1.0";
     int number = 0;                 // of several processes of one sidecar
     Listener* discovery = nullptr;  // another's
