--- a/cli/cli.cpp
+++ b/cli/cli.cpp
@@ -229,6 +229,7 @@
   int code = Good;
   std::vector<std::string> files;
   std::string before, after, listener, level = "info", log_format = "plain", site;
+  double stop_timeout = Lifecycle::kKilledAfter;
   bool as_json = false, in_place = false;
   Asked asked;
 
@@ -243,7 +244,10 @@
       ->check(CLI::IsMember({"error", "warning", "info", "debug"}));
   serving->add_option("--log-format", log_format, "plain, or json: an object a line")
       ->check(CLI::IsMember({"plain", "json"}));
-  serving->callback([&] { code = serving::run_site(site, level, log_format == "json"); });
+  serving->add_option("--stop-timeout", stop_timeout, "seconds from SIGTERM until whoever sent it kills")
+      ->check(CLI::Range(1.0, 3600.0))
+      ->capture_default_str();
+  serving->callback([&] { code = serving::run_site(site, level, log_format == "json", stop_timeout); });
 
   CLI::App* checking = add("check", "Says what is wrong with sites, on standard error");
   checking->add_option("FILE", files, "each a site of its own")->required();
--- a/include/puffinvane/policy.h
+++ b/include/puffinvane/policy.h
@@ -138,6 +138,8 @@
   virtual void fetch_ended(double now, const FetchEnd& end) = 0;
   virtual void withdrawn(double now, VisitId visit) = 0;
   virtual void woken(double now, std::uint64_t token) = 0;
+  // The program leaves: no visit in hand has longer than that, whatever its caller's time.
+  virtual void leave(double /*now*/, double /*until*/) {}
   // How many listed endpoints it avoids: set aside, or listed as going.
   virtual std::size_t avoided() const { return 0; }
   // Takes over what an earlier one has learned: of endpoints and path prefixes that both have, and of its
--- a/serving/server.cpp
+++ b/serving/server.cpp
@@ -49,13 +49,15 @@
   return list;
 }
 
-Server::Server(Loop& loop, site::Site site, Read read, std::uint64_t seed, PolicyMaker make)
+Server::Server(Loop& loop, site::Site site, Read read, std::uint64_t seed, PolicyMaker make,
+               double killed_after)
     : Lifecycle(loop),
       read_(std::move(read)),
       make_(make),
       chance_(seed),
       router_(shared(std::move(site))),
       version_(site::version(router_.site())),
+      killed_after_(killed_after),
       admission_(loop, router_.site().limits.memory / kBufferShare),
       callers_(loop, admission_, *this, router_.site().limits.body) {}
 
@@ -252,6 +254,7 @@
 
 Lifecycle::Patience Server::patience() const {
   Patience patience;
+  patience.killed_after = killed_after_;
   for (const PathPrefix& prefix : router_.site().prefixes) {
     patience.longest = std::max(patience.longest, prefix.client_timeout);
     patience.target = std::max(patience.target, prefix.target_latency);
@@ -263,6 +266,7 @@
   loop().log().event(Level::Info, "site.leaving").with("site", router_.site().name);
   gone_ = gone;
   for (auto& [name, running] : pools_) running->carrier->leave(gone);
+  for (auto& running : retired_) running->carrier->leave(gone);
 }
 
 void Server::closes_doors() {
@@ -337,7 +341,7 @@
 
 // ---- the program
 
-int run_site(const std::string& file, const std::string& level, bool json_log) {
+int run_site(const std::string& file, const std::string& level, bool json_log, double killed_after) {
   Log log(std::cout, read_level(level), json_log ? LogFormat::Json : LogFormat::Plain);
   auto read = [file, &log](std::string& why) -> std::optional<site::Site> {
     language::Disk disk;
@@ -361,7 +365,8 @@
     std::optional<site::Site> site = read(why);
     if (!site) throw std::runtime_error(why);
     loop = std::make_unique<Loop>(log, site->limits.descriptors);
-    return std::make_unique<Server>(*loop, std::move(*site), read, std::random_device()(), make_policy);
+    return std::make_unique<Server>(*loop, std::move(*site), read, std::random_device()(), make_policy,
+                                    killed_after);
   });
 }
 
--- a/serving/server.h
+++ b/serving/server.h
@@ -22,7 +22,9 @@
   // Reads the site anew; nothing if it can't be used, with `why` in a few words.
   using Read = std::function<std::optional<site::Site>(std::string& why)>;
 
-  Server(Loop& loop, site::Site site, Read read, std::uint64_t seed, PolicyMaker make);
+  // killed_after: seconds from SIGTERM until whoever sent it kills.
+  Server(Loop& loop, site::Site site, Read read, std::uint64_t seed, PolicyMaker make,
+         double killed_after = kKilledAfter);
   void start() override;
 
  private:
@@ -69,6 +71,7 @@
   pcg64 chance_;
   routing::Router router_;
   std::string version_;
+  const double killed_after_;
   std::optional<double> gone_;
   Admission admission_;
   Callers callers_;
@@ -81,7 +84,8 @@
   Alive alive_;
 };
 
-// `puffinvane serve`. level: the log's. What the program exits with: 1 where the site has faults.
-int run_site(const std::string& file, const std::string& level, bool json_log);
+// `puffinvane serve`. level: the log's; killed_after: seconds from SIGTERM until whoever sent it kills. What the
+// program exits with: 1 where the site has faults.
+int run_site(const std::string& file, const std::string& level, bool json_log, double killed_after);
 
 }  // namespace puffinvane::serving
--- a/serving/tests/serving.cpp
+++ b/serving/tests/serving.cpp
@@ -489,6 +489,26 @@
   assert(site.exit_code(4) == 0);
 }
 
+// Those of a pool that has ended as well: it is on no list of the version that leaves.
+void visits_that_were_to_have_longer_than_there_is_until_sigkill_are_answered() {
+  Listener one(2), two(3);
+  auto site_of = [&](const Listener& to, const std::string& name) {
+    return "prefix slow { kind mutating; target-latency 500ms; client-timeout 20s }\n" +
+           pool(name, {{"one", to.address}}) + route("a", "path /; to " + name + "; as slow");
+  };
+  Serving site(site_of(one, "a"));
+  Line ended(site.listen), kept(site.listen);
+  ended.say(post("/x", "effect"));
+  auto [first, request] = one.take_request();
+  site.reload(site_of(two, "b"));
+  kept.say(post("/y", "effect"));
+  auto [second, asked] = two.take_request();
+  double begun = now();
+  site.terminate();
+  assert(site.exit_code(3.7 - (now() - begun)) == 0);
+  assert(ended.answer_status() == 502 && kept.answer_status() == 502);
+}
+
 void a_line_of_the_json_log_is_an_object_with_its_fields() {
   Listener one(2);
   const std::string good = pool("a", {{"one", one.address}}) + route("a", "path /; to a; as status");
@@ -539,6 +559,7 @@
   a_new_static_endpoint_of_a_busy_pool_is_not_pushed_over();
   a_pool_s_idle_connections_give_way_to_another_pool_s_fetches();
   a_version_read_while_leaving_opens_no_door();
+  visits_that_were_to_have_longer_than_there_is_until_sigkill_are_answered();
   a_line_of_the_json_log_is_an_object_with_its_fields();
   a_site_with_faults_is_not_begun();
   std::puts("serving: all stories hold");
--- a/sidecar/lifecycle/lifecycle.cpp
+++ b/sidecar/lifecycle/lifecycle.cpp
@@ -1,12 +1,14 @@
 #include "sidecar/lifecycle/lifecycle.h"
 
+#include <algorithm>
+
 namespace puffinvane {
 
 namespace {
 // Callers hear of a planned restart late: they are let in for this long after it was announced.
 constexpr double kDoorTime = 0.42;
-// SIGKILL comes 0.7 s after the longest client timeout at the earliest; being gone before costs nothing.
-constexpr double kGoneBy = 0.6;
+// After the longest client timeout, and before SIGKILL: being gone a little early costs nothing.
+constexpr double kGoneBy = 0.6, kBeforeKill = 0.1;
 constexpr double kLook = 0.01;
 }  // namespace
 
@@ -24,6 +26,7 @@
     {Phase::Staying, Event::Reload, Phase::Staying, &Lifecycle::read_anew},
     {Phase::Staying, Event::Emptied, Phase::Stopped, &Lifecycle::quit},
     {Phase::Staying, Event::LastCall, Phase::Finishing, &Lifecycle::finish},
+    {Phase::Staying, Event::Overdue, Phase::Stopped, &Lifecycle::quit},
     {Phase::Finishing, Event::Reload, Phase::Finishing, &Lifecycle::read_anew},
     {Phase::Finishing, Event::Emptied, Phase::Stopped, &Lifecycle::quit},
     {Phase::Finishing, Event::Overdue, Phase::Stopped, &Lifecycle::quit},
@@ -35,7 +38,8 @@
 void Lifecycle::terminate() { turn(has_heir() ? Event::Succeeded : Event::Terminate); }
 
 double Lifecycle::leave_until() {
-  double gone = loop_.now() + patience().longest + kGoneBy;
+  Patience has = patience();
+  double gone = loop_.now() + std::min(has.longest + kGoneBy, has.killed_after - kBeforeKill);
   leaves(gone - kLook);
   loop_.at(gone, [this] { turn(Event::Overdue); });
   return gone;
@@ -45,7 +49,8 @@
   double gone = leave_until();
   loop_.at(loop_.now() + kDoorTime, [this] { turn(Event::DoorTime); });
   // The others may be away as well: who is connected here is served while an answer in time can be hoped for.
-  loop_.at(gone - patience().target, [this] { turn(Event::LastCall); });
+  double last_call = std::max(gone - patience().target, loop_.now() + kDoorTime + kLook);
+  loop_.at(last_call, [this] { turn(Event::LastCall); });
 }
 
 void Lifecycle::hand_over() {
--- a/sidecar/lifecycle/lifecycle.h
+++ b/sidecar/lifecycle/lifecycle.h
@@ -12,13 +12,17 @@
   explicit Lifecycle(Loop& loop) : loop_(loop) {}
   virtual ~Lifecycle() = default;
 
+  // The platform's SIGKILL comes 0.7 s after the longest client timeout, of which it counts 3 s at most.
+  static constexpr double kKilledAfter = 3.7;
+
   virtual void start() = 0;  // throws std::runtime_error if it can't listen
   void terminate();          // leaves once all that was taken is answered
   void reload();             // reads its file anew; one that can't be used changes nothing
 
  protected:
   struct Patience {
-    double longest = 0, target = 0;  // seconds: the longest client timeout and target latency
+    double longest = 0, target = 0;      // seconds: the longest client timeout and target latency
+    double killed_after = kKilledAfter;  // SIGTERM to SIGKILL, however long visits were to have
   };
   void opened();
   Loop& loop() { return loop_; }
@@ -26,7 +30,7 @@
   virtual void serves() = 0;
   virtual void reads_anew() = 0;
   virtual Patience patience() const = 0;
-  virtual void leaves(double gone) = 0;  // no visit is given time beyond that
+  virtual void leaves(double gone) = 0;  // no visit, also of those in hand, has time beyond that
   virtual void closes_doors() = 0;
   virtual void last_call() = 0;
   virtual void close_idle_callers() = 0;
--- a/sidecar/watching/watched.h
+++ b/sidecar/watching/watched.h
@@ -32,6 +32,10 @@
   void fetch_ended(double now, const FetchEnd& end) override;
   void withdrawn(double now, VisitId visit) override;
   void woken(double now, std::uint64_t token) override;
+  void leave(double now, double until) override {
+    now_ = now;
+    for (const auto& side : sides_) side->leave(now, until);
+  }
   std::size_t avoided() const override { return sides_[Acting]->avoided(); }
   Learned learned() const override { return sides_[Acting]->learned(); }
   void inherit(double now, const Learned& earlier, double share) override {
--- a/sidecar/wire/carrier.cpp
+++ b/sidecar/wire/carrier.cpp
@@ -18,6 +18,7 @@
 constexpr std::size_t kMostUnsent = 256 * 1024;  // of one that streams, before it has a connection
 constexpr double kUploading = 1200;              // seconds: longer than any body takes at the least pace
 constexpr double kBeforeEnd = 0.01;
+constexpr double kNever = std::numeric_limits<double>::infinity();
 constexpr double kAfterLast = 0.5;  // seconds, for what is put off to the next turn or the next tick
 }  // namespace
 
@@ -35,6 +36,11 @@
 
 Carrier::~Carrier() { admission_.leave(*this); }
 
+void Carrier::leave(double gone) {
+  gone_ = gone;
+  policy_->leave(loop_.now(), gone);
+}
+
 void Carrier::retire(const std::vector<Carrier*>& heirs) {
   retired_ = loop_.now();
   for (Carrier* heir : heirs) heirs_.push_back({heir, heir->alive_.watch()});
@@ -206,7 +212,7 @@
   visit.request.body.add(bytes);
   visit.coming = !whole;
   if (whole) {
-    visit.until = loop_.now() + visit.time_left;
+    visit.until = std::min(loop_.now() + visit.time_left, gone_.value_or(kNever));
     loop_.at(visit.until - kBeforeEnd, [this, id] { out_of_patience(id); });
   }
   bool sends = false;
--- a/sidecar/wire/carrier.h
+++ b/sidecar/wire/carrier.h
@@ -47,7 +47,7 @@
   ~Carrier() override;
 
   void know(const EndpointList& known);      // the list as it was had last
-  void leave(double gone) { gone_ = gone; }  // no visit is given time beyond that
+  void leave(double gone);  // no visit has time beyond that, also none of those in hand
   // Takes no more visits and keeps no connection: those that stand idle, and later those that still carry a
   // fetch, go to its heirs in turn. Once `spent` it may be let go of: nothing calls it any more.
   void retire(const std::vector<Carrier*>& heirs);
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -132,6 +132,12 @@
     forget_if_over(found), pump();
   }
 
+  void leave(double now, double until) override {
+    pass_time(now);
+    for (auto& [id, visit] : visits_)
+      if (visit.until > until) host_.wake((visit.until = until) - 2 * deployment_.round, kUntilToken | id);
+  }
+
   Learned learned() const override {
     return {tell(deployment_, latencies_, means_), tell(endpoints_), late_, rates_, started_};
   }
--- a/tests/serving.cpp
+++ b/tests/serving.cpp
@@ -459,6 +459,36 @@
   assert(sidecar.exit_code(2) == 0);
 }
 
+// SIGKILL counts no more than 3 s of a client timeout. Visits that were to have longer were lost: those taken
+// before as well as those that came while it left.
+void all_that_was_taken_is_answered_before_sigkill_whatever_time_the_settings_allow() {
+  for (std::string client_timeout : {"3.4", "10"}) {
+    Listener silent(2);
+    Running::Options options;
+    options.client_timeout = client_timeout;
+    Running sidecar(entry("a", silent.address), options);
+    std::vector<Line> callers;
+    for (int i = 0; i < 5; ++i) {
+      callers.emplace_back(sidecar.listen);
+      callers.back().say("GET /healthz HTTP/1.1\r\n\r\n");
+      assert(callers.back().answer_status() == 200);
+    }
+    double begun = now();
+    callers[0].say(post("before"));
+    auto [fetch, request] = silent.take_request();
+    sidecar.terminate();
+    const double came[] = {0, 0.02, 0.3, 1.2, 2.9};
+    for (std::size_t i = 1; i < callers.size(); ++i) {
+      sleep_for(begun + came[i] - now());
+      assert(callers[i].say(get("", "8" + std::to_string(i))));
+    }
+    sleep_for(begun + 3.7 - now());
+    kill(sidecar.child(), SIGKILL);
+    for (Line& caller : callers) assert(caller.answer_status() >= 502);
+    assert(sidecar.exit_code(1) == 0);  // gone by itself
+  }
+}
+
 void at_sigterm_a_caller_that_never_finishes_does_not_hold_the_exit() {
   Running sidecar("");
   Line half(sidecar.listen);
@@ -519,6 +549,7 @@
   endpoints_that_go_without_a_word_keep_no_connection();
   a_connection_still_coming_up_is_given_up_once_its_endpoint_leaves();
   at_sigterm_what_was_taken_is_answered_and_latecomers_too();
+  all_that_was_taken_is_answered_before_sigkill_whatever_time_the_settings_allow();
   at_sigterm_a_caller_that_never_finishes_does_not_hold_the_exit();
   at_the_limit_of_descriptors_callers_wait_and_nothing_spins();
   std::puts("all stories hold");
--- a/tests/upgrade.cpp
+++ b/tests/upgrade.cpp
@@ -141,6 +141,22 @@
   assert(heir.status_of(get("", "last")) == 503 && !first.knocked(0) && !second.knocked(0));
 }
 
+// The elder's visits were to have longer than there is until SIGKILL, and an heir can't take them.
+void what_the_elder_has_in_hand_is_answered_before_sigkill() {
+  Listener discovery(9), silent(2);
+  Running::Options first = options(0, discovery), second = options(1, discovery);
+  first.client_timeout = second.client_timeout = "10";
+  Running elder(entry("a", silent.address), first);
+  Line caller(elder.listen);
+  caller.say(post("effect"));
+  auto [fetch, request] = silent.take_request();
+  Running heir(entry("a", silent.address), second);
+  wait_ready(1);
+  double begun = now();
+  elder.terminate();
+  assert(elder.exit_code(3.7) == 0 && now() - begun > 3 && caller.answer_status() == 502);
+}
+
 // One endpoint of four answers nothing: who takes over knows it before it has sent anything itself.
 void what_the_elder_learned_goes_over() {
   Listener discovery(9);
@@ -242,6 +258,7 @@
   setenv("TMPDIR", folder.c_str(), 1);
   twenty_upgrades_under_load_lose_no_visit(std::atoi(words[2]));
   orders_go_over_and_are_heard_by_both();
+  what_the_elder_has_in_hand_is_answered_before_sigkill();
   what_the_elder_learned_goes_over();
   an_heir_that_dies_before_its_yes_changes_nothing();
   a_silent_elder_or_a_strange_file_keeps_nobody_from_starting();
