Test: without its keys the sidecar opens its door alone, and starts no thread

Looks at descriptors, the system's tables of sockets and the process's tasks after a start, a visit and a SIGHUP: one listener, no file, no Unix socket, one thread, nothing in TMPDIR. With a console the same look finds two listeners, a Unix socket and its file.

--- a/tests/console.cpp
+++ b/tests/console.cpp
@@ -3,6 +3,10 @@
 #include <algorithm>
 #include <cassert>
 #include <cstdio>
+#include <filesystem>
+#include <iterator>
+#include <set>
+#include <sstream>
 #include <vector>
 
 #include "tests/running.h"
@@ -205,6 +209,59 @@
               took[took.size() / 2], took[took.size() * 99 / 100], took.back());
 }
 
+// What the platform's bench refuses a sidecar: other listeners, files, Unix sockets, threads.
+struct Opened {
+  int listeners = 0, files = 0, local = 0, threads = 0;
+  friend bool operator==(const Opened&, const Opened&) = default;
+};
+Opened opened_by(pid_t process) {
+  namespace fs = std::filesystem;
+  const std::string at = "/proc/" + std::to_string(process);
+  Opened found;
+  std::set<std::string> sockets;
+  for (const auto& one : fs::directory_iterator(at + "/fd")) {
+    std::string to = fs::read_symlink(one).string(), name = one.path().filename();
+    if (to.starts_with("socket:[")) sockets.insert(to.substr(8, to.size() - 9));
+    else found.files += std::stoi(name) > 2 && to.starts_with("/") && !to.starts_with("/dev/");
+  }
+  auto rows = [&](const std::string& table, std::size_t inode, auto count) {
+    std::ifstream file("/proc/net/" + table);
+    for (std::string line; std::getline(file, line);) {
+      std::istringstream words(line);
+      std::vector<std::string> all{std::istream_iterator<std::string>(words), {}};
+      if (all.size() > inode && sockets.contains(all[inode])) count(all);
+    }
+  };
+  rows("tcp", 9, [&](const auto& row) { found.listeners += row[3] == "0A"; });
+  rows("unix", 6, [&](const auto&) { ++found.local; });
+  for ([[maybe_unused]] const auto& one : fs::directory_iterator(at + "/task")) ++found.threads;
+  return found;
+}
+
+void without_its_keys_it_opens_nothing_but_its_door_and_starts_no_thread() {
+  char folder[] = "/tmp/puffinvane-off-XXXXXX";
+  assert(mkdtemp(folder));
+  setenv("TMPDIR", folder, 1);
+  Listener endpoint(2);
+  auto serve_one = [&](const Running::Options& told) {
+    Running sidecar(entry("a", endpoint.address), told);
+    Line caller(sidecar.listen);
+    caller.say(get());
+    auto [fetch, request] = endpoint.take_request();
+    fetch.say(ok("x"));
+    assert(caller.answer_status() == 200);
+    sidecar.reload();
+    sleep_for(0.1);
+    return std::pair(opened_by(sidecar.child()), !std::filesystem::is_empty(folder));
+  };
+  assert((serve_one({}) == std::pair(Opened{1, 0, 0, 1}, false)));
+  Running::Options told;
+  told.console = here(3) + ":5103";
+  assert((serve_one(told) == std::pair(Opened{2, 0, 1, 1}, true)));  // the look sees what there is
+  unsetenv("TMPDIR");
+  std::filesystem::remove_all(folder);
+}
+
 }  // namespace
 
 int main(int count, char** words) {
@@ -216,4 +273,5 @@
   an_excluded_endpoint_gets_nothing_until_it_is_included();
   a_drained_sidecar_says_no_serves_on_and_parts();
   crowds_keep_neither_visits_nor_orders_out();
+  without_its_keys_it_opens_nothing_but_its_door_and_starts_no_thread();
 }
