Room: lost visits leave it after two thresholds, held ones go before they are given up

Probe at each: 12 visits filled the room, 4 to 7 of them past their threshold, 1.7 past three of them, which stayed as more than an eighth of the last 40 were late: who goes round a silent tier comes late. 287 of the 997 had room in the very tick that bounced them: tick() lets what is lost leave the room, then gives up held visits, then pumps. Dropped: no endpoint to choose (there was one for all), slow recent rate alone (few rows), connections (118 descriptors of 608). Change: pump before giving up; lost after two thresholds, unless a quarter is late.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -34,7 +34,7 @@
 constexpr std::size_t kCalmSeconds = 40, kRateTicks = 80, kLeastTicks = 20, kPassTicks = 15;
 constexpr double kLeastPatience = 0.2, kMostPatience = 0.8;  // of the target latency that a visit may be held
 constexpr double kSlowEndpoint = 1.5;                        // times calm: lateness may be the endpoint's own
-constexpr double kUnsuspected = 2, kHopeless = 3;  // thresholds: with nothing against the endpoint; for any
+constexpr double kUnsuspected = 2, kHopeless = 2;  // thresholds: with nothing against the endpoint; for any
 constexpr double kCrossing = 30;  // visits of depth that crossing zones counts for, times its price
 constexpr double kKnownRate = 2, kWarm = 5, kHeaviest = 4;  // kWarm: depth that a key met lately is worth
 constexpr double kBack = 100;  // and going back to the same endpoint: for want of any other
@@ -768,7 +768,7 @@
       for (const auto& [sent, what] : endpoint.out) {
         Taken& visit = visits_.at(VisitId(what >> 8));
         bool lost = now_ - sent > kHopeless * threshold(visit.prefix);
-        if (lost && !(late > kSharedLate / 2)) leave_count(visit);
+        if (lost && !(late > kSharedLate)) leave_count(visit);
       }
       if (silent(endpoint)) note_failing(endpoint);
       for (std::size_t k = 0; k < endpoint.lanes.size(); ++k) {
@@ -778,6 +778,7 @@
           note_failing(endpoint, int(k));
       }
     }
+    pump();  // into what has just been left, before those whose patience is over are given up
     for (auto next = held_.begin(); next != held_.end();) {
       Taken& visit = visits_.at((next++)->second);
       if (now_ >= visit.held_until) turn(visit, gave_up(visit)), forget_if_over(visits_.find(visit.id));
