--- a/deployment/deployment.cpp
+++ b/deployment/deployment.cpp
@@ -119,8 +119,6 @@
       throw Malformed("Via is '" + via + "', not piggyback, pull or silent");
     deployment.answers_tell_load = via == "piggyback" && served_told(report);
   }
-  if (element parts; !options["ScoreParts"].get(parts))
-    deployment.worst_prefix_counts = std::min(1.0, amount(parts, "WorstClass", 0.0));
   element rules = child(options, "Rules");
   deployment.cold.share = option(rules, "ColdShare", deployment.cold.share);
   deployment.cold.warm_after = option(rules, "ColdS", deployment.cold.warm_after);
--- a/include/puffinvane/policy.h
+++ b/include/puffinvane/policy.h
@@ -59,11 +59,10 @@
   double idle_time = 10;  // an endpoint closes a connection that has stood idle for longer
   bool list_on_request = false;
   bool only_draining_binds = false;  // listed as gone, or left out, an endpoint may still run and be sent to
-  double crossing_price = 0;  // of the whole service, were each visit fetched into another zone
-  bool warm_keys = false;     // endpoints of a cell do less work for a key that one of them met lately
+  double crossing_price = 0;         // of the whole service, were each visit fetched into another zone
+  bool warm_keys = false;            // endpoints of a cell do less work for a key that one of them met lately
   std::string zone;
   bool credit_by_work = false;  // else by visit
-  double worst_prefix_counts = 0;  // the part of service that is counted by the worst-served path prefix alone
   double ask_within = 10;
   double longest_wait_advice = 0;
   double round = 0;
--- a/sidecar/loop/table.h
+++ b/include/puffinvane/table.h
@@ -4,18 +4,18 @@
 
 namespace puffinvane {
 
-template <typename Subject, typename State, typename Input>
+template <typename Subject, typename State, typename Input, typename... Of>
 struct Row {
   State state;
   Input input;
   State next;
-  void (Subject::*effect)();
+  void (Subject::*effect)(Of&...);
 };
 
-template <typename Rows, typename Subject, typename State, typename Input>
-void step(const Rows& rows, Subject& subject, State& state, Input input) {
+template <typename Rows, typename Subject, typename State, typename Input, typename... Of>
+void step(const Rows& rows, Subject& subject, State& state, Input input, Of&... of) {
   for (const auto& row : rows) {
-    if (row.state == state && row.input == input) return state = row.next, (subject.*row.effect)();
+    if (row.state == state && row.input == input) return state = row.next, (subject.*row.effect)(of...);
   }
 }
 
--- a/operations/operations.h
+++ b/operations/operations.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <string_view>
 
-#include "sidecar/loop/table.h"
+#include "puffinvane/table.h"
 
 namespace puffinvane {
 
--- a/serving/server.h
+++ b/serving/server.h
@@ -84,8 +84,8 @@
   Alive alive_;
 };
 
-// `puffinvane serve`. level: the log's; killed_after: seconds from SIGTERM until whoever sent it kills. What the
-// program exits with: 1 where the site has faults.
+// `puffinvane serve`. level: the log's; killed_after: seconds from SIGTERM until whoever sent it kills. What
+// the program exits with: 1 where the site has faults.
 int run_site(const std::string& file, const std::string& level, bool json_log, double killed_after);
 
 }  // namespace puffinvane::serving
--- a/sidecar/lifecycle/lifecycle.h
+++ b/sidecar/lifecycle/lifecycle.h
@@ -2,8 +2,8 @@
 // What it serves is somebody else's.
 #pragma once
 
+#include "puffinvane/table.h"
 #include "sidecar/loop/loop.h"
-#include "sidecar/loop/table.h"
 
 namespace puffinvane {
 
--- a/sidecar/wire/backend.h
+++ b/sidecar/wire/backend.h
@@ -5,7 +5,7 @@
 #include <string>
 
 #include "puffinvane/policy.h"
-#include "sidecar/loop/table.h"
+#include "puffinvane/table.h"
 #include "sidecar/wire/http.h"
 #include "sidecar/wire/stream.h"
 
--- a/sidecar/wire/carrier.h
+++ b/sidecar/wire/carrier.h
@@ -46,8 +46,8 @@
           Manner manner = {});
   ~Carrier() override;
 
-  void know(const EndpointList& known);      // the list as it was had last
-  void leave(double gone);  // no visit has time beyond that, also none of those in hand
+  void know(const EndpointList& known);  // the list as it was had last
+  void leave(double gone);               // no visit has time beyond that, also none of those in hand
   // Takes no more visits and keeps no connection: those that stand idle, and later those that still carry a
   // fetch, go to its heirs in turn. Once `spent` it may be let go of: nothing calls it any more.
   void retire(const std::vector<Carrier*>& heirs);
--- a/sidecar/wire/client.h
+++ b/sidecar/wire/client.h
@@ -4,7 +4,7 @@
 #include <cstdint>
 #include <optional>
 
-#include "sidecar/loop/table.h"
+#include "puffinvane/table.h"
 #include "sidecar/wire/http.h"
 #include "sidecar/wire/stream.h"
 
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -13,9 +13,8 @@
 #include <set>
 #include <utility>
 
-#include "inheritance.h"
+#include "puffinvane/table.h"
 #include "records.h"
-#include "samples.h"
 
 namespace puffinvane {
 namespace {
@@ -38,7 +37,7 @@
 constexpr double kCrossing = 30;  // visits of depth that crossing zones counts for, times its price
 constexpr double kKnownRate = 2, kWarm = 5, kHeaviest = 4;  // kWarm: depth that a key met lately is worth
 constexpr double kBack = 100;  // and going back to the same endpoint: for want of any other
-constexpr double kReportAge = 3, kFull = 0.9, kMend = 0.7, kFewLags = 4;
+constexpr double kReportAge = 3, kFull = 0.9, kMend = 0.7;
 constexpr int kWholeTicks = 5;  // of these, one looks at all endpoints, the others at those dealt
 constexpr double kTick = 0.1, kStoodStill = 0.35, kFirstOfAll = -1e9;
 constexpr double kFirstHold = 1, kLongestHold = 8;  // seconds set aside, doubling
@@ -78,8 +77,7 @@
   void arrive(double now, const Visit& visit) override {
     pass_time(now);
     Taken taken{visit.id};
-    const auto& all = deployment_.path_prefixes;
-    while (taken.prefix + 1 < int(all.size()) && all[taken.prefix].name != visit.path_prefix) ++taken.prefix;
+    while (taken.prefix + 1 < int(means_.size()) && prefix(taken).name != visit.path_prefix) ++taken.prefix;
     taken.services = {&services_[taken.prefix]};
     taken.over_share = over_share(visit.customer, taken);
     if (taken.over_share) host_.judged(Judged::OverShare, visit.id);
@@ -139,13 +137,34 @@
   }
 
   Learned learned() const override {
-    return {tell(deployment_, latencies_, means_), tell(endpoints_), late_, rates_, started_};
+    Learned told{{}, {}, late_, rates_, started_};
+    for (std::size_t i = 0; i < latencies_.size(); ++i)
+      told.prefixes.push_back({deployment_.path_prefixes[i].name, latencies_[i], means_[i]});
+    for (const Endpoint& one : endpoints_) {
+      if (one.health == Health::Gone) continue;
+      told.endpoints.push_back({one.name, one.online_since, one, {one.lanes.begin(), one.lanes.end()}});
+    }
+    return told;
   }
   void inherit(double now, const Learned& from, double share) override {
     pass_time(now);
-    take_over(from, deployment_, latencies_, means_, endpoints_);
-    for (std::size_t i = 0; i < latencies_.size(); ++i)
-      if (!latencies_[i].empty()) thresholds_[i] = percentile(latencies_[i], kHedgePercentile);
+    std::size_t shared = 0;  // path prefixes that both have, in the order of both
+    for (; shared < std::min(from.prefixes.size(), latencies_.size()); ++shared) {
+      const auto& [name, latencies, means] = from.prefixes[shared];
+      if (name != deployment_.path_prefixes[shared].name) break;
+      if (latencies.empty()) continue;
+      latencies_[shared] = latencies, means_[shared] = means;
+      thresholds_[shared] = percentile(latencies, kHedgePercentile);
+    }
+    for (Endpoint& endpoint : endpoints_) {
+      for (const auto& [name, online_since, whole, lanes] : from.endpoints) {
+        if (name != endpoint.name || online_since != endpoint.online_since) continue;
+        if (endpoint.health == Health::Gone || whole.health == Health::Gone) continue;
+        static_cast<Repute&>(endpoint) = whole, endpoint.slow_until = 0;
+        for (std::size_t k = 0; k < std::min(shared, lanes.size()); ++k)
+          static_cast<Repute&>(endpoint.lanes[k]) = lanes[k];
+      }
+    }
     if (!from.late.empty()) late_ = from.late;
     // Its first seconds are over: nobody knows less of the endpoints than a sidecar that has just started.
     if (from.started > 0) started_ = std::min(started_, from.started);
@@ -170,43 +189,26 @@
  private:
   static constexpr std::uint64_t kUntilToken = 1ULL << 32, kLateToken = 1ULL << 33, kTickToken = 1ULL << 34;
 
-  enum Count { Copies, Deep, Errors, Shared, Nowhere, Weight, Counted };
-  static constexpr const char* kCounted[] = {"copies sent",     "suppressed by depth", "errors",
-                                             "shared lateness", "no endpoint",         "weight"};
-
   double chance() { return chance_(1u << 24) / double(1u << 24); }
   // A sidecar that stood still itself finds all late at once: that says nothing of who it waited for.
   void pass_time(double now) {
     if (now - std::exchange(now_, now) > kStoodStill) awake_ = now;
   }
 
-  template <typename State, typename Input, typename Subject>
-  struct Row {
-    State state;
-    Input input;
-    State next;
-    void (Module::*effect)(Subject&);
-  };
-  static const std::array<Row<State, Input, Taken>, 13> kVisitRows;
-  static const std::array<Row<Health, Sign, Lane>, 10> kHealthRows;
-
-  template <typename Rows, typename State, typename Input, typename Subject>
-  void step(const Rows& rows, State& from, Input input, Subject& subject) {
-    for (const auto& [state, on, next, effect] : rows) {
-      if (state == from && on == input) return from = next, (this->*effect)(subject);
-    }
-  }
-  void turn(Taken& visit, Input input) { step(kVisitRows, visit.state, input, visit); }
-  void turn_health(Lane& lane, Sign sign) { step(kHealthRows, lane.health, sign, lane); }
+  static const std::array<Row<Module, State, Input, Taken>, 13> kVisitRows;
+  static const std::array<Row<Module, Health, Sign, Lane>, 10> kHealthRows;
+  void turn(Taken& visit, Input input) { step(kVisitRows, *this, visit.state, input, visit); }
+  void turn_health(Lane& lane, Sign sign) { step(kHealthRows, *this, lane.health, sign, lane); }
   void turn_all(Endpoint& endpoint, Sign sign) {
     turn_health(endpoint, sign);
     for (Lane& lane : endpoint.lanes) turn_health(lane, sign);
   }
 
   // ---- effects of the visit table
-  void nothing(Taken&) {}
+  template <typename Of>
+  void nothing(Of&) {}
   void send_first(Taken& visit) { send(visit, choose(visit, false)); }
-  void send_copy(Taken& visit) { ++counts_[Copies], send(visit, copy_to_); }
+  void send_copy(Taken& visit) { ++counts_["copies sent"], send(visit, copy_to_); }
   void queue_again(Taken& visit) {
     // Goes before all that wait: its client has waited longest, and work may already be spent on it.
     leave_count(visit);
@@ -230,11 +232,7 @@
   void fail(Taken& visit) { note_served(visit, false), host_.error(visit.id), finish(visit); }
 
   // ---- effects of the health table
-  void nothing(Lane&) {}
   void set_aside(Lane& lane) {
-    // Half of what its last absences lasted stands for its return; a second while none is known.
-    double usual = lane.aways.empty() ? kFirstHold : std::clamp(mean(lane.aways) / 2, 0.5, kLongestHold);
-    if (lane.away_since == 0) lane.away_since = now_, lane.hold = std::max(lane.hold, usual);
     lane.hold_until = now_ + lane.hold * (0.75 + 0.5 * chance());
     lane.hold = std::min(lane.hold * 2, kLongestHold);
     forget_answers(lane), host_.judged(Judged::Aside, 0), stale_ = true;
@@ -243,10 +241,7 @@
   }
   void open_trickle(Lane& lane) { lane.allowance = 1, forget_answers(lane); }
   void double_trickle(Lane& lane) { lane.allowance *= 2; }
-  void restore(Lane& lane) {
-    if (lane.away_since > 0) keep(lane.aways, now_ - std::exchange(lane.away_since, 0.0), std::size_t{4});
-    lane.hold = 0;
-  }
+  void restore(Lane& lane) { lane.hold = kFirstHold; }
 
   const PathPrefix& prefix(const Taken& visit) const { return deployment_.path_prefixes[visit.prefix]; }
   static std::uint64_t key(VisitId id, int number) { return std::uint64_t{id} << 8 | unsigned(number); }
@@ -454,25 +449,30 @@
     // endpoint that answers what came later is believed, and one with nothing against it gets as long again.
     const Endpoint& at = endpoints_[first.endpoint];
     if (slowness(at) < kSlowEndpoint && (at.last_answer > first.sent || waited < kUnsuspected * due)) {
-      ++counts_[Weight];
+      ++counts_["weight"];
       if (waited < 4 * due) host_.wake(now_ + due, kLateToken | visit.id);
       return;
     }
-    if (mean(late_) > kSharedLate && late_.size() >= kFewLatencies) return void(++counts_[Shared]);
+    if (mean(late_) > kSharedLate && late_.size() >= kFewLatencies) return void(++counts_["shared lateness"]);
     copy_to_ = choose(visit, true);
-    if (copy_to_ < 0) return void(++counts_[Nowhere]);
+    if (copy_to_ < 0) return void(++counts_["no endpoint"]);
     const Endpoint& endpoint = endpoints_[copy_to_];
     if (depth(endpoint) >= std::max(1.0, kBoundShare * learned_capacity(endpoint)))
-      return void(++counts_[Deep]);
-    if (error_share(endpoint) >= kErrorGate) return void(++counts_[Errors]);
+      return void(++counts_["suppressed by depth"]);
+    if (error_share(endpoint) >= kErrorGate) return void(++counts_["errors"]);
     turn(visit, Input::Late);
   }
 
   // ---- room: what may be out at once, measured in target latencies
   // Over windows long enough for a few dozen answers: the best of a few handfuls is only their luck.
   double best_rate(std::size_t last) const {
-    double seconds = double(std::clamp(rates_.size(), kLeastTicks, kRateTicks)) * kTick;
-    return best_sum(rates_, last, kRateTicks) / seconds;
+    double best = 0, sum = 0;
+    for (std::size_t i = rates_.size() - std::min(last, rates_.size()), n = 0; i < rates_.size(); ++i) {
+      sum += rates_[i];
+      if (++n > kRateTicks) sum -= rates_[i - kRateTicks];
+      best = std::max(best, sum);
+    }
+    return best / (double(std::clamp(rates_.size(), kLeastTicks, kRateTicks)) * kTick);
   }
   int count(Health health) const {
     return int(std::count_if(endpoints_.begin(), endpoints_.end(),
@@ -520,8 +520,7 @@
   // Worked out each tick, as it is asked for several times a visit.
   void weigh() {
     const auto& all = deployment_.path_prefixes;
-    double whole = 1e-9, least = 2, best[2] = {};
-    std::size_t worst = 0;
+    double best[2] = {};
     for (std::size_t i = 0; i < services_.size(); ++i) {
       Service& each = services_[i];
       double good = 3, ended = 3;
@@ -532,26 +531,15 @@
       auto its = i < all.size() ? std::count(arrived_.begin(), arrived_.end(), int(i))
                                 : std::count(customers_.begin(), customers_.end(), int(i - all.size()));
       each.part = double(its) / double(arrived_.size() + 1);
-      if (i >= all.size()) continue;
-      each.earns = all[i].credit / (deployment_.credit_by_work ? 1 : calm(int(i)));
-      whole += each.earns * each.part * calm(int(i));
-      double share = each.served.empty() ? 1 : mean(each.served);
-      if (each.part > 0 && share < least) least = share, worst = i;
-    }
-    for (std::size_t i = 0; i < services_.size(); ++i) {
-      // Late everywhere while others come in time: neither the endpoints' fault nor a crowd.
-      Service& each = services_[i];
-      each.alone = each.hope < 0.3 && best[i < all.size()] > 0.8;
-      if (i >= all.size()) continue;
-      // Where all that is let out comes late, no place in the queue helps.
-      bool helps = i == worst && each.part > 0 && each.hope > 0.6;
-      double bonus = helps ? deployment_.worst_prefix_counts / (each.part * calm(int(i))) : 0;
-      each.earns = ((1 - deployment_.worst_prefix_counts) * each.earns / whole + bonus) * each.hope;
+      if (i < all.size())
+        each.earns = each.hope * all[i].credit / (deployment_.credit_by_work ? 1 : calm(int(i)));
     }
+    // Late everywhere while others come in time: neither the endpoints' fault nor a crowd.
+    for (std::size_t i = 0; i < services_.size(); ++i)
+      services_[i].alone = services_[i].hope < 0.3 && best[i < all.size()] > 0.8;
   }
   void note_served(const Taken& visit, bool well) {
     for (Service* each : visit.services) {
-      if (!visit.over_share) keep(each->served, well ? 1.0 : 0.0, kLatencies);
       if (!visit.fetches.empty()) keep(each->let_out, {now_, well ? 1.0 : 0.0}, kEndpointSamples * 2);
     }
   }
@@ -588,9 +576,7 @@
                   false};
     double whole = now_ - visit.fetches.front().sent;
     Lane& lane = endpoint.lanes[visit.prefix];
-    bool slept = fetch.sent < awake_, told = deployment_.answers_tell_load && !slept;
-    if (told && (end.outcome == Outcome::Delivered || end.outcome == Outcome::TimedOut))
-      keep(lags_, {now_, end.took / prefix(visit).target_latency}, kEndpointSamples);
+    bool slept = fetch.sent < awake_;
     switch (end.outcome) {
       case Outcome::Delivered:
         endpoint.last_answer = lane.last_answer = now_;
@@ -627,20 +613,17 @@
     for (const Endpoint& other : endpoints_) failed += failures(other), all += double(other.answers.size());
     return failures(endpoint) >= 3 && error_share(endpoint) > 0.2 + 2 * failed / std::max(1.0, all);
   }
-  void note_failing(Endpoint& endpoint) {
-    // With most of them failing the trouble is shared or behind them, and the rest would be pushed over.
-    if (endpoint.health == Health::Trickle || 2 * (count(Health::Aside) + 1) <= listed())
-      turn_health(endpoint, Sign::Failing);
-  }
-  // Of one path prefix most endpoints may fail at once: a quarter is always left to it.
-  void note_failing(Endpoint& endpoint, int prefix) {
-    auto aside = std::count_if(endpoints_.begin(), endpoints_.end(), [&](const Endpoint& other) {
-      return other.health != Health::Gone && other.lanes[prefix].health == Health::Aside;
+  // As a whole, or for one path prefix. With most of them failing the trouble is shared or behind them, and
+  // the rest would be pushed over.
+  void note_failing(Endpoint& endpoint, int prefix = -1) {
+    auto lane = [&](Endpoint& of) -> Lane& { return prefix < 0 ? of : of.lanes[prefix]; };
+    auto aside = std::count_if(endpoints_.begin(), endpoints_.end(), [&](Endpoint& other) {
+      return other.health != Health::Gone && lane(other).health == Health::Aside;
     });
-    Lane& lane = endpoint.lanes[prefix];
-    // Its trickle is mutating visits, which are lost where it still fails.
-    if (deployment_.path_prefixes[prefix].kind == Kind::Mutating) lane.hold = kLongestHold * 2;
-    if (lane.health == Health::Trickle || 4 * (aside + 1) <= 3 * listed()) turn_health(lane, Sign::Failing);
+    Lane& failing = lane(endpoint);
+    double most = prefix < 0 ? 0.5 : 0.75;  // of one path prefix most may fail at once: a quarter is left
+    if (failing.health == Health::Trickle || double(aside + 1) <= most * listed())
+      turn_health(failing, Sign::Failing);
   }
   bool silent(const Lane& lane) const {
     int overdue = 0;
@@ -717,11 +700,6 @@
         use = std::max(use, stay / (kRoom * deployment_.path_prefixes[i].target_latency));
       }
     }
-    // Full cores can't tell of the queue behind them; own answers do.
-    double lag = 0, lags = 0;
-    for (const auto& [at, share] : lags_)
-      if (now_ - at < kReportAge) lag += share, ++lags;
-    if (lags >= kFewLags) use = std::max(use, lag / lags / kRoom);
     double passed = passes_.empty() ? 1 : mean(passes_);
     pass_ = std::clamp(passed * std::clamp(1 + kMend * (1 - use), 0.5, 1.3), 0.1, 1.0);
     keep(passes_, pass_, kPassTicks);
@@ -774,8 +752,7 @@
       for (std::size_t k = 0; k < endpoint.lanes.size(); ++k) {
         Lane& lane = endpoint.lanes[k];
         if (lane.health == Health::Aside && now_ >= lane.hold_until) turn_health(lane, Sign::HoldOver);
-        if (deployment_.last_tier && !(late > kSharedLate) && silent(lane))
-          note_failing(endpoint, int(k));
+        if (deployment_.last_tier && !(late > kSharedLate) && silent(lane)) note_failing(endpoint, int(k));
       }
     }
     pump();  // into what has just been left, before those whose patience is over are given up
@@ -791,8 +768,7 @@
     if (now_ < report_at_ || deployment_.me != 0) return;
     report_at_ = now_ + 10;
     std::string line = "tier " + std::to_string(deployment_.tier);
-    for (int i = 0; i < Counted; ++i)
-      line.append(", ").append(kCounted[i]).append(" ") += std::to_string(counts_[i]);
+    for (const auto& [what, count] : counts_) line.append(", ").append(what) += " " + std::to_string(count);
     host_.log(line);
   }
 
@@ -805,23 +781,22 @@
   std::map<VisitId, Taken> visits_;
   std::map<Held, VisitId> held_;
   std::vector<std::deque<double>> latencies_, means_;
-  std::vector<Service> services_;   // path prefixes, then customers
+  std::vector<Service> services_;        // path prefixes, then customers
   std::deque<int> arrived_, customers_;  // of the last: which path prefix, and which customer if known
-  std::vector<double> thresholds_;  // by path prefix, of latencies_
-  std::deque<double> late_;         // 1: a visit past its threshold, 0: one within
+  std::vector<double> thresholds_;       // by path prefix, of latencies_
+  std::deque<double> late_;              // 1: a visit past its threshold, 0: one within
   std::deque<double> rates_;
   double pass_ = 1, fleet_rate_ = 0;
-  std::deque<std::pair<double, double>> lags_;  // of the last answers: when, and latency against target
   std::deque<double> passes_, ranks_, arrivals_;
   double answers_ = 0, recent_rate_ = 0, calm_rate_ = 0;
   int in_flight_ = 0, copy_to_ = -1, parts_ = 1;
   double ask_at_ = 0, asked_until_ = 0, ask_back_off_ = 0.5, report_at_ = 0, means_at_ = 0;
   std::uint64_t turns_ = 0, weighed_ = 0, ticks_ = 0;
-  bool stale_ = false;  // the dealt part, as one of it was set aside
-  std::array<std::uint64_t, Counted> counts_{};
+  bool stale_ = false;                                // the dealt part, as one of it was set aside
+  std::map<std::string_view, std::uint64_t> counts_;  // of copies sent, and of what kept one back
 };
 
-const std::array<Module::Row<State, Input, Taken>, 13> Module::kVisitRows = {{
+const std::array<Row<Module, State, Input, Taken>, 13> Module::kVisitRows = {{
     {State::Held, Input::Room, State::Out, &Module::send_first},
     {State::Held, Input::Bounce, State::Done, &Module::bounce},
     {State::Held, Input::Fail, State::Done, &Module::fail},
@@ -837,7 +812,7 @@
     {State::Paired, Input::Over, State::Done, &Module::finish},
 }};
 
-const std::array<Module::Row<Health, Sign, Lane>, 10> Module::kHealthRows = {{
+const std::array<Row<Module, Health, Sign, Lane>, 10> Module::kHealthRows = {{
     {Health::Gone, Sign::Listed, Health::Steady, &Module::restore},
     {Health::Steady, Sign::Failing, Health::Aside, &Module::set_aside},
     {Health::Steady, Sign::Unlisted, Health::Gone, &Module::nothing},
--- a/src/records.h
+++ b/src/records.h
@@ -1,11 +1,14 @@
-// What the module keeps of endpoints, visits and those it serves: plain records; policy.cpp decides.
+// What the module keeps: the last few samples, with figures worked out from them, and plain records of
+// endpoints, visits and those it serves; policy.cpp decides.
 #pragma once
 
 #include <algorithm>
 #include <cstdint>
 #include <deque>
+#include <numeric>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -13,6 +16,31 @@
 
 namespace puffinvane {
 
+template <typename T>
+void keep(std::deque<T>& samples, const T& sample, std::size_t most) {
+  samples.push_back(sample);
+  if (samples.size() > most) samples.pop_front();
+}
+
+inline double percentile(const std::deque<double>& samples, double share) {
+  std::vector<double> sorted(samples.begin(), samples.end());
+  auto at = sorted.begin() + static_cast<std::ptrdiff_t>(share * double(sorted.size() - 1));
+  std::nth_element(sorted.begin(), at, sorted.end());
+  return *at;
+}
+
+inline double mean(const std::deque<double>& samples) {
+  return std::accumulate(samples.begin(), samples.end(), 0.0) / double(samples.size());
+}
+
+// A name spread over all numbers, alike wherever it is worked out.
+constexpr std::uint64_t kMixer = 0xff51afd7ed558ccdULL;  // odd and well spread: parts names that look alike
+inline std::uint64_t mixed(std::uint64_t at, std::string_view name) {
+  for (char each : name) at = (at ^ std::uint8_t(each)) * kMixer, at ^= at >> 29;
+  return at;
+}
+inline double to_share(std::uint64_t mixed) { return double(mixed >> 11) / double(1ULL << 53); }
+
 // What is known and thought of an endpoint as a whole, and of one path prefix's visits there.
 struct Lane : Repute {
   std::set<std::pair<double, std::uint64_t>> out;  // by time of sending
@@ -41,7 +69,6 @@
 
 // How a path prefix, or a customer, is served.
 struct Service {
-  std::deque<double> served;                      // of the last: 1 in time, 0 not
   std::deque<std::pair<double, double>> let_out;  // of those that were: when it ended, and as above
   double part = 0, hope = 1, earns = 0, load = 0, calm_load = 0;
   bool alone = false;
@@ -51,18 +78,17 @@
 
 using Held = std::pair<double, std::uint64_t>;  // rank and turn
 struct Taken {
-  explicit Taken(VisitId visit = 0) : id(visit) {}
-  VisitId id;
+  VisitId id = 0;
   int prefix = 0;
-  std::vector<Service*> services;  // its path prefix's, and its customer's if known
+  std::vector<Service*> services{};  // its path prefix's, and its customer's if known
   State state = State::Held;
   bool over_share = false, counted = false;
   double until = 0, held_until = 0, standing = 0, weight = 0, calm_weight = 0;
   std::uint64_t key = 0;  // 0: none that counts
   double lot = 0;         // where the room ends within a visit: whether it still counts
   double heavy = 1;       // its work against a quarter of its target latency, as far as told
-  Held place;
-  std::vector<Fetch> fetches;
+  Held place{};
+  std::vector<Fetch> fetches{};
 };
 
 inline double failures(const Lane& lane) {
