--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -140,10 +140,9 @@
     Learned told{{}, {}, late_, rates_, started_};
     for (std::size_t i = 0; i < latencies_.size(); ++i)
       told.prefixes.push_back({deployment_.path_prefixes[i].name, latencies_[i], means_[i]});
-    for (const Endpoint& one : endpoints_) {
-      if (one.health == Health::Gone) continue;
-      told.endpoints.push_back({one.name, one.online_since, one, {one.lanes.begin(), one.lanes.end()}});
-    }
+    for (const Endpoint& one : endpoints_)
+      if (one.health != Health::Gone)
+        told.endpoints.push_back({one.name, one.online_since, one, {one.lanes.begin(), one.lanes.end()}});
     return told;
   }
   void inherit(double now, const Learned& from, double share) override {
@@ -205,8 +204,7 @@
   }
 
   // ---- effects of the visit table
-  template <typename Of>
-  void nothing(Of&) {}
+  void nothing(Taken&) {}
   void send_first(Taken& visit) { send(visit, choose(visit, false)); }
   void send_copy(Taken& visit) { ++counts_["copies sent"], send(visit, copy_to_); }
   void queue_again(Taken& visit) {
@@ -232,16 +230,22 @@
   void fail(Taken& visit) { note_served(visit, false), host_.error(visit.id), finish(visit); }
 
   // ---- effects of the health table
+  void nothing(Lane&) {}
   void set_aside(Lane& lane) {
+    if (lane.away_since == 0) lane.away_since = now_;
     lane.hold_until = now_ + lane.hold * (0.75 + 0.5 * chance());
-    lane.hold = std::min(lane.hold * 2, kLongestHold);
+    lane.hold = std::clamp(lane.hold * 2, kFirstHold, kLongestHold);
     forget_answers(lane), host_.judged(Judged::Aside, 0), stale_ = true;
     // What is lost there must not fill the room of the living until its client timeout.
     for (const auto& [sent, what] : lane.out) leave_count(visits_.at(VisitId(what >> 8)));
   }
   void open_trickle(Lane& lane) { lane.allowance = 1, forget_answers(lane); }
   void double_trickle(Lane& lane) { lane.allowance *= 2; }
-  void restore(Lane& lane) { lane.hold = kFirstHold; }
+  // Half of what its last absences lasted stands for its next return; a second while none is known.
+  void restore(Lane& lane) {
+    if (lane.away_since > 0) keep(lane.aways, now_ - std::exchange(lane.away_since, 0.0), std::size_t{4});
+    lane.hold = lane.aways.empty() ? kFirstHold : std::clamp(mean(lane.aways) / 2, 0.5, kLongestHold);
+  }
 
   const PathPrefix& prefix(const Taken& visit) const { return deployment_.path_prefixes[visit.prefix]; }
   static std::uint64_t key(VisitId id, int number) { return std::uint64_t{id} << 8 | unsigned(number); }
@@ -313,8 +317,7 @@
                     now_ - endpoint.load_at < kReportAge ? endpoint.load.depth : 0);
   }
   static void note_answer(Lane& lane, const Answer& answer) {
-    keep(lane.answers, answer, kEndpointSamples);
-    lane.slow_until = 0;
+    keep(lane.answers, answer, kEndpointSamples), lane.slow_until = 0;
   }
   static void forget_answers(Lane& lane) { lane.answers.clear(), lane.slow_until = 0; }
   // Against calm: a usual that moves with a jam makes those in it look no worse than those left out of use.
@@ -414,9 +417,8 @@
       // a key they break alike at all sidecars, and an endpoint that met it lately is worth some depth.
       double at = visit.key ? to_share(mixed(visit.key, endpoint.name)) : chance();
       double draw = told || at_random ? -std::log(1e-9 + at) : 0;
-      double tie = !told || at_random ? 0 : (visit.key ? kWarm : 0.01) * draw;
       double ahead = double(endpoint.out.size()) + (told ? 0 : 1) + crossing + (again ? kBack : 0);
-      if (!told) tie = ahead * 0.2 * chance();
+      double tie = told ? (visit.key ? kWarm : 0.01) * draw : ahead * 0.2 * chance();
       ahead = at_random ? draw : (ahead + tie) / weight;
       if (found < 0 || ahead < lowest) found = i, lowest = ahead;
     }
@@ -761,9 +763,6 @@
       if (now_ >= visit.held_until) turn(visit, gave_up(visit)), forget_if_over(visits_.find(visit.id));
     }
     pump();
-    report();
-  }
-  void report() {
     // The source's diagnosis rests on both counts; one sidecar a tier is enough to see them.
     if (now_ < report_at_ || deployment_.me != 0) return;
     report_at_ = now_ + 10;
--- a/tests/stories.cpp
+++ b/tests/stories.cpp
@@ -495,6 +495,29 @@
   }
 }
 
+// One that fails and recovers by turns is tested when its last absences say that it may be back.
+void an_endpoint_that_was_away_for_long_before_is_tested_later() {
+  FakeHost host(deployment());
+  host.ready(4);
+  int tests[4] = {}, other = 0;
+  auto serve = [&](double seconds, bool away, int* asked) {
+    for (double until = host.now + seconds; host.now < until;) {
+      VisitId visit = host.visit();
+      for (int i = 0; i < 4 && !host.ended(visit); ++i) {
+        Sent fetch = host.sent.back();
+        bool there = fetch.endpoint == "a0";
+        *asked += there;
+        host.run(0.02);
+        host.end(fetch, there && away ? Outcome::ConnectFailed : Outcome::Delivered);
+      }
+      host.run(0.05);
+    }
+  };
+  serve(5, false, &other);
+  for (int& absence : tests) serve(3, true, &absence), serve(5, true, &other), serve(12, false, &other);
+  assert(tests[0] >= 2 && tests[3] == 1);
+}
+
 // Days of dropped connections: each reset at a kept one set a healthy endpoint aside for a second and more.
 void a_kept_connection_found_dropped_sets_no_endpoint_aside() {
   FakeHost host(deployment());
@@ -838,6 +861,7 @@
   no_copy_goes_to_an_endpoint_as_deep_as_the_bound();
   no_copy_goes_to_an_endpoint_with_errors();
   an_endpoint_that_answers_nothing_is_set_aside_and_returns_by_a_doubling_trickle();
+  an_endpoint_that_was_away_for_long_before_is_tested_later();
   a_kept_connection_found_dropped_sets_no_endpoint_aside();
   never_more_than_half_are_set_aside();
   errors_that_all_endpoints_show_come_from_behind_and_set_none_aside();
