--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -37,7 +37,7 @@
 constexpr double kCrossing = 30;  // visits of depth that crossing zones counts for, times its price
 constexpr double kKnownRate = 2, kWarm = 5, kHeaviest = 4;  // kWarm: depth that a key met lately is worth
 constexpr double kBack = 100;  // and going back to the same endpoint: for want of any other
-constexpr double kReportAge = 3, kFull = 0.9, kMend = 0.7;
+constexpr double kReportAge = 3, kFull = 0.9, kMend = 0.7, kFewLags = 4;
 constexpr int kWholeTicks = 5;  // of these, one looks at all endpoints, the others at those dealt
 constexpr double kTick = 0.1, kStoodStill = 0.35, kFirstOfAll = -1e9;
 constexpr double kFirstHold = 1, kLongestHold = 8;  // seconds set aside, doubling
@@ -217,9 +217,8 @@
   void finish(Taken& visit) {
     leave_count(visit);
     held_.erase(visit.place);
-    for (std::size_t n = 0; deployment_.may_cancel && n < visit.fetches.size(); ++n) {
+    for (std::size_t n = 0; deployment_.may_cancel && n < visit.fetches.size(); ++n)
       if (visit.fetches[n].out) host_.cancel(visit.id, int(n));
-    }
   }
   void bounce(Taken& visit) {
     double wait = visit.over_share ? deployment_.longest_wait_advice : prefix(visit).target_latency / 4;
@@ -334,17 +333,15 @@
     return endpoint.slow = sum / count;
   }
   double learned_capacity(const Endpoint& endpoint) const {
-    double capacity = kFirstCapacity;
-    for (const Answer& answer : endpoint.answers) {
-      if (answer.in_time) capacity = std::max(capacity, answer.depth + 1.0);
-    }
+    double least = kFirstCapacity, most = 1e9;
     for (const Answer& answer : endpoint.answers) {
+      if (answer.in_time) least = std::max(least, answer.depth + 1.0);
       int in_time = 0;
       for (const Answer& other : endpoint.answers)
         in_time += other.depth < answer.depth ? 0 : other.in_time ? 1 : -1;
-      if (in_time < 0) capacity = std::min(capacity, double(answer.depth));
+      if (in_time < 0) most = std::min(most, double(answer.depth));
     }
-    return capacity;
+    return std::min(least, most);
   }
   bool cold(const Endpoint& endpoint) const {
     return endpoint.online_since > 0 && now_ < endpoint.online_since + deployment_.cold.warm_after;
@@ -437,9 +434,8 @@
       count_load(visit, 1);
     }
     host_.fetch(visit.id, endpoint.name, 0);
-    if (prefix(visit).kind == Kind::ReadLike && deployment_.parallel_fetches && visit.state == State::Out) {
+    if (prefix(visit).kind == Kind::ReadLike && deployment_.parallel_fetches && visit.state == State::Out)
       host_.wake(now_ + threshold(visit.prefix), kLateToken | visit.id);
-    }
   }
   void consider_copy(Taken& visit) {
     if (int(visit.fetches.size()) >= deployment_.max_fetches || !visit.fetches.back().out) return;
@@ -578,7 +574,9 @@
                   false};
     double whole = now_ - visit.fetches.front().sent;
     Lane& lane = endpoint.lanes[visit.prefix];
-    bool slept = fetch.sent < awake_;
+    bool slept = fetch.sent < awake_, told = deployment_.answers_tell_load && !slept;
+    if (told && (end.outcome == Outcome::Delivered || end.outcome == Outcome::TimedOut))
+      keep(lags_, {now_, end.took / prefix(visit).target_latency}, kEndpointSamples);
     switch (end.outcome) {
       case Outcome::Delivered:
         endpoint.last_answer = lane.last_answer = now_;
@@ -702,6 +700,11 @@
         use = std::max(use, stay / (kRoom * deployment_.path_prefixes[i].target_latency));
       }
     }
+    // Full cores can't tell of the queue behind them; own answers do.
+    double lag = 0, lags = 0;
+    for (const auto& [at, share] : lags_)
+      if (now_ - at < kReportAge) lag += share, ++lags;
+    if (lags >= kFewLags) use = std::max(use, lag / lags / kRoom);
     double passed = passes_.empty() ? 1 : mean(passes_);
     pass_ = std::clamp(passed * std::clamp(1 + kMend * (1 - use), 0.5, 1.3), 0.1, 1.0);
     keep(passes_, pass_, kPassTicks);
@@ -721,9 +724,8 @@
     recent_rate_ = best_rate(kRateTicks), calm_rate_ = best_rate(rates_.size());
     if (now_ >= means_at_) {
       means_at_ = now_ + 1;
-      for (std::size_t i = 0; i < latencies_.size(); ++i) {
+      for (std::size_t i = 0; i < latencies_.size(); ++i)
         if (latencies_[i].size() >= kFewLatencies) keep(means_[i], mean(latencies_[i]), kCalmSeconds);
-      }
     }
     // With hundreds of endpoints a look at each, every tick, was most of what a sidecar cost.
     bool whole = ++ticks_ % kWholeTicks == 0 || deployment_.answers_tell_load;
@@ -742,8 +744,7 @@
         endpoint.cold_credit = std::min(endpoint.cold_credit + pace * share * endpoint.dealt, 1.5);
       }
       if (endpoint.missing && endpoint.health == Health::Aside) turn_all(endpoint, Sign::Unlisted);
-      if (endpoint.health == Health::Aside && now_ >= endpoint.hold_until)
-        turn_health(endpoint, Sign::HoldOver);
+      if (now_ >= endpoint.hold_until) turn_health(endpoint, Sign::HoldOver);
       // Lost with its connection rather than late, it would fill the room until its client timeout.
       for (const auto& [sent, what] : endpoint.out) {
         Taken& visit = visits_.at(VisitId(what >> 8));
@@ -753,7 +754,7 @@
       if (silent(endpoint)) note_failing(endpoint);
       for (std::size_t k = 0; k < endpoint.lanes.size(); ++k) {
         Lane& lane = endpoint.lanes[k];
-        if (lane.health == Health::Aside && now_ >= lane.hold_until) turn_health(lane, Sign::HoldOver);
+        if (now_ >= lane.hold_until) turn_health(lane, Sign::HoldOver);
         if (deployment_.last_tier && !(late > kSharedLate) && silent(lane)) note_failing(endpoint, int(k));
       }
     }
@@ -786,6 +787,7 @@
   std::deque<double> late_;              // 1: a visit past its threshold, 0: one within
   std::deque<double> rates_;
   double pass_ = 1, fleet_rate_ = 0;
+  std::deque<std::pair<double, double>> lags_;  // of the last answers: when, and latency against target
   std::deque<double> passes_, ranks_, arrivals_;
   double answers_ = 0, recent_rate_ = 0, calm_rate_ = 0;
   int in_flight_ = 0, copy_to_ = -1, parts_ = 1;
