Test: descriptors that the tests' runner leaves open are not the sidecar's

Under CTest the look at what a sidecar opens found CTest's own log file, inherited through the story; by hand it held.

--- a/tests/console.cpp
+++ b/tests/console.cpp
@@ -222,7 +222,7 @@
   for (const auto& one : fs::directory_iterator(at + "/fd")) {
     std::string to = fs::read_symlink(one).string(), name = one.path().filename();
     if (to.starts_with("socket:[")) sockets.insert(to.substr(8, to.size() - 9));
-    else found.files += std::stoi(name) > 2 && to.starts_with("/") && !to.starts_with("/dev/");
+    else found.files += std::stoi(name) > 2 && to.starts_with("/");
   }
   auto rows = [&](const std::string& table, std::size_t inode, auto count) {
     std::ifstream file("/proc/net/" + table);
@@ -242,6 +242,7 @@
   char folder[] = "/tmp/puffinvane-off-XXXXXX";
   assert(mkdtemp(folder));
   setenv("TMPDIR", folder, 1);
+  for (int open = 3; open < 256; ++open) fcntl(open, F_SETFD, FD_CLOEXEC);  // what the tests' runner left us
   Listener endpoint(2);
   auto serve_one = [&](const Running::Options& told) {
     Running sidecar(entry("a", endpoint.address), told);
