Fleet: processes join by datagrams and whole states where the settings have it

Off without the key 'fleet': no socket, no timer. Datagrams under 1,400 bytes in CBOR with an HMAC where a key is set; what is malformed, foreign or of another version is counted and dropped; peers get a tenth of the loop, the rest waits in the socket.

--- /dev/null
+++ b/fleet/fleet.cpp
@@ -0,0 +1,126 @@
+#include "fleet/fleet.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace puffinvane::fleet {
+
+namespace {
+constexpr const char* kBeliefs[] = {"alive", "suspect", "dead", "departed"};
+constexpr const char* kPhases[] = {"joining", "serving", "leaving"};
+
+Member member_of(const Place& place, double unix_now) {
+  Member me;
+  me.name = place.name;
+  me.address = place.advertise.empty() ? place.listen : place.advertise;
+  me.version.life = std::uint64_t(std::max(1.0, unix_now * 1e6));  // others' memory mends a clock set back
+  me.zone = place.zone, me.build = place.build, me.tier = place.tier;
+  return me;
+}
+}  // namespace
+
+Fleet::Fleet(Loop& loop, const Place& place, double offset, std::uint64_t seed, Owner& owner)
+    : loop_(loop),
+      owner_(owner),
+      listen_(place.listen),
+      link_(loop, *this, place.key),
+      membership_(member_of(place, loop.now() + offset), place.seeds, Pace(), seed, *this) {}
+
+void Fleet::open() {
+  link_.open(listen_);
+  membership_.start(loop_.now());
+}
+
+void Fleet::close() {
+  if (std::exchange(closed_, true)) return;
+  membership_.depart(loop_.now());
+  link_.close();
+}
+
+void Fleet::wake(double at) {
+  loop_.at(at, alive_.guard([this] {
+    if (!closed_) membership_.woken(loop_.now());
+  }));
+}
+
+void Fleet::changed(const Member& member, Belief belief) {
+  loop_.log().debug() << "fleet: " << member.name << " at " << member.address << " is "
+                      << kBeliefs[std::size_t(belief)] << ", " << kPhases[std::size_t(member.phase)];
+  // A whole state changes many at once: they are told of once.
+  if (std::exchange(telling_, true)) return;
+  loop_.soon(alive_.guard([this] { telling_ = false, owner_.on_members(); }));
+}
+
+void Fleet::superseded(bool yes, const std::string& by) {
+  if (yes)
+    loop_.log().warning() << "fleet: " << membership_.me().name << " also lives at " << by
+                          << ", started later; this one is no member until that one is gone";
+  else loop_.log().info() << "fleet: " << membership_.me().name << " is a member again";
+}
+
+void Fleet::on_message(const Message& message, const std::string& source) {
+  membership_.receive(loop_.now(), message, source);
+}
+
+std::string Fleet::shown() const {
+  using nlohmann::json;
+  auto row = [](const Member& member, const char* belief, double age) {
+    return json{{"name", member.name},
+                {"address", member.address},
+                {"belief", belief},
+                {"phase", kPhases[std::size_t(member.phase)]},
+                {"life", member.version.life},
+                {"incarnation", member.version.incarnation},
+                {"zone", member.zone},
+                {"tier", member.tier},
+                {"build", member.build},
+                {"for_s", age},
+                {"facts", member.facts}};
+  };
+  json members = json::array();
+  members.push_back(row(membership_.me(), membership_.is_superseded() ? "superseded" : "alive", 0));
+  for (const auto& [name, entry] : membership_.others())
+    members.push_back(row(entry.member, kBeliefs[std::size_t(entry.belief)], loop_.now() - entry.since));
+  char view[17];
+  std::snprintf(view, sizeof view, "%016llx", static_cast<unsigned long long>(membership_.digest()));
+  json all = {
+      {"me", membership_.me().name}, {"live", membership_.live()}, {"view", view}, {"members", members}};
+  return all.dump(-1, ' ', false, json::error_handler_t::replace) + "\n";
+}
+
+std::string Fleet::telemetry() const {
+  const Link::Counts& link = link_.counts();
+  const Membership::Counts& counts = membership_.counts();
+  struct Figure {
+    const char *name, *type, *help;
+    std::uint64_t value;
+  };
+  const Figure figures[] = {
+      {"members", "gauge", "Live members of the fleet, this one too.", membership_.live()},
+      {"superseded", "gauge", "1 while a later process lives under this one's name.",
+       membership_.is_superseded()},
+      {"slowness", "gauge", "By how much this one doubts itself.", std::uint64_t(membership_.awareness())},
+      {"messages_sent_total", "counter", "Datagrams sent.", link.sent},
+      {"bytes_sent_total", "counter", "Bytes of these.", link.bytes_sent},
+      {"messages_received_total", "counter", "Datagrams received, dropped ones too.", link.received},
+      {"malformed_total", "counter", "Dropped: can't be read.", link.malformed},
+      {"foreign_total", "counter", "Dropped: another key's, or none.", link.foreign},
+      {"version_total", "counter", "Dropped: another version of the protocol.", link.version},
+      {"unsent_total", "counter", "Not sent: the socket was full, or it was too long.", link.unsent},
+      {"pauses_total", "counter", "Times that peers had had their share of the loop.", link.pauses},
+      {"states_total", "counter", "Whole states received.", link.states},
+      {"refuted_total", "counter", "Times this one was held for dead, and said otherwise.", counts.refuted},
+      {"suspected_total", "counter", "Suspicions of others.", counts.suspected},
+      {"died_total", "counter", "Members buried by this one.", counts.died},
+      {"stalls_total", "counter", "Times this process stood still.", counts.stalls},
+  };
+  std::string text;
+  for (const Figure& one : figures) {
+    std::string name = std::string("sidecar_fleet_") + one.name;
+    text += "# HELP " + name + " " + one.help + "\n# TYPE " + name + " " + one.type + "\n" + name + " " +
+            std::to_string(one.value) + "\n";
+  }
+  return text;
+}
+
+}  // namespace puffinvane::fleet
--- /dev/null
+++ b/fleet/fleet.h
@@ -0,0 +1,55 @@
+// The fleet as one instance takes part in it: its membership on its link. Off unless the settings have it.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "fleet/link/link.h"
+#include "fleet/membership/membership.h"
+
+namespace puffinvane::fleet {
+
+struct Place {                          // what the settings say
+  std::string name, listen, advertise;  // advertise: where others reach it, if that is not where it listens
+  std::vector<std::string> seeds;
+  std::string key, zone, build;
+  int tier = 0;
+};
+
+class Fleet final : Membership::Host, Link::Owner {
+ public:
+  class Owner {
+   public:
+    virtual ~Owner() = default;
+    virtual void on_members() = 0;  // who is there changed, or what they say
+  };
+  // offset: Unix time less the loop's clock.
+  Fleet(Loop& loop, const Place& place, double offset, std::uint64_t seed, Owner& owner);
+  void open();  // throws std::runtime_error
+  void serving() { membership_.say(loop_.now(), Phase::Serving, membership_.me().facts); }
+  void leaving() { membership_.say(loop_.now(), Phase::Leaving, membership_.me().facts); }
+  void close();
+  const Membership& membership() const { return membership_; }
+  std::string shown() const;      // JSON, as `puffinvane fleet show` reads it
+  std::string telemetry() const;  // in the Prometheus exposition format
+
+ private:
+  void send(const std::string& address, const Message& message) override { link_.send(address, message); }
+  void sync(const std::string& address) override { link_.sync(address); }
+  void wake(double at) override;
+  void changed(const Member& member, Belief belief) override;
+  void superseded(bool yes, const std::string& by) override;
+  void on_message(const Message& message, const std::string& source) override;
+  void on_state(const Message& theirs) override { membership_.exchange(loop_.now(), theirs); }
+  Message state() const override { return membership_.state(); }
+
+  Loop& loop_;
+  Owner& owner_;
+  const std::string listen_;
+  Link link_;
+  Membership membership_;
+  bool telling_ = false, closed_ = false;
+  Alive alive_;
+};
+
+}  // namespace puffinvane::fleet
--- /dev/null
+++ b/fleet/link/codec.cpp
@@ -0,0 +1,135 @@
+#include "fleet/link/codec.h"
+
+#include <glib.h>
+
+#include <array>
+#include <nlohmann/json.hpp>
+
+namespace puffinvane::fleet {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::string_view kMagic = "PV";
+constexpr char kVersion = 1;
+constexpr std::size_t kHead = 4, kCode = 32;  // SHA-256's
+constexpr int kDeepest = 4;                   // message, news, one of them, its facts
+
+std::array<std::uint8_t, kCode> code_of(std::string_view head, std::string_view body, std::string_view key) {
+  std::array<std::uint8_t, kCode> code{};
+  gsize size = code.size();
+  GHmac* made = g_hmac_new(G_CHECKSUM_SHA256, reinterpret_cast<const guchar*>(key.data()), key.size());
+  g_hmac_update(made, reinterpret_cast<const guchar*>(head.data()), gssize(head.size()));
+  g_hmac_update(made, reinterpret_cast<const guchar*>(body.data()), gssize(body.size()));
+  g_hmac_get_digest(made, code.data(), &size);
+  g_hmac_unref(made);
+  return code;
+}
+
+// Gone through before anything is built: the library's reader calls itself for each nested array, and a
+// megabyte of them would end the stack.
+struct Shallow : nlohmann::json_sax<json> {
+  int depth = 0;
+  bool enter() { return ++depth <= kDeepest; }
+  bool null() override { return false; }
+  bool boolean(bool) override { return false; }
+  bool number_integer(number_integer_t) override { return true; }
+  bool number_unsigned(number_unsigned_t) override { return true; }
+  bool number_float(number_float_t, const string_t&) override { return false; }
+  bool string(string_t&) override { return true; }
+  bool binary(binary_t&) override { return false; }
+  bool start_object(std::size_t) override { return enter(); }
+  bool key(string_t&) override { return true; }
+  bool end_object() override { return --depth, true; }
+  bool start_array(std::size_t) override { return enter(); }
+  bool end_array() override { return --depth, true; }
+  bool parse_error(std::size_t, const std::string&, const nlohmann::detail::exception&) override {
+    return false;
+  }
+};
+
+json written(const News& news) {
+  const Member& of = news.member;
+  return json::array({int(news.belief), news.by, of.name, of.address, of.version.life, of.version.incarnation,
+                      int(of.phase), of.zone, of.build, of.tier, of.facts});
+}
+
+template <typename Whole>
+bool read(const json& from, Whole& to, std::uint64_t most) {
+  if (!from.is_number_unsigned() || from.get<std::uint64_t>() > most) return false;
+  to = Whole(from.get<std::uint64_t>());
+  return true;
+}
+bool read(const json& from, std::string& to) {
+  if (!from.is_string()) return false;
+  to = from.get<std::string>();
+  return true;
+}
+
+bool read(const json& from, News& news) {
+  Member& of = news.member;
+  if (!from.is_array() || from.size() != 11 || !from[10].is_object()) return false;
+  for (const auto& [key, value] : from[10].items()) {
+    if (!read(value, of.facts[key])) return false;
+  }
+  return read(from[0], news.belief, std::uint64_t(Belief::Departed)) && read(from[1], news.by) &&
+         read(from[2], of.name) && read(from[3], of.address) && read(from[4], of.version.life, ~0ull) &&
+         read(from[5], of.version.incarnation, 0xffffffff) &&
+         read(from[6], of.phase, std::uint64_t(Phase::Leaving)) && read(from[7], of.zone) &&
+         read(from[8], of.build) && read(from[9], of.tier, 1 << 20) && proper(of) &&
+         news.by.size() <= kMostName;
+}
+
+}  // namespace
+
+std::string encode(const Message& message, std::string_view key) {
+  json news = json::array();
+  for (const News& one : message.news) news.push_back(written(one));
+  std::string body;
+  json::to_cbor(
+      json::array({int(message.kind), message.number, message.from, message.about, message.digest, news}),
+      body);
+  std::string bytes(kMagic);
+  bytes += kVersion;
+  bytes += char(key.empty() ? 0 : 1);
+  if (!key.empty()) {
+    auto code = code_of(bytes, body, key);
+    bytes.append(reinterpret_cast<const char*>(code.data()), code.size());
+  }
+  return bytes + body;
+}
+
+std::optional<Message> decode(std::string_view bytes, std::string_view key, Fault& fault) {
+  fault = Fault::Malformed;
+  if (bytes.size() < kHead || bytes.substr(0, kMagic.size()) != kMagic) return std::nullopt;
+  if (bytes[2] != kVersion) return fault = Fault::Version, std::nullopt;
+  std::string_view head = bytes.substr(0, kHead), body = bytes.substr(kHead);
+  if ((bytes[3] == 1) == key.empty() || (bytes[3] & ~1)) return fault = Fault::Foreign, std::nullopt;
+  if (!key.empty()) {
+    if (body.size() < kCode) return std::nullopt;
+    std::string_view told = body.substr(0, kCode);
+    body.remove_prefix(kCode);
+    auto code = code_of(head, body, key);
+    unsigned differs = 0;  // all of it is compared, so that the time taken tells nothing of where they part
+    for (std::size_t i = 0; i < kCode; ++i) differs |= unsigned(std::uint8_t(told[i]) ^ code[i]);
+    if (differs) return fault = Fault::Foreign, std::nullopt;
+  }
+  Shallow shallow;
+  if (!json::sax_parse(body, &shallow, json::input_format_t::cbor)) return std::nullopt;
+  json told = json::from_cbor(body, true, false);
+  Message message;
+  if (!told.is_array() || told.size() != 6 || !told[5].is_array()) return std::nullopt;
+  if (!read(told[0], message.kind, std::uint64_t(Message::Kind::State)) ||
+      !read(told[1], message.number, 0xffffffff) || !read(told[2], message.from) ||
+      !read(told[3], message.about) || !read(told[4], message.digest, ~0ull) ||
+      message.from.size() > kMostName || message.about.size() > kMostName)
+    return std::nullopt;
+  for (const json& one : told[5]) {
+    if (!read(one, message.news.emplace_back())) return std::nullopt;
+  }
+  fault = Fault::None;
+  return message;
+}
+
+}  // namespace puffinvane::fleet
--- /dev/null
+++ b/fleet/link/codec.h
@@ -0,0 +1,21 @@
+// A message as bytes, and back: docs/fleet-protocol.md has it byte by byte.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "fleet/membership/member.h"
+
+namespace puffinvane::fleet {
+
+constexpr std::size_t kMostDatagram = 1400;
+constexpr std::size_t kMostState = std::size_t{1} << 20;
+
+// key: shared by all members; empty: none, and messages carry no code.
+std::string encode(const Message& message, std::string_view key);
+
+enum class Fault { None, Malformed, Foreign, Version };  // Foreign: another key's, or none
+std::optional<Message> decode(std::string_view bytes, std::string_view key, Fault& fault);
+
+}  // namespace puffinvane::fleet
--- /dev/null
+++ b/fleet/link/link.cpp
@@ -0,0 +1,199 @@
+#include "fleet/link/link.h"
+
+#include <sys/epoll.h>
+
+#include <stdexcept>
+
+namespace puffinvane::fleet {
+
+namespace {
+constexpr int kAtOnce = 16;       // datagrams a turn: then the visits have theirs
+constexpr double kWindow = 0.05;  // of which peers get
+constexpr double kShare = 0.1;    // this much of the loop; what comes beyond waits in the socket, or is lost
+constexpr std::size_t kMostTalks = 4;  // of each kind: begun here, and by others
+constexpr double kPatience = 3;        // for a whole state, there and back
+constexpr std::size_t kLength = 4;
+
+std::string text_of(GSocketAddress* address) {
+  if (!address || !G_IS_INET_SOCKET_ADDRESS(address)) return {};
+  auto* inet = G_INET_SOCKET_ADDRESS(address);
+  GInetAddress* host = g_inet_socket_address_get_address(inet);
+  char* text = g_inet_address_to_string(host);
+  bool six = g_inet_address_get_family(host) == G_SOCKET_FAMILY_IPV6;
+  std::string written = six ? "[" + std::string(text) + "]" : std::string(text);
+  g_free(text);
+  return written + ":" + std::to_string(g_inet_socket_address_get_port(inet));
+}
+}  // namespace
+
+// A whole state each way over one stream: four bytes of length, highest first, and an encoded message.
+class Link::Talk final : Stream::Owner {
+ public:
+  Talk(Link& link, bool asks) : asks(asks), link_(link), stream_(link.loop_, *this) {}
+  bool ask(const std::string& address) { return stream_.connect(address); }
+  void answer(Ref<GSocket> socket) { stream_.adopt(std::move(socket)); }
+  const bool asks;
+
+ private:
+  void say() {
+    std::string state = encode(link_.owner_.state(), link_.key_);
+    std::string frame;
+    for (int shift = 24; shift >= 0; shift -= 8) frame += char(state.size() >> shift & 0xff);
+    Chain chain(link_.loop_.pool());
+    chain.add(frame);
+    chain.add(state);
+    stream_.send(std::move(chain));
+  }
+  void on_connected() override { say(); }
+  void on_received(std::string_view bytes) override {
+    heard_ += bytes;
+    if (heard_.size() < kLength || over_) return;
+    std::size_t length = 0;
+    for (std::size_t i = 0; i < kLength; ++i) length = length << 8 | std::uint8_t(heard_[i]);
+    if (length > kMostState) return ++link_.counts_.malformed, on_ended();
+    if (heard_.size() < kLength + length) return;
+    Fault fault;
+    std::optional<Message> state =
+        decode(std::string_view(heard_).substr(kLength, length), link_.key_, fault);
+    over_ = true;
+    if (!state) return link_.count(fault), on_ended();
+    ++link_.counts_.states;
+    if (!asks) say();  // as it was: what the other says is its own to judge
+    link_.owner_.on_state(*state);
+    if (asks) on_ended();  // who asked closes, once it has it all
+  }
+  void on_ended() override { link_.end(*this); }
+
+  Link& link_;
+  Stream stream_;
+  std::string heard_;
+  bool over_ = false;
+};
+
+Link::Link(Loop& loop, Owner& owner, std::string key)
+    : loop_(loop),
+      owner_(owner),
+      key_(std::move(key)),
+      door_(loop, *this),
+      buffer_(kMostDatagram + 1, '\0') {}
+
+Link::~Link() { close(); }
+
+void Link::open(const std::string& address) {
+  Ref<GSocketAddress> at = read_address(address);
+  if (!at)
+    throw std::runtime_error("can't listen for the fleet at '" + address + "': not an address and port");
+  GError* raw = nullptr;
+  socket_.reset(g_socket_new(g_socket_address_get_family(at.get()), G_SOCKET_TYPE_DATAGRAM,
+                             G_SOCKET_PROTOCOL_UDP, &raw));
+  if (!socket_ || !g_socket_bind(socket_.get(), at.get(), FALSE, &raw)) {
+    Error error(raw);
+    socket_.reset();
+    throw std::runtime_error("can't listen for the fleet at " + address + ": " + error->message);
+  }
+  g_socket_set_blocking(socket_.get(), FALSE);
+  loop_.descriptors().opened();
+  listen();
+  door_.open(address);
+}
+
+void Link::close() {
+  if (!socket_) return;
+  door_.close();
+  talks_.clear();
+  asked_ = answered_ = 0;
+  loop_.unwatch(g_socket_get_fd(socket_.get()));
+  loop_.descriptors().closed();
+  socket_.reset();
+}
+
+void Link::listen() {
+  paused_ = false;
+  if (socket_) loop_.watch(g_socket_get_fd(socket_.get()), EPOLLIN, *this);
+}
+
+// A flood may not hold up visits: what is over the share waits in the socket's buffer, and then is lost.
+void Link::pause() {
+  paused_ = true;
+  ++counts_.pauses;
+  loop_.unwatch(g_socket_get_fd(socket_.get()));
+  loop_.at(window_ + kWindow, alive_.guard([this] { listen(); }));
+}
+
+void Link::on_ready(std::uint32_t) {
+  double begun = loop_.now();
+  if (begun > window_ + kWindow) window_ = begun, spent_ = 0;
+  for (int i = 0; i < kAtOnce && receive_one(); ++i) {
+  }
+  spent_ += loop_.now() - begun;
+  if (socket_ && spent_ > kShare * kWindow) pause();
+}
+
+bool Link::receive_one() {
+  GSocketAddress* raw_from = nullptr;
+  gssize got = socket_ ? g_socket_receive_from(socket_.get(), &raw_from, buffer_.data(), buffer_.size(),
+                                               nullptr, nullptr)
+                       : -1;
+  Ref<GSocketAddress> from(raw_from);
+  if (got < 0) return false;
+  ++counts_.received;
+  counts_.bytes_received += std::uint64_t(got);
+  Fault fault = Fault::Malformed;
+  std::optional<Message> message;
+  if (std::size_t(got) <= kMostDatagram)
+    message = decode(std::string_view(buffer_).substr(0, std::size_t(got)), key_, fault);
+  if (message) owner_.on_message(*message, text_of(from.get()));
+  else count(fault);
+  return true;
+}
+
+void Link::count(Fault fault) {
+  counts_.malformed += fault == Fault::Malformed;
+  counts_.foreign += fault == Fault::Foreign;
+  counts_.version += fault == Fault::Version;
+}
+
+void Link::send(const std::string& address, const Message& message) {
+  Ref<GSocketAddress> to = read_address(address);
+  std::string bytes = encode(message, key_);
+  bool fits = socket_ && to && bytes.size() <= kMostDatagram;
+  // A buffer that is full loses it, as the network may.
+  if (!fits || g_socket_send_to(socket_.get(), to.get(), bytes.data(), bytes.size(), nullptr, nullptr) < 0)
+    return void(++counts_.unsent);
+  ++counts_.sent;
+  counts_.bytes_sent += bytes.size();
+}
+
+void Link::sync(const std::string& address) {
+  if (!socket_ || asked_ >= kMostTalks || loop_.descriptors().left() <= 0) return;
+  auto talk = std::make_unique<Talk>(*this, true);
+  if (talk->ask(address)) begin(std::move(talk));
+}
+
+bool Link::on_knock() { return answered_ < kMostTalks && loop_.descriptors().left() > 0; }
+
+void Link::on_entered(Ref<GSocket> socket, int) {
+  auto talk = std::make_unique<Talk>(*this, false);
+  talk->answer(std::move(socket));
+  begin(std::move(talk));
+}
+
+void Link::begin(std::unique_ptr<Talk> talk) {
+  const Talk* which = talk.get();
+  ++(talk->asks ? asked_ : answered_);
+  talks_.emplace(which, std::move(talk));
+  // One that has ended may have left its address to another: that is ended a little early, at worst.
+  loop_.at(loop_.now() + kPatience, alive_.guard([this, which] {
+    if (talks_.contains(which)) end(*which);
+  }));
+}
+
+void Link::end(const Talk& talk) {
+  auto which = talks_.find(&talk);
+  if (which == talks_.end()) return;
+  --(talk.asks ? asked_ : answered_);
+  loop_.bury(std::move(which->second));
+  talks_.erase(which);
+}
+
+}  // namespace puffinvane::fleet
--- /dev/null
+++ b/fleet/link/link.h
@@ -0,0 +1,63 @@
+// Between members: datagrams for what is small, streams for whole states. It holds no rule of who is there.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "fleet/link/codec.h"
+#include "sidecar/loop/loop.h"
+#include "sidecar/wire/door.h"
+#include "sidecar/wire/stream.h"
+
+namespace puffinvane::fleet {
+
+class Link final : Ready, Door::Owner {
+ public:
+  class Owner {
+   public:
+    virtual ~Owner() = default;
+    virtual void on_message(const Message& message, const std::string& source) = 0;
+    virtual void on_state(const Message& theirs) = 0;
+    virtual Message state() const = 0;
+  };
+  struct Counts {
+    std::uint64_t sent = 0, bytes_sent = 0, received = 0, bytes_received = 0;
+    std::uint64_t malformed = 0, foreign = 0, version = 0, unsent = 0, pauses = 0, states = 0;
+  };
+
+  Link(Loop& loop, Owner& owner, std::string key);
+  ~Link() override;
+  void open(const std::string& address);  // throws std::runtime_error
+  void send(const std::string& address, const Message& message);
+  void sync(const std::string& address);
+  void close();
+  const Counts& counts() const { return counts_; }
+
+ private:
+  class Talk;
+  void on_ready(std::uint32_t events) override;
+  bool on_knock() override;
+  void on_entered(Ref<GSocket> socket, int door) override;
+  bool receive_one();
+  void count(Fault fault);
+  void listen();
+  void pause();
+  void end(const Talk& talk);
+  void begin(std::unique_ptr<Talk> talk);
+
+  Loop& loop_;
+  Owner& owner_;
+  const std::string key_;
+  Ref<GSocket> socket_;
+  Door door_;
+  std::map<const Talk*, std::unique_ptr<Talk>> talks_;
+  std::size_t asked_ = 0, answered_ = 0;  // of these
+  std::string buffer_;
+  double window_ = 0, spent_ = 0;  // since when, and how long was worked for peers since
+  bool paused_ = false;
+  Counts counts_;
+  Alive alive_;
+};
+
+}  // namespace puffinvane::fleet
--- a/sidecar/console/console.cpp
+++ b/sidecar/console/console.cpp
@@ -21,9 +21,10 @@
 };
 
 const Console::Call Console::kCalls[] = {
-    {"/api/ready", "GET", &Console::ready},       {"/api/telemetry", "GET", &Console::telemetry},
-    {"/api/exclude", "PUT", &Console::exclude},   {"/api/include", "PUT", &Console::include},
-    {"/api/evacuate", "PUT", &Console::evacuate}, {"/api/rejoin", "PUT", &Console::rejoin},
+    {"/api/ready", "GET", &Console::ready},     {"/api/telemetry", "GET", &Console::telemetry},
+    {"/api/exclude", "PUT", &Console::exclude}, {"/api/include", "PUT", &Console::include},
+    {"/api/fleet", "GET", &Console::fleet},     {"/api/evacuate", "PUT", &Console::evacuate},
+    {"/api/rejoin", "PUT", &Console::rejoin},
 };
 
 Console::Console(Loop& loop, Admission& admission, Operations& operations, Owner& owner)
@@ -53,6 +54,11 @@
 void Console::telemetry(Client& client, std::string_view) {
   client.answer(200, nullptr, "Content-Type: text/plain; version=0.0.4\r\n", owner_.telemetry(), true);
 }
+void Console::fleet(Client& client, std::string_view) {
+  std::string shown = owner_.fleet();
+  if (shown.empty()) return say(client, 404, "this process is part of no fleet");
+  client.answer(200, nullptr, "Content-Type: application/json\r\n", shown, true);
+}
 void Console::exclude(Client& client, std::string_view body) {
   obeyed(client, operations_.exclude(loop_.now(), body));
 }
--- a/sidecar/console/console.h
+++ b/sidecar/console/console.h
@@ -19,6 +19,7 @@
     virtual bool ready() const = 0;
     virtual std::string telemetry() const = 0;
     virtual void on_order() = 0;  // one was obeyed
+    virtual std::string fleet() const { return {}; }  // as JSON; empty: it is part of none
   };
 
   Console(Loop& loop, Admission& admission, Operations& operations, Owner& owner);
@@ -30,6 +31,7 @@
   void on_request(Client& client, HttpMessage request) override;
   void ready(Client& client, std::string_view body);
   void telemetry(Client& client, std::string_view body);
+  void fleet(Client& client, std::string_view body);
   void exclude(Client& client, std::string_view body);
   void include(Client& client, std::string_view body);
   void evacuate(Client& client, std::string_view body);
--- a/sidecar/lifecycle/sidecar.cpp
+++ b/sidecar/lifecycle/sidecar.cpp
@@ -37,6 +37,9 @@
       watch_(loop, carrier_, assignment_.discovery, clock_offset, assignment_.known.index),
       operations_(*this),
       inherited_(std::move(inherited)) {
+  if (assignment_.fleet)
+    fleet_.emplace(loop, *assignment_.fleet, clock_offset, assignment_.seed,
+                   static_cast<fleet::Fleet::Owner&>(*this));
   if (assignment_.console.empty()) return;
   if (inherited_.elder) admission_.share(true);
   succession_.emplace(loop, static_cast<Succession::Owner&>(*this), meeting_place(assignment_.listen),
@@ -51,12 +54,14 @@
   if (console_) console_->open(assignment_.console);
   if (inherited_.door) door_.adopt(std::move(inherited_.door));
   else door_.open(assignment_.listen, console_ ? Door::Beside::Another : Door::Beside::Nobody);
+  if (fleet_) fleet_->open();
   opened();
   if (succession_) succession_->serving();
 }
 
 void Sidecar::serves() {
   serving_ = true;
+  if (fleet_) fleet_->serving();
   loop().log().info() << assignment_.name << " serves tier " << assignment_.deployment.tier << " at "
                       << assignment_.listen << ", " << assignment_.known.entries.size() << " endpoints known";
 }
@@ -85,12 +90,14 @@
 void Sidecar::leaves(double gone) {
   loop().log().info() << assignment_.name << " leaves";
   leaving_ = true;
+  if (fleet_) fleet_->leaving();
   carrier_.leave(gone);
 }
 
 void Sidecar::ends() {
   loop().log().info() << assignment_.name << " is gone";
   watch_.close();
+  if (fleet_) fleet_->close();
 }
 
 void Sidecar::stop(std::string_view endpoint) {
@@ -129,7 +136,8 @@
 
 std::string Sidecar::telemetry() const {
   return write_telemetry(carrier_.deployment().path_prefixes, carrier_.figures(),
-                         {carrier_.under_way(), carrier_.listed(), carrier_.avoided()});
+                         {carrier_.under_way(), carrier_.listed(), carrier_.avoided()}) +
+         (fleet_ ? fleet_->telemetry() : "");
 }
 
 void Sidecar::on_request(Client& client, HttpMessage request) {
--- a/sidecar/lifecycle/sidecar.h
+++ b/sidecar/lifecycle/sidecar.h
@@ -14,7 +14,12 @@
 
 namespace puffinvane {
 
-class Sidecar final : public Lifecycle, Callers::Server, Operations::Host, Console::Owner, Succession::Owner {
+class Sidecar final : public Lifecycle,
+                      Callers::Server,
+                      Operations::Host,
+                      Console::Owner,
+                      Succession::Owner,
+                      fleet::Fleet::Owner {
  public:
   // inherited: from the process that it takes over from, if there is one.
   Sidecar(Loop& loop, Assignment assignment, double clock_offset, std::string assigned_in, PolicyMaker make,
@@ -42,6 +47,8 @@
   bool ready() const override { return serving_; }
   std::string telemetry() const override;
   void on_order() override;
+  std::string fleet() const override { return fleet_ ? fleet_->shown() : ""; }
+  void on_members() override {}
   GSocket* door() override { return door_.socket(); }
   EndpointList listing() const override { return carrier_.listing(); }
   Orders orders() const override { return {operations_.all_out(), operations_.drains_since()}; }
@@ -66,6 +73,7 @@
   Inheritance inherited_;
   std::optional<Succession> succession_;  // none: with nobody to order it, nobody to follow it either
   std::optional<Console> console_;        // none: operators call nowhere
+  std::optional<fleet::Fleet> fleet_;     // none: it shares nothing with other instances
   Alive alive_;
 };
 
--- a/sidecar/lifecycle/start.cpp
+++ b/sidecar/lifecycle/start.cpp
@@ -17,6 +17,30 @@
 
 }  // namespace
 
+namespace {
+
+fleet::Place read_place(element told, const Assignment& assignment) {
+  if (!told.is_object()) throw Malformed("'fleet' is no object");
+  fleet::Place place;
+  place.name = assignment.name;
+  place.listen = text(told, "listen");
+  std::string_view value;
+  if (!told["advertise"].get(value)) place.advertise = value;
+  if (!told["key"].get(value)) place.key = value;
+  simdjson::dom::array seeds;
+  if (!told["seeds"].get(seeds)) {
+    for (element seed : seeds) {
+      if (seed.get(value)) throw Malformed("a seed is no address");
+      place.seeds.emplace_back(value);
+    }
+  }
+  place.zone = assignment.deployment.zone, place.tier = assignment.deployment.tier;
+  if (place.name.size() > fleet::kMostName) throw Malformed("'name' is too long for a fleet");
+  return place;
+}
+
+}  // namespace
+
 Assignment read_assignment(element told, double clock_offset) {
   Assignment read;
   simdjson::dom::object whole;
@@ -50,6 +74,8 @@
                     read.watched->path_prefixes.end(), same))
       throw Malformed("'watch' has other path prefixes than 'settings'");
   }
+  element fleet;
+  if (!told["fleet"].get(fleet)) read.fleet = read_place(fleet, read);
   if (!told["known"].get(known)) read.known = read_list(known, clock_offset);
   if (!told["limits"].get(limits)) {
     double figure = 0;
--- a/sidecar/lifecycle/start.h
+++ b/sidecar/lifecycle/start.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "deployment/deployment.h"
+#include "fleet/fleet.h"
 #include "sidecar/wire/discovery.h"
 
 namespace puffinvane {
@@ -19,6 +20,7 @@
   Deployment deployment;
   std::optional<Deployment> watched;  // other settings whose decisions are only counted
   EndpointList known;
+  std::optional<fleet::Place> fleet;  // none: it talks to no other instance
 };
 
 // Throws Malformed with a plain message that says what is wrong.
