Fleet: sidecars cut their parts of the list by who is there, weighed so that they add up

Cause: the part of each was cut by the numbers in its settings, which no death or start changes. Now the members of its tier are cut for at each change, and the module is told its place, how many are there, and by units its part of each endpoint. With nothing out the greatest part alone was chosen; a draw spread by the parts keeps to them.

--- a/fleet/fleet.cpp
+++ b/fleet/fleet.cpp
@@ -44,6 +44,7 @@
 }
 
 void Fleet::changed(const Member& member, Belief belief) {
+  met_ = true;
   loop_.log().debug() << "fleet: " << member.name << " at " << member.address << " is "
                       << kBeliefs[std::size_t(belief)] << ", " << kPhases[std::size_t(member.phase)];
   // A whole state changes many at once: they are told of once.
@@ -62,7 +63,27 @@
   membership_.receive(loop_.now(), message, source);
 }
 
-std::string Fleet::shown() const {
+std::optional<Fleet::Part> Fleet::part(const std::vector<Sharer>& endpoints) const {
+  const Member& me = membership_.me();
+  if (membership_.is_superseded() || (membership_.live() == 1 && !met_)) return std::nullopt;
+  // Of one tier, and taking visits: by name, as all of them see it.
+  std::vector<Sharer> sidecars{{me.name, 1}};
+  for (const auto& [name, entry] : membership_.others()) {
+    if (membership_.live(entry) && entry.member.tier == me.tier && entry.member.phase == Phase::Serving)
+      sidecars.push_back({name, 1});
+  }
+  auto by_name = [](const Sharer& one, const Sharer& other) { return one.name < other.name; };
+  std::sort(sidecars.begin(), sidecars.end(), by_name);
+  auto mine = std::lower_bound(sidecars.begin(), sidecars.end(), Sharer{me.name, 1}, by_name);
+  Part part{{}, int(mine - sidecars.begin()), int(sidecars.size())};
+  for (const Pair& pair : cut(sidecars, endpoints).pairs) {
+    if (pair.sidecar == part.place)
+      part.endpoints.emplace(endpoints[std::size_t(pair.endpoint)].name, pair.load * part.sidecars);
+  }
+  return part;
+}
+
+std::string Fleet::shown(const std::optional<Part>& part) const {
   using nlohmann::json;
   auto row = [](const Member& member, const char* belief, double age) {
     return json{{"name", member.name},
@@ -85,6 +106,8 @@
   std::snprintf(view, sizeof view, "%016llx", static_cast<unsigned long long>(membership_.digest()));
   json all = {
       {"me", membership_.me().name}, {"live", membership_.live()}, {"view", view}, {"members", members}};
+  if (part)
+    all["part"] = {{"place", part->place}, {"sidecars", part->sidecars}, {"endpoints", part->endpoints}};
   return all.dump(-1, ' ', false, json::error_handler_t::replace) + "\n";
 }
 
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -6,6 +6,7 @@
 
 #include "fleet/link/link.h"
 #include "fleet/membership/membership.h"
+#include "fleet/shares/shares.h"
 
 namespace puffinvane::fleet {
 
@@ -29,9 +30,16 @@
   void serving() { membership_.say(loop_.now(), Phase::Serving, membership_.me().facts); }
   void leaving() { membership_.say(loop_.now(), Phase::Leaving, membership_.me().facts); }
   void close();
+  // This one's part of the fleet's load on each endpoint that it has pairs with, times the sidecars. Nothing
+  // until it has met another: the numbers in the settings hold till then, and live ones ever after.
+  struct Part {
+    std::map<std::string, double, std::less<>> endpoints;
+    int place = 0, sidecars = 1;
+  };
+  std::optional<Part> part(const std::vector<Sharer>& endpoints) const;
   const Membership& membership() const { return membership_; }
-  std::string shown() const;      // JSON, as `puffinvane fleet show` reads it
-  std::string telemetry() const;  // in the Prometheus exposition format
+  std::string shown(const std::optional<Part>& part) const;  // JSON, as `puffinvane fleet show` reads it
+  std::string telemetry() const;                             // in the Prometheus exposition format
 
  private:
   void send(const std::string& address, const Message& message) override { link_.send(address, message); }
@@ -48,7 +56,7 @@
   const std::string listen_;
   Link link_;
   Membership membership_;
-  bool telling_ = false, closed_ = false;
+  bool telling_ = false, closed_ = false, met_ = false;
   Alive alive_;
 };
 
--- a/fleet/tests/processes.cpp
+++ b/fleet/tests/processes.cpp
@@ -1,113 +1,18 @@
 // Stories of many processes of the program, and of what happens to them and between them.
 #undef NDEBUG
-#include <algorithm>
-#include <cassert>
-#include <cstdio>
-#include <nlohmann/json.hpp>
-#include <set>
+#include "fleet/tests/processes.h"
 
-#include "fleet/tests/relay.h"
-#include "tests/running.h"
+#include <algorithm>
 
 using namespace puffinvane;
 using namespace puffinvane::fleet::test;
-using nlohmann::json;
 using puffinvane::fleet::Member;
 using puffinvane::fleet::Message;
 using puffinvane::fleet::News;
 
 namespace {
 
-// One of many: no endpoints, a door, a console and its place in the fleet.
-class Process {
- public:
-  Process(int number, const std::string& discovery, const std::string& key = "a key", int as = -1)
-      : number(number),
-        file_("/tmp/puffinvane-fleet-" + std::to_string(getpid()) + "-" + std::to_string(number)) {
-    int name = as < 0 ? number : as;
-    std::ofstream(file_) << R"({"name":"n)" << name << R"(","listen":")" << here(202) << ":" << 6000 + number
-                         << R"(","discovery":")" << discovery << R"(","console":")" << console()
-                         << R"(","seed":"1f","limits":{"sockets":256,"memory_mb":32},"settings":)"
-                         << Running::settings("3") << R"(,"fleet":{"listen":")" << Relay::own(number)
-                         << R"(","advertise":")" << Relay::advertised(number) << R"(","key":")" << key
-                         << R"(","seeds":[")" << Relay::advertised(0) << R"(",")" << Relay::advertised(1)
-                         << R"("]}})";
-    start();
-  }
-  Process(Process&& other) noexcept
-      : number(other.number), file_(std::exchange(other.file_, "")), child_(std::exchange(other.child_, 0)) {}
-  ~Process() {
-    kill();
-    if (!file_.empty()) std::remove(file_.c_str());
-  }
-  void start() {
-    child_ = fork();
-    if (child_ != 0) return;
-    prctl(PR_SET_PDEATHSIG, SIGKILL);
-    setenv("BALANCER_CONFIG", file_.c_str(), 1);
-    setenv("PUFFINVANE_LOG", "warning", 1);
-    execl(program.c_str(), program.c_str(), nullptr);
-    _exit(127);
-  }
-  void signal(int which) const { ::kill(child_, which); }
-  void kill() {
-    if (child_ > 0) ::kill(child_, SIGKILL), waitpid(child_, nullptr, 0), child_ = 0;
-  }
-  bool up() const { return child_ > 0; }
-  std::string console() const { return here(203) + ":" + std::to_string(6000 + number); }
-  std::string door() const { return here(202) + ":" + std::to_string(6000 + number); }
-  std::string ask(const std::string& path) const {
-    Line line(console());
-    if (!line.connected) return {};
-    line.say("GET " + path + " HTTP/1.1\r\n\r\n");
-    auto answer = line.hear(HttpReader::Side::Answer);
-    return answer && answer->status == 200 ? answer->body.text() : "";
-  }
-  json view() const { return json::parse(ask("/api/fleet"), nullptr, false); }
-  double figure(const std::string& name) const {
-    std::string text = ask("/api/telemetry"), line = "\nsidecar_fleet_" + name + " ";
-    std::size_t at = text.find(line);
-    return at == std::string::npos ? -1 : std::stod(text.substr(at + line.size()));
-  }
-  std::string belief(const std::string& name, const std::string& field = "belief") const {
-    const json seen = view();
-    for (const json& member : seen.at("members")) {
-      if (member.at("name") == name) return member.at(field).get<std::string>();
-    }
-    return "unknown";
-  }
-  const int number;
-
- private:
-  std::string file_;
-  pid_t child_ = 0;
-};
-
 constexpr int kMembers = 20;
-struct Processes {
-  explicit Processes(int count = kMembers) : relay(count + 2, 7) {
-    for (int i = 0; i < count; ++i) all.emplace_back(i, discovery.address);
-  }
-  // Whether those hold one view of so many live members, within that time.
-  double agreed(
-      std::size_t members, double within, std::function<bool(int)> who = [](int) { return true; }) {
-    for (double from = now(); now() < from + within; sleep_for(0.1)) {
-      std::set<std::string> views;
-      bool right = true;
-      for (const Process& one : all) {
-        if (!one.up() || !who(one.number)) continue;
-        json view = one.view();
-        right = right && view.is_object() && view["live"] == members;
-        if (right) views.insert(view["view"].get<std::string>());
-      }
-      if (right && views.size() == 1) return now() - from;
-    }
-    return -1;
-  }
-  Listener discovery{9};
-  Relay relay;
-  std::vector<Process> all;
-};
 
 void say(const char* what, double seconds) { std::printf("  %-44s %5.1f s\n", what, seconds); }
 
@@ -249,7 +154,7 @@
 int main(int, char** words) {
   program = words[1];
   std::setvbuf(stdout, nullptr, _IOLBF, 0);
-  Processes fleet;
+  Processes fleet(kMembers);
   they_find_each_other_and_a_death_is_known_to_all(fleet);
   who_is_told_to_end_is_gone_at_once(fleet);
   two_sides_of_a_cut_agree_and_are_one_again(fleet);
--- /dev/null
+++ b/fleet/tests/processes.h
@@ -0,0 +1,109 @@
+// Many processes of the program, each with its place in a fleet, and a relay between them.
+#pragma once
+
+#undef NDEBUG
+#include <cassert>
+#include <nlohmann/json.hpp>
+#include <set>
+
+#include "fleet/tests/relay.h"
+#include "tests/running.h"
+
+namespace puffinvane::fleet::test {
+
+using nlohmann::json;
+
+// One of many: a door, a console and its place in the fleet.
+class Process {
+ public:
+  Process(int number, const std::string& discovery, const std::string& key = "a key", int as = -1,
+          const std::string& known = "", bool joins = true)
+      : number(number),
+        file_("/tmp/puffinvane-fleet-" + std::to_string(getpid()) + "-" + std::to_string(number)) {
+    int name = as < 0 ? number : as;
+    std::ofstream(file_) << R"({"name":"n)" << name << R"(","listen":")" << here(202) << ":" << 6000 + number
+                         << R"(","discovery":")" << discovery << R"(","console":")" << console()
+                         << R"(","seed":"1f","limits":{"sockets":256,"memory_mb":32},)"
+                         << R"("known":{"index":7,"snapshot":true,"endpoints":[)" << known
+                         << R"(]},"settings":)" << Running::settings("3") << R"(,")"
+                         << (joins ? "fleet" : "alone") << R"(":{"listen":")" << Relay::own(number)
+                         << R"(","advertise":")" << Relay::advertised(number) << R"(","key":")" << key
+                         << R"(","seeds":[")" << Relay::advertised(0) << R"(",")" << Relay::advertised(1)
+                         << R"("]}})";
+    start();
+  }
+  Process(Process&& other) noexcept
+      : number(other.number), file_(std::exchange(other.file_, "")), child_(std::exchange(other.child_, 0)) {}
+  ~Process() {
+    kill();
+    if (!file_.empty()) std::remove(file_.c_str());
+  }
+  void start() {
+    child_ = fork();
+    if (child_ != 0) return;
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    setenv("BALANCER_CONFIG", file_.c_str(), 1);
+    setenv("PUFFINVANE_LOG", "warning", 1);
+    execl(program.c_str(), program.c_str(), nullptr);
+    _exit(127);
+  }
+  void signal(int which) const { ::kill(child_, which); }
+  void kill() {
+    if (child_ > 0) ::kill(child_, SIGKILL), waitpid(child_, nullptr, 0), child_ = 0;
+  }
+  bool up() const { return child_ > 0; }
+  std::string console() const { return here(203) + ":" + std::to_string(6000 + number); }
+  std::string door() const { return here(202) + ":" + std::to_string(6000 + number); }
+  std::string ask(const std::string& path) const {
+    Line line(console());
+    if (!line.connected) return {};
+    line.say("GET " + path + " HTTP/1.1\r\n\r\n");
+    auto answer = line.hear(HttpReader::Side::Answer);
+    return answer && answer->status == 200 ? answer->body.text() : "";
+  }
+  json view() const { return json::parse(ask("/api/fleet"), nullptr, false); }
+  double figure(const std::string& name) const {
+    std::string text = ask("/api/telemetry"), line = "\nsidecar_fleet_" + name + " ";
+    std::size_t at = text.find(line);
+    return at == std::string::npos ? -1 : std::stod(text.substr(at + line.size()));
+  }
+  std::string belief(const std::string& name, const std::string& field = "belief") const {
+    const json seen = view();
+    for (const json& member : seen.at("members")) {
+      if (member.at("name") == name) return member.at(field).get<std::string>();
+    }
+    return "unknown";
+  }
+  const int number;
+
+ private:
+  std::string file_;
+  pid_t child_ = 0;
+};
+
+struct Processes {
+  explicit Processes(int count, const std::string& known = "", bool joins = true) : relay(count + 2, 7) {
+    for (int i = 0; i < count; ++i) all.emplace_back(i, discovery.address, "a key", -1, known, joins);
+  }
+  // Whether those hold one view of so many live members, within that time.
+  double agreed(
+      std::size_t members, double within, std::function<bool(int)> who = [](int) { return true; }) {
+    for (double from = now(); now() < from + within; sleep_for(0.1)) {
+      std::set<std::string> views;
+      bool right = true;
+      for (const Process& one : all) {
+        if (!one.up() || !who(one.number)) continue;
+        json view = one.view();
+        right = right && view.is_object() && view["live"] == members;
+        if (right) views.insert(view["view"].get<std::string>());
+      }
+      if (right && views.size() == 1) return now() - from;
+    }
+    return -1;
+  }
+  Listener discovery{9};
+  Relay relay;
+  std::vector<Process> all;
+};
+
+}  // namespace puffinvane::fleet::test
--- a/fleet/tests/shares.cpp
+++ b/fleet/tests/shares.cpp
@@ -46,7 +46,8 @@
 struct Worst {
   double uneven = 0, moved = 0, moved_pairs = 0;
   int uneven_n = 0, uneven_m = 0, moved_n = 0, moved_m = 0;
-  double pairs_over = 0;
+  double pairs_over = 0, moved_sum = 0;
+  int looks = 0, over_two = 0;
 };
 
 // Fewest, loads and what one leave moves; a join is the same change seen the other way.
@@ -76,16 +77,19 @@
   std::size_t moved = 0;
   for (const auto& pair : after) moved += !before.contains(pair);
   double part = double(moved) / double(before.size()) * n;
+  worst.moved_sum += part, ++worst.looks, worst.over_two += part >= 2;
   if (part > worst.moved)
     worst.moved = part, worst.moved_pairs = double(moved), worst.moved_n = n, worst.moved_m = m;
 }
 
 void tell(const char* what, const Worst& worst) {
   std::printf(
-      "  %-34s worst load over due %.3f (%d x %d), one leave moves at most %.2f/n (%d x %d: %.0f pairs), "
-      "pairs at most %.2f x 4(n+m)\n",
-      what, worst.uneven, worst.uneven_n, worst.uneven_m, worst.moved, worst.moved_n, worst.moved_m,
-      worst.moved_pairs, worst.pairs_over);
+      "  %-34s worst load over due %.3f (%d x %d), one leave moves %.2f/n at the mean, at most %.2f/n (%d x "
+      "%d: "
+      "%.0f pairs), %d of %d over 2/n, pairs at most %.2f x 4(n+m)\n",
+      what, worst.uneven, worst.uneven_n, worst.uneven_m, worst.moved_sum / std::max(1, worst.looks),
+      worst.moved, worst.moved_n, worst.moved_m, worst.moved_pairs, worst.over_two, worst.looks,
+      worst.pairs_over);
 }
 
 void each_bound_holds_at_small_sizes(int most) {
--- a/include/puffinvane/policy.h
+++ b/include/puffinvane/policy.h
@@ -139,6 +139,9 @@
   virtual void woken(double now, std::uint64_t token) = 0;
   // The program leaves: no visit in hand has longer than that, whatever its caller's time.
   virtual void leave(double /*now*/, double /*until*/) {}
+  // Who is there now, where members tell each other: this one's place among so many, in place of the numbers
+  // given. From then on an entry's units are this one's part of the endpoint.
+  virtual void place(int /*me*/, int /*sidecars*/) {}
   // How many listed endpoints it avoids: set aside, or listed as going.
   virtual std::size_t avoided() const { return 0; }
   // Takes over what an earlier one has learned: of endpoints and, as far as their order is the same, path
--- a/sidecar/lifecycle/sidecar.cpp
+++ b/sidecar/lifecycle/sidecar.cpp
@@ -11,7 +11,8 @@
 
 namespace {
 constexpr double kDrainLook = 0.05;  // seconds
-constexpr double kFresh = 0.2;       // a connection younger than that may have its first request on the way
+constexpr double kShareLook = 0.25;
+constexpr double kFresh = 0.2;  // a connection younger than that may have its first request on the way
 constexpr std::size_t kBufferShare = 2;  // of the memory: the rest is for the module, GLib and the heap
 
 PolicyMaker watching(const std::optional<Deployment>& watched, Differences& counted, PolicyMaker make) {
@@ -54,7 +55,7 @@
   if (console_) console_->open(assignment_.console);
   if (inherited_.door) door_.adopt(std::move(inherited_.door));
   else door_.open(assignment_.listen, console_ ? Door::Beside::Another : Door::Beside::Nobody);
-  if (fleet_) fleet_->open();
+  if (fleet_) fleet_->open(), look_at_shares();
   opened();
   if (succession_) succession_->serving();
 }
@@ -134,6 +135,20 @@
   loop().at(loop().now() + kDrainLook, alive_.guard([this] { looking_ = false, look_at_drain(); }));
 }
 
+// Not at each change: what comes in one rumour is cut for once.
+void Sidecar::look_at_shares() {
+  loop().at(loop().now() + kShareLook, alive_.guard([this] { look_at_shares(); }));
+  EndpointList list = carrier_.listing();
+  if (leaving_ || (!members_changed_ && shared_list_ == list.index)) return;
+  members_changed_ = false, shared_list_ = list.index;
+  std::vector<fleet::Sharer> endpoints;
+  for (const ListEntry& entry : list.entries) {
+    if (entry.state == Listed::Ready) endpoints.push_back({entry.endpoint, entry.units});
+  }
+  part_ = fleet_->part(endpoints);
+  if (part_ && !part_->endpoints.empty()) carrier_.share(part_->endpoints, part_->place, part_->sidecars);
+}
+
 std::string Sidecar::telemetry() const {
   return write_telemetry(carrier_.deployment().path_prefixes, carrier_.figures(),
                          {carrier_.under_way(), carrier_.listed(), carrier_.avoided()}) +
--- a/sidecar/lifecycle/sidecar.h
+++ b/sidecar/lifecycle/sidecar.h
@@ -47,8 +47,9 @@
   bool ready() const override { return serving_; }
   std::string telemetry() const override;
   void on_order() override;
-  std::string fleet() const override { return fleet_ ? fleet_->shown() : ""; }
-  void on_members() override {}
+  std::string fleet() const override { return fleet_ ? fleet_->shown(part_) : ""; }
+  void on_members() override { members_changed_ = true; }
+  void look_at_shares();
   GSocket* door() override { return door_.socket(); }
   EndpointList listing() const override { return carrier_.listing(); }
   Orders orders() const override { return {operations_.all_out(), operations_.drains_since()}; }
@@ -62,7 +63,9 @@
   Assignment assignment_;
   const double clock_offset_;
   const std::string assigned_in_;
-  bool serving_ = false, leaving_ = false, looking_ = false;
+  bool serving_ = false, leaving_ = false, looking_ = false, members_changed_ = false;
+  std::optional<fleet::Fleet::Part> part_;
+  std::int64_t shared_list_ = -1;  // the list that its part was cut from
   Differences differences_;
   Admission admission_;
   Carrier carrier_;
--- a/sidecar/watching/watched.h
+++ b/sidecar/watching/watched.h
@@ -36,6 +36,9 @@
     now_ = now;
     for (const auto& side : sides_) side->leave(now, until);
   }
+  void place(int me, int sidecars) override {
+    for (auto& side : sides_) side->place(me, sidecars);
+  }
   std::size_t avoided() const override { return sides_[Acting]->avoided(); }
   Learned learned() const override { return sides_[Acting]->learned(); }
   void inherit(double now, const Learned& earlier, double share) override {
--- a/sidecar/wire/carrier.cpp
+++ b/sidecar/wire/carrier.cpp
@@ -11,6 +11,7 @@
 namespace puffinvane {
 
 namespace {
+constexpr double kOthers = 1e-6;    // of an endpoint: so little that only depth beyond all bounds goes there
 constexpr double kIdleShare = 0.7;  // of the time after which endpoints close: a fetch must not cross that
 constexpr double kSweep = 0.25;
 constexpr std::size_t kLately = 256;             // endpoints that are known though no longer listed
@@ -455,9 +456,25 @@
   tell(entry);
 }
 
+ListEntry Carrier::as_told(ListEntry entry) const {
+  if (out_.contains(entry.endpoint) && entry.state == Listed::Ready) entry.state = Listed::Draining;
+  if (parts_.empty()) return entry;
+  // One that is others' is not shut: it is what there is when all of its own are out.
+  auto part = parts_.find(entry.endpoint);
+  entry.units = part == parts_.end() ? kOthers : std::max(kOthers, part->second);
+  return entry;
+}
+
+void Carrier::share(std::map<std::string, double, std::less<>> parts, int place, int sidecars) {
+  parts_ = std::move(parts);
+  policy_->place(place, sidecars);
+  std::vector<ListEntry> told;
+  for (const auto& [name, entry] : listed_) told.push_back(as_told(entry));
+  policy_->list(loop_.now(), ListScope::Changes, told);
+}
+
 void Carrier::tell(const ListEntry& entry) {
-  ListEntry told = entry;
-  if (out_.contains(entry.endpoint) && told.state == Listed::Ready) told.state = Listed::Draining;
+  ListEntry told = as_told(entry);
   policy_->list(loop_.now(), ListScope::Changes, {&told, 1});
 }
 
@@ -491,9 +508,7 @@
       drop_connections(gone), addresses_.forget(gone), note_gone(gone);
   }
   std::vector<ListEntry> told = list.entries;
-  for (ListEntry& entry : told) {
-    if (entry.state == Listed::Ready && out_.contains(entry.endpoint)) entry.state = Listed::Draining;
-  }
+  for (ListEntry& entry : told) entry = as_told(std::move(entry));
   policy_->list(loop_.now(), scope, told);
 }
 
--- a/sidecar/wire/carrier.h
+++ b/sidecar/wire/carrier.h
@@ -63,7 +63,10 @@
   const Figures& figures() const { return figures_; }
   std::size_t under_way() const;  // visits taken and not ended
   std::size_t listed() const { return listed_.size(); }
-  EndpointList listing() const;                 // as it was had last
+  EndpointList listing() const;                  // as it was had last
+  std::int64_t index() const { return index_; }  // of the list
+  // Its part of each endpoint, by who is there: its place among so many.
+  void share(std::map<std::string, double, std::less<>> parts, int place, int sidecars);
   std::size_t avoided() const;                  // of those
   bool knows(std::string_view endpoint) const;  // it is listed, or was lately
   // Nothing new to it, whatever the list says, until it is used again. out_since: when that was ordered.
@@ -122,6 +125,7 @@
   void note_entries(const EndpointList& list, ListScope scope);
   void note_listed(const ListEntry& entry);
   void tell(const ListEntry& entry);
+  ListEntry as_told(ListEntry entry) const;
   void note_gone(const std::string& endpoint);
   void sweep();
 
@@ -140,6 +144,7 @@
   Addresses addresses_;
   std::map<std::string, ListEntry, std::less<>> listed_;  // as discovery says
   std::set<std::string, std::less<>> out_;                // by order
+  std::map<std::string, double, std::less<>> parts_;      // none: the module deals by the numbers given
   std::deque<std::string> lately_;                        // listed no more
   std::int64_t index_ = 0;                                // of the list
   Figures figures_;
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -173,6 +173,7 @@
     recent_rate_ = best_rate(kRateTicks), calm_rate_ = best_rate(rates_.size());
   }
 
+  void place(int me, int all) override { deployment_.me = me, deployment_.sidecars = all, placed_ = true; }
   std::size_t avoided() const override { return std::size_t(count(Health::Aside)); }
   void woken(double now, std::uint64_t token) override {
     pass_time(now);
@@ -358,7 +359,7 @@
   int rings() const { return deployment_.sidecars / parts_; }
   void shuffle() {
     // Cut anew only for a list that is clearly another: each new cut is a round of new connections for all.
-    int parts = std::max(1, std::min(listed(), deployment_.sidecars) / kDealt);
+    int parts = placed_ ? 1 : std::max(1, std::min(listed(), deployment_.sidecars) / kDealt);
     if (parts > parts_ * 1.25 || parts < parts_ * 0.75) parts_ = parts;
     std::vector<std::pair<std::uint64_t, int>> order;
     for (int i = 0; i < int(endpoints_.size()); ++i) {
@@ -410,12 +411,12 @@
       double weight = (endpoint.dealt > 0 ? endpoint.dealt : endpoint.units) / slowness(endpoint);
       // A heavy visit's own work is most of its latency: it goes the more to the fast.
       if (visit.heavy > 1) weight = std::pow(weight, visit.heavy);
-      // Ties break at random, in proportion to what each can do (the least of such draws is so spread); with
-      // a key they break alike at all sidecars, and an endpoint that met it lately is worth some depth.
+      // Ties break at random, in proportion to what each can do (the least of such draws is so spread), and
+      // parts that add up by that alone; with a key alike at all: who met it lately is worth some depth.
       double at = visit.key ? to_share(mixed(visit.key, endpoint.name)) : chance();
-      double draw = told || at_random ? -std::log(1e-9 + at) : 0;
-      double ahead = double(endpoint.out.size()) + (told ? 0 : 1) + crossing + (again ? kBack : 0);
-      double tie = told ? (visit.key ? kWarm : 0.01) * draw : ahead * 0.2 * chance();
+      double draw = told || placed_ || at_random ? -std::log(1e-9 + at) : 0;
+      double ahead = double(endpoint.out.size()) + (told || placed_ ? 0 : 1) + crossing + (again ? kBack : 0);
+      double tie = placed_ ? draw : told ? (visit.key ? kWarm : 0.01) * draw : ahead * 0.2 * chance();
       ahead = at_random ? draw : (ahead + tie) / weight;
       if (found < 0 || ahead < lowest) found = i, lowest = ahead;
     }
@@ -772,7 +773,7 @@
     host_.log(line);
   }
 
-  const Deployment deployment_;
+  Deployment deployment_;
   Host& host_;
   pcg32 chance_;  // same seed, same choices
   double now_, started_, awake_ = kFirstOfAll;
@@ -794,6 +795,7 @@
   double ask_at_ = 0, asked_until_ = 0, ask_back_off_ = 0.5, report_at_ = 0, means_at_ = 0;
   std::uint64_t turns_ = 0, weighed_ = 0, ticks_ = 0;
   bool stale_ = false;                                // the dealt part, as one of it was set aside
+  bool placed_ = false;                               // by who is there, not by the numbers given
   std::map<std::string_view, std::uint64_t> counts_;  // of copies sent, and of what kept one back
 };
 
--- a/src/records.h
+++ b/src/records.h
@@ -92,15 +92,13 @@
 };
 
 inline double failures(const Lane& lane) {
-  return double(std::count_if(lane.answers.begin(), lane.answers.end(),
-                              [](const Answer& answer) { return answer.failed; }));
+  return double(std::ranges::count_if(lane.answers, &Answer::failed));
 }
 inline double error_share(const Lane& lane) {
   return failures(lane) / std::max(1.0, double(lane.answers.size()));
 }
 inline bool tried(const Taken& visit, int endpoint) {
-  auto there = [&](const Fetch& fetch) { return fetch.endpoint == endpoint; };
-  return std::any_of(visit.fetches.begin(), visit.fetches.end(), there);
+  return std::ranges::any_of(visit.fetches, [&](const Fetch& fetch) { return fetch.endpoint == endpoint; });
 }
 // Whoever of its path prefix and its customer is served apart from the others.
 inline const Service* alone(const Taken& visit) {
--- a/tests/upgrade.cpp
+++ b/tests/upgrade.cpp
@@ -9,6 +9,7 @@
 #include <thread>
 #include <vector>
 
+#include "tests/answering.h"
 #include "tests/running.h"
 
 using namespace puffinvane;
@@ -37,39 +38,6 @@
     assert(now() < until);
 }
 
-// An endpoint that answers all that comes, from a thread for each connection.
-class Answering {
- public:
-  explicit Answering(int last) : listener(last, 512), accepting_([this] { accept(); }) {}
-  ~Answering() {
-    over_ = true;
-    accepting_.join();
-    for (std::thread& one : serving_) one.join();
-  }
-  Listener listener;
-  std::atomic<int> served = 0;
-
- private:
-  void accept() {
-    while (!over_) {
-      if (listener.knocked(0.02))
-        serving_.emplace_back([this, line = listener.take()]() mutable { serve(line); });
-    }
-  }
-  void serve(Line& line) {
-    while (!over_) {
-      if (!line.anything(0.02)) continue;
-      if (!line.hear(HttpReader::Side::Request)) return;
-      sleep_for(0.005);
-      ++served;
-      line.say(ok("x"));
-    }
-  }
-  std::atomic<bool> over_ = false;
-  std::vector<std::thread> serving_;
-  std::thread accepting_;
-};
-
 struct Load {
   std::atomic<bool> over = false;
   std::atomic<int> served = 0, lost = 0, ended = 0;
