Command line: fleet show and watch, with each member asked for its own view

A member tells its console's address as a fact; show asks all live ones, exits with 1 where one holds another view or can't be asked. A story of 20 processes: 0 while all agree, 1 with one stopped, 2 where nobody answers.

--- a/cli/cli.cpp
+++ b/cli/cli.cpp
@@ -9,6 +9,7 @@
 #include <iostream>
 #include <nlohmann/json.hpp>
 
+#include "cli/fleet.h"
 #include "language/quantity.h"
 #include "language/read.h"
 #include "language/tree.h"
@@ -274,6 +275,17 @@
   explaining->add_flag("--json", as_json, "as JSON");
   explaining->callback([&] { code = explain(asked, listener, as_json); });
 
+  CLI::App* fleet = add("fleet", "Tells of the fleet that a process is part of");
+  fleet->require_subcommand(1);
+  std::string console;
+  CLI::App* showing = fleet->add_subcommand("show", "The members, and whether all hold one view of them");
+  showing->add_option("ADDRESS", console, "a member's console, as 127.0.0.1:5009")->required();
+  showing->add_flag("--json", as_json, "as JSON");
+  showing->callback([&] { code = show_fleet(console, as_json); });
+  CLI::App* following = fleet->add_subcommand("watch", "What changes among the members, a line each");
+  following->add_option("ADDRESS", console, "a member's console")->required();
+  following->callback([&] { code = watch_fleet(console); });
+
   try {
     app.parse(count, words);
   } catch (const CLI::ParseError& told) {
--- a/fleet/tests/processes.cpp
+++ b/fleet/tests/processes.cpp
@@ -30,6 +30,20 @@
   assert(took >= 0);
 }
 
+int shown(const std::string& console) {
+  std::string line = program + " fleet show " + console + " >/dev/null 2>&1";
+  return WEXITSTATUS(std::system(line.c_str()));
+}
+
+void what_is_shown_tells_a_cut_from_one_view(Processes& fleet) {
+  assert(shown(fleet.all[3].console()) == 0);
+  assert(shown(here(250) + ":1") == 2);
+  fleet.all[5].signal(SIGSTOP);  // it can't be asked
+  assert(shown(fleet.all[3].console()) == 1);
+  fleet.all[5].signal(SIGCONT);
+  assert(fleet.agreed(kMembers, 20) >= 0);
+}
+
 void who_is_told_to_end_is_gone_at_once(Processes& fleet) {
   Process& one = fleet.all[5];
   one.signal(SIGTERM);
@@ -156,6 +170,7 @@
   std::setvbuf(stdout, nullptr, _IOLBF, 0);
   Processes fleet(kMembers);
   they_find_each_other_and_a_death_is_known_to_all(fleet);
+  what_is_shown_tells_a_cut_from_one_view(fleet);
   who_is_told_to_end_is_gone_at_once(fleet);
   two_sides_of_a_cut_agree_and_are_one_again(fleet);
   who_stood_still_comes_back_and_accuses_nobody(fleet);
--- a/sidecar/lifecycle/run.cpp
+++ b/sidecar/lifecycle/run.cpp
@@ -108,6 +108,7 @@
     Assignment assignment = load_assignment(file, offset);
     const char* console = std::getenv("BALANCER_CONSOLE");
     if (assignment.console.empty() && console) assignment.console = console;
+    if (assignment.fleet) assignment.fleet->console = assignment.console;
     loop = std::make_unique<Loop>(log, assignment.descriptors);
     Inheritance inherited;
     if (!assignment.console.empty()) inherited = take_over(log, assignment, offset);
