--- a/fleet/membership/membership.cpp
+++ b/fleet/membership/membership.cpp
@@ -161,10 +161,10 @@
   });
 }
 
-double Membership::log_size() const { return std::max(1.0, std::log10(double(live_ + 1))); }
+double Membership::log_size() const { return std::max(1.0, std::log10(double(living_.size() + 1))); }
 
 double Membership::suspected_until(const Suspicion& suspicion) const {
-  int possible = std::min(pace_.confirmations, int(live_) - 1);
+  int possible = std::min(pace_.confirmations, int(living_.size()) - 1);
   if (possible < 1) return suspicion.from + suspicion.least;
   double heard = std::min(double(suspicion.accusers.size()) - 1, double(possible));
   double part = std::log(heard + 1) / std::log(possible + 1);
@@ -228,12 +228,12 @@
 }
 
 void Membership::apply(Entry& entry, const News& news) {
-  if (live(entry)) digest_ ^= mark(entry.member), --live_;
+  if (live(entry)) count_out(entry);
   // Only a member itself says what it is; who accuses it can't move its address.
   if (news.member.version > entry.member.version) entry.member = news.member;
   if (entry.belief != news.belief) entry.since = now_;
   entry.belief = news.belief;
-  if (live(entry)) digest_ ^= mark(entry.member), ++live_;
+  if (live(entry)) count_in(entry);
   const std::string name = entry.member.name;
   if (entry.belief == Belief::Suspect) suspect(name, news.by);
   else suspicions_.erase(name);
@@ -322,7 +322,7 @@
                     [](const auto& one, const auto& other) {
                       return one.first != other.first ? one.first < other.first : *one.second < *other.second;
                     });
-  const int enough = pace_.retransmit * int(std::ceil(std::log10(double(live_ + 2))));
+  const int enough = pace_.retransmit * int(std::ceil(std::log10(double(living_.size() + 2))));
   std::vector<std::string> told;
   for (std::size_t i = 0; i < most; ++i) {
     std::optional<News> one = news_of(*order[i].second);
@@ -346,15 +346,25 @@
   }
 }
 
+void Membership::count_in(Entry& entry) {
+  digest_ ^= mark(entry.member);
+  entry.place = living_.size();
+  living_.push_back(&entry);
+}
+
+void Membership::count_out(Entry& entry) {
+  digest_ ^= mark(entry.member);
+  (living_[entry.place] = living_.back())->place = entry.place;
+  living_.pop_back();
+}
+
+// Drawn anew where one was drawn already: a look at all members for each rumour is most of what it would
+// cost.
 std::vector<std::string> Membership::random_live(std::size_t count, const std::string& but) {
-  std::vector<const std::string*> all;
-  for (const auto& [name, entry] : others_) {
-    if (live(entry) && name != but) all.push_back(&name);
-  }
   std::vector<std::string> chosen;
-  for (std::size_t i = 0; i < all.size() && chosen.size() < count; ++i) {
-    std::swap(all[i], all[i + random(all.size() - i)]);
-    chosen.push_back(*all[i]);
+  for (std::size_t tries = 8 * count; tries > 0 && !living_.empty() && chosen.size() < count; --tries) {
+    const std::string& name = living_[random(living_.size())]->member.name;
+    if (name != but && std::find(chosen.begin(), chosen.end(), name) == chosen.end()) chosen.push_back(name);
   }
   return chosen;
 }
@@ -446,7 +456,7 @@
   }
   // So that each one lost is tried as often whatever the number of those who could.
   auto turn = [this](std::size_t lost) {
-    return double(random(1000)) / 1000 < 2 * double(lost) / double(live_ + 1);
+    return double(random(1000)) / 1000 < 2 * double(lost) / double(living_.size() + 1);
   };
   if (!lost.empty() && !superseded_ && turn(lost.size())) {
     const Member& one = lost[random(lost.size())]->member;
--- a/fleet/membership/membership.h
+++ b/fleet/membership/membership.h
@@ -44,7 +44,8 @@
   struct Entry {
     Member member;
     Belief belief = Belief::Alive;
-    double since = 0;  // of the belief
+    double since = 0;       // of the belief
+    std::size_t place = 0;  // among the live ones
   };
   struct Counts {
     std::uint64_t refuted = 0, suspected = 0, died = 0, dropped = 0, syncs = 0, stalls = 0;
@@ -67,7 +68,7 @@
   const Member& me() const { return me_; }
   const std::map<std::string, Entry>& others() const { return others_; }
   bool live(const Entry& entry) const { return entry.belief <= Belief::Suspect; }
-  std::size_t live() const { return live_ + 1; }  // with itself
+  std::size_t live() const { return living_.size() + 1; }  // with itself
   std::uint64_t digest() const { return digest_; }
   bool is_superseded() const { return superseded_; }
   int awareness() const { return awareness_; }
@@ -111,6 +112,8 @@
   void ask_to_wake();
   void send(const std::string& address, Message message, const std::string& first = "");
   std::optional<News> news_of(const std::string& name) const;
+  void count_in(Entry& entry);
+  void count_out(Entry& entry);
   std::uint64_t mark(const Member& member) const;
   double log_size() const;
   std::size_t random(std::size_t below) { return std::size_t(chance_(std::uint32_t(below))); }
@@ -125,7 +128,7 @@
   pcg32 chance_;
   Host& host_;
   std::map<std::string, Entry> others_;
-  std::size_t live_ = 0;
+  std::vector<Entry*> living_;  // of the others, in no order
   std::uint64_t digest_ = 0;
   std::map<std::string, int> queue_;  // news by name, and how often they were passed on
   std::map<std::string, Suspicion> suspicions_;
--- a/fleet/tests/measure.cpp
+++ b/fleet/tests/measure.cpp
@@ -1,4 +1,4 @@
-// Figures of the detector at sizes that no machine has processes for: fleet_measure [SEED...]
+// Figures of the detector at sizes that no machine has processes for: fleet_measure [SEED [MOST [LEAST]]]
 #include <algorithm>
 #include <cstdio>
 #include <cstdlib>
@@ -112,14 +112,14 @@
 
 int main(int count, char** words) {
   std::uint64_t seed = count > 1 ? std::strtoull(words[1], nullptr, 10) : 1;
-  int most = count > 2 ? std::atoi(words[2]) : 1000;
+  int most = count > 2 ? std::atoi(words[2]) : 1000, least = count > 3 ? std::atoi(words[3]) : 0;
   constexpr Setting kSettings[] = {{"no loss", 0, false},
                                    {"loss 5%", 0.05, false},
                                    {"loss 20%", 0.2, false},
                                    {"stalls", 0, true},
                                    {"stalls, loss 5%", 0.05, true}};
   for (int members : {10, 100, 1000}) {
-    if (members > most) break;
+    if (members > most || members < least) continue;
     for (const Setting& setting : kSettings) calm(members, setting, seed);
     for (double loss : {0.0, 0.05, 0.2}) deaths(members, loss, seed);
     killed(members, seed);
