--- a/fleet/tests/membership.cpp
+++ b/fleet/tests/membership.cpp
@@ -98,8 +98,23 @@
   world.run(40);
   for (int i = 0; i < 3; ++i) assert(world.node(i).membership.live() == 10);
   world.cut = nullptr;
+  // Each side holds the others for dead, and nobody is buried anew on its word.
+  bool buried = false;
+  world.on_changed = [&](World::Node&, const Member&, Belief belief) { buried |= belief == Belief::Dead; };
   double took = world.until_agreed(30, 40);
-  assert(took >= 0);
+  assert(took >= 0 && !buried);
+}
+
+void a_cut_heals_where_no_seed_is_left(std::uint64_t seed) {
+  World world(seed);
+  begin(world, 20);
+  world.stop(0);
+  assert(world.until_agreed(19, 30) >= 0);
+  world.cut = [](int from, int to) { return from % 2 != to % 2; };
+  world.run(60);
+  assert(world.node(1).membership.live() == 10 && world.node(2).membership.live() == 9);
+  world.cut = nullptr;
+  assert(world.until_agreed(19, 40) >= 0);
 }
 
 // Nothing reaches n7 from half of the others, but what it sends arrives: the other half's pings keep it
@@ -222,6 +237,7 @@
     of_two_processes_of_a_name_the_later_counts_until_it_is_gone(seed);
     a_member_that_stood_still_comes_back_and_accuses_nobody(seed);
     a_cut_in_three_heals(seed);
+    a_cut_heals_where_no_seed_is_left(seed);
     a_cut_of_one_way_buries_nobody_that_others_reach(seed);
     most_killed_at_once_are_noticed_by_the_rest(seed);
     a_fleet_that_doubles_agrees(seed);
