Fleet: an heir keeps its elder's place, and waits for its address

Seen: an upgrade would have refused to start, as the elder has the fleet's address until it has handed over.

--- a/fleet/fleet.cpp
+++ b/fleet/fleet.cpp
@@ -6,6 +6,7 @@
 namespace puffinvane::fleet {
 
 namespace {
+constexpr double kInTurn = 0.1;  // between two tries for an address that an elder has
 constexpr const char* kBeliefs[] = {"alive", "suspect", "dead", "departed"};
 constexpr const char* kPhases[] = {"joining", "serving", "leaving"};
 
@@ -32,10 +33,24 @@
   membership_.start(loop_.now());
 }
 
+void Fleet::open_in_turn() {
+  if (closed_) return;
+  try {
+    open();
+  } catch (const std::exception&) {
+    loop_.at(loop_.now() + kInTurn, alive_.guard([this] { open_in_turn(); }));
+  }
+}
+
+void Fleet::let_go() {
+  closed_ = true;
+  link_.close();
+}
+
 void Fleet::close() {
-  if (std::exchange(closed_, true)) return;
+  if (closed_) return;
   membership_.depart(loop_.now());
-  link_.close();
+  let_go();
 }
 
 void Fleet::wake(double at) {
--- a/fleet/link/link.cpp
+++ b/fleet/link/link.cpp
@@ -93,8 +93,8 @@
   }
   g_socket_set_blocking(socket_.get(), FALSE);
   loop_.descriptors().opened();
-  listen();
   door_.open(address);
+  listen();
 }
 
 void Link::close() {
--- a/fleet/tests/processes.cpp
+++ b/fleet/tests/processes.cpp
@@ -114,6 +114,34 @@
   assert(fleet.all[3].belief("n7", "address") == Relay::advertised(7));
 }
 
+// A process that takes over is a later life of the same place: it is at no time dead or departed for others.
+void an_upgrade_keeps_its_place(Processes& fleet) {
+  std::string belief;
+  auto life_of_6 = [&] {
+    const json view = fleet.all[3].view();
+    for (const json& member : view.at("members")) {
+      if (member.at("name") == "n6")
+        return belief = member.at("belief"), member.at("life").get<std::uint64_t>();
+    }
+    return std::uint64_t{0};
+  };
+  const std::uint64_t life = life_of_6();
+  Process heir(kMembers, fleet.discovery.address, "a key", 6, "", true, 6);
+  for (double until = now() + 6; heir.ask("/api/ready").empty(); sleep_for(0.01)) assert(now() < until);
+  double from = now();
+  fleet.all[6].signal(SIGTERM);
+  while (life_of_6() == life) {
+    assert(belief != "dead" && belief != "departed" && now() < from + 8);
+    sleep_for(0.05);
+  }
+  say("taken over, known as a later life", now() - from);
+  fleet.all[6].kill();
+  assert(fleet.all[3].belief("n6") == "alive");
+  heir.kill();
+  fleet.all[6].start();
+  assert(fleet.agreed(kMembers, 20) >= 0);
+}
+
 void who_has_another_key_is_nobody(Processes& fleet) {
   Process stranger(kMembers + 1, fleet.discovery.address, "another");
   sleep_for(3);
@@ -176,6 +204,7 @@
   who_stood_still_comes_back_and_accuses_nobody(fleet);
   what_is_lost_spoilt_and_doubled_buries_nobody(fleet);
   of_two_of_one_name_the_later_counts(fleet);
+  an_upgrade_keeps_its_place(fleet);
   who_has_another_key_is_nobody(fleet);
   a_flood_from_peers_does_not_hold_up_visits(fleet);
   std::puts("fleet processes: stories hold");
--- a/fleet/tests/processes.h
+++ b/fleet/tests/processes.h
@@ -3,6 +3,7 @@
 
 #undef NDEBUG
 #include <cassert>
+#include <filesystem>
 #include <nlohmann/json.hpp>
 #include <set>
 
@@ -13,37 +14,45 @@
 
 using nlohmann::json;
 
+inline std::string meeting_folder() { return "/tmp/puffinvane-fleet-" + std::to_string(getpid()) + ".d"; }
+
 // One of many: a door, a console and its place in the fleet.
 class Process {
  public:
   Process(int number, const std::string& discovery, const std::string& key = "a key", int as = -1,
-          const std::string& known = "", bool joins = true)
+          const std::string& known = "", bool joins = true, int place = -1)
       : number(number),
+        place_(place < 0 ? number : place),
         file_("/tmp/puffinvane-fleet-" + std::to_string(getpid()) + "-" + std::to_string(number)) {
     int name = as < 0 ? number : as;
-    std::ofstream(file_) << R"({"name":"n)" << name << R"(","listen":")" << here(202) << ":" << 6000 + number
-                         << R"(","discovery":")" << discovery << R"(","console":")" << console()
+    std::ofstream(file_) << R"({"name":"n)" << name << R"(","listen":")" << door() << R"(","discovery":")"
+                         << discovery << R"(","console":")" << console()
                          << R"(","seed":"1f","limits":{"sockets":256,"memory_mb":32},)"
                          << R"("known":{"index":7,"snapshot":true,"endpoints":[)" << known
                          << R"(]},"settings":)" << Running::settings("3") << R"(,")"
-                         << (joins ? "fleet" : "alone") << R"(":{"listen":")" << Relay::own(number)
-                         << R"(","advertise":")" << Relay::advertised(number) << R"(","key":")" << key
+                         << (joins ? "fleet" : "alone") << R"(":{"listen":")" << Relay::own(place_)
+                         << R"(","advertise":")" << Relay::advertised(place_) << R"(","key":")" << key
                          << R"(","seeds":[")" << Relay::advertised(0) << R"(",")" << Relay::advertised(1)
                          << R"("]}})";
     start();
   }
   Process(Process&& other) noexcept
-      : number(other.number), file_(std::exchange(other.file_, "")), child_(std::exchange(other.child_, 0)) {}
+      : number(other.number),
+        place_(other.place_),
+        file_(std::exchange(other.file_, "")),
+        child_(std::exchange(other.child_, 0)) {}
   ~Process() {
     kill();
     if (!file_.empty()) std::remove(file_.c_str());
   }
   void start() {
+    const std::string folder = meeting_folder();
     child_ = fork();
     if (child_ != 0) return;
     prctl(PR_SET_PDEATHSIG, SIGKILL);
     setenv("BALANCER_CONFIG", file_.c_str(), 1);
     setenv("PUFFINVANE_LOG", "warning", 1);
+    setenv("TMPDIR", folder.c_str(), 1);  // where an elder and its heir meet
     execl(program.c_str(), program.c_str(), nullptr);
     _exit(127);
   }
@@ -53,7 +62,7 @@
   }
   bool up() const { return child_ > 0; }
   std::string console() const { return here(203) + ":" + std::to_string(6000 + number); }
-  std::string door() const { return here(202) + ":" + std::to_string(6000 + number); }
+  std::string door() const { return here(202) + ":" + std::to_string(6000 + place_); }
   std::string ask(const std::string& path) const {
     Line line(console());
     if (!line.connected) return {};
@@ -77,14 +86,20 @@
   const int number;
 
  private:
+  const int place_;  // its door and its address in the fleet: a later process of one sidecar has the same
   std::string file_;
   pid_t child_ = 0;
 };
 
 struct Processes {
   explicit Processes(int count, const std::string& known = "", bool joins = true) : relay(count + 2, 7) {
+    std::filesystem::create_directories(meeting_folder());
     for (int i = 0; i < count; ++i) all.emplace_back(i, discovery.address, "a key", -1, known, joins);
   }
+  ~Processes() {
+    all.clear();
+    std::filesystem::remove_all(meeting_folder());
+  }
   // Whether those hold one view of so many live members, within that time.
   double agreed(
       std::size_t members, double within, std::function<bool(int)> who = [](int) { return true; }) {
--- a/sidecar/lifecycle/sidecar.cpp
+++ b/sidecar/lifecycle/sidecar.cpp
@@ -42,7 +42,8 @@
     fleet_.emplace(loop, *assignment_.fleet, clock_offset, assignment_.seed,
                    static_cast<fleet::Fleet::Owner&>(*this));
   if (assignment_.console.empty()) return;
-  if (inherited_.elder) admission_.share(true);
+  has_elder_ = inherited_.elder != nullptr;
+  if (has_elder_) admission_.share(true);
   succession_.emplace(loop, static_cast<Succession::Owner&>(*this), meeting_place(assignment_.listen),
                       clock_offset, std::move(inherited_.elder));
   console_.emplace(loop, admission_, operations_, static_cast<Console::Owner&>(*this));
@@ -55,7 +56,7 @@
   if (console_) console_->open(assignment_.console);
   if (inherited_.door) door_.adopt(std::move(inherited_.door));
   else door_.open(assignment_.listen, console_ ? Door::Beside::Another : Door::Beside::Nobody);
-  if (fleet_) fleet_->open(), look_at_shares();
+  if (fleet_) has_elder_ ? fleet_->open_in_turn() : fleet_->open(), look_at_shares();
   opened();
   if (succession_) succession_->serving();
 }
@@ -91,7 +92,7 @@
 void Sidecar::leaves(double gone) {
   loop().log().info() << assignment_.name << " leaves";
   leaving_ = true;
-  if (fleet_) fleet_->leaving();
+  if (fleet_) has_heir() ? fleet_->let_go() : fleet_->leaving();
   carrier_.leave(gone);
 }
 
--- a/sidecar/lifecycle/sidecar.h
+++ b/sidecar/lifecycle/sidecar.h
@@ -63,7 +63,7 @@
   Assignment assignment_;
   const double clock_offset_;
   const std::string assigned_in_;
-  bool serving_ = false, leaving_ = false, looking_ = false, members_changed_ = false;
+  bool serving_ = false, leaving_ = false, looking_ = false, members_changed_ = false, has_elder_ = false;
   std::optional<fleet::Fleet::Part> part_;
   std::int64_t shared_list_ = -1;  // the list that its part was cut from
   Differences differences_;
