--- a/fleet/link/link.cpp
+++ b/fleet/link/link.cpp
@@ -46,8 +46,9 @@
   }
   void on_connected() override { say(); }
   void on_received(std::string_view bytes) override {
+    if (over_) return;  // or who goes on sending would fill the memory
     heard_ += bytes;
-    if (heard_.size() < kLength || over_) return;
+    if (heard_.size() < kLength) return;
     std::size_t length = 0;
     for (std::size_t i = 0; i < kLength; ++i) length = length << 8 | std::uint8_t(heard_[i]);
     if (length > kMostState) return ++link_.counts_.malformed, on_ended();
--- a/sidecar/lifecycle/sidecar.cpp
+++ b/sidecar/lifecycle/sidecar.cpp
@@ -139,8 +139,8 @@
 // Not at each change: what comes in one rumour is cut for once.
 void Sidecar::look_at_shares() {
   loop().at(loop().now() + kShareLook, alive_.guard([this] { look_at_shares(); }));
+  if (leaving_ || (!members_changed_ && shared_list_ == carrier_.index())) return;
   EndpointList list = carrier_.listing();
-  if (leaving_ || (!members_changed_ && shared_list_ == list.index)) return;
   members_changed_ = false, shared_list_ = list.index;
   std::vector<fleet::Sharer> endpoints;
   for (const ListEntry& entry : list.entries) {
