--- a/fleet/tests/processes.cpp
+++ b/fleet/tests/processes.cpp
@@ -44,6 +44,15 @@
   assert(fleet.agreed(kMembers, 20) >= 0);
 }
 
+void who_is_emptied_leaves_its_part_to_others(Processes& fleet) {
+  auto sidecars = [&] { return fleet.all[3].view().at("part").at("sidecars").get<int>(); };
+  assert(!fleet.all[5].ask("/api/evacuate", "PUT").empty());
+  for (double until = now() + 5; sidecars() != kMembers - 1; sleep_for(0.05)) assert(now() < until);
+  assert(fleet.all[3].belief("n5") == "alive" && fleet.all[3].belief("n5", "phase") == "leaving");
+  assert(!fleet.all[5].ask("/api/rejoin", "PUT").empty());
+  for (double until = now() + 5; sidecars() != kMembers; sleep_for(0.05)) assert(now() < until);
+}
+
 void who_is_told_to_end_is_gone_at_once(Processes& fleet) {
   Process& one = fleet.all[5];
   one.signal(SIGTERM);
@@ -199,6 +208,7 @@
   Processes fleet(kMembers);
   they_find_each_other_and_a_death_is_known_to_all(fleet);
   what_is_shown_tells_a_cut_from_one_view(fleet);
+  who_is_emptied_leaves_its_part_to_others(fleet);
   who_is_told_to_end_is_gone_at_once(fleet);
   two_sides_of_a_cut_agree_and_are_one_again(fleet);
   who_stood_still_comes_back_and_accuses_nobody(fleet);
--- a/fleet/tests/processes.h
+++ b/fleet/tests/processes.h
@@ -63,10 +63,10 @@
   bool up() const { return child_ > 0; }
   std::string console() const { return here(203) + ":" + std::to_string(6000 + number); }
   std::string door() const { return here(202) + ":" + std::to_string(6000 + place_); }
-  std::string ask(const std::string& path) const {
+  std::string ask(const std::string& path, const std::string& method = "GET") const {
     Line line(console());
     if (!line.connected) return {};
-    line.say("GET " + path + " HTTP/1.1\r\n\r\n");
+    line.say(method + " " + path + " HTTP/1.1\r\nContent-Length: 0\r\n\r\n");
     auto answer = line.hear(HttpReader::Side::Answer);
     return answer && answer->status == 200 ? answer->body.text() : "";
   }
--- a/sidecar/lifecycle/sidecar.cpp
+++ b/sidecar/lifecycle/sidecar.cpp
@@ -130,6 +130,8 @@
 
 void Sidecar::look_at_drain() {
   operations_.pass_time(loop().now());
+  // Nobody comes to it: its part of the endpoints is the others'.
+  if (fleet_ && serving_ && !leaving_) operations_.drains() ? fleet_->leaving() : fleet_->serving();
   if (operations_.closes_idle()) callers_.close_idle(kFresh);
   if (looking_ || !operations_.drains()) return;
   looking_ = true;
