Fleet: figures written by the one writer there is; half an address is let go

The fleet wrote the Prometheus format a second time. Where the stream's port was taken after the datagrams' was bound, each new try counted a descriptor that was never counted out. Two counters that nobody could see are shown; an accessor without users is gone.

--- a/fleet/fleet.cpp
+++ b/fleet/fleet.cpp
@@ -127,14 +127,10 @@
   return all.dump(-1, ' ', false, json::error_handler_t::replace) + "\n";
 }
 
-std::string Fleet::telemetry() const {
+std::vector<Fleet::Figure> Fleet::figures() const {
   const Link::Counts& link = link_.counts();
   const Membership::Counts& counts = membership_.counts();
-  struct Figure {
-    const char *name, *type, *help;
-    std::uint64_t value;
-  };
-  const Figure figures[] = {
+  return {
       {"members", "gauge", "Live members of the fleet, this one too.", membership_.live()},
       {"superseded", "gauge", "1 while a later process lives under this one's name.",
        membership_.is_superseded()},
@@ -151,15 +147,11 @@
       {"refuted_total", "counter", "Times this one was held for dead, and said otherwise.", counts.refuted},
       {"suspected_total", "counter", "Suspicions of others.", counts.suspected},
       {"died_total", "counter", "Members buried by this one.", counts.died},
+      {"dropped_total", "counter", "News that no member can be, or that there was no room for.",
+       counts.dropped},
+      {"syncs_total", "counter", "Whole states asked for, as views differed.", counts.syncs},
       {"stalls_total", "counter", "Times this process stood still.", counts.stalls},
   };
-  std::string text;
-  for (const Figure& one : figures) {
-    std::string name = std::string("sidecar_fleet_") + one.name;
-    text += "# HELP " + name + " " + one.help + "\n# TYPE " + name + " " + one.type + "\n" + name + " " +
-            std::to_string(one.value) + "\n";
-  }
-  return text;
 }
 
 }  // namespace puffinvane::fleet
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -39,9 +39,12 @@
     int place = 0, sidecars = 1;
   };
   std::optional<Part> part(const std::vector<Sharer>& endpoints) const;
-  const Membership& membership() const { return membership_; }
   std::string shown(const std::optional<Part>& part) const;  // JSON, as `puffinvane fleet show` reads it
-  std::string telemetry() const;                             // in the Prometheus exposition format
+  struct Figure {
+    const char *name, *type, *help;
+    std::uint64_t value;
+  };
+  std::vector<Figure> figures() const;
 
  private:
   void send(const std::string& address, const Message& message) override { link_.send(address, message); }
--- a/fleet/link/link.cpp
+++ b/fleet/link/link.cpp
@@ -94,7 +94,13 @@
   }
   g_socket_set_blocking(socket_.get(), FALSE);
   loop_.descriptors().opened();
-  door_.open(address);
+  try {
+    door_.open(address);
+  } catch (...) {  // tried again, it would count each time, and hold half of the address
+    loop_.descriptors().closed();
+    socket_.reset();
+    throw;
+  }
   listen();
 }
 
--- a/sidecar/console/telemetry.cpp
+++ b/sidecar/console/telemetry.cpp
@@ -53,4 +53,11 @@
   return text;
 }
 
+std::string write_telemetry(const std::vector<fleet::Fleet::Figure>& figures) {
+  std::string text;
+  for (const auto& one : figures)
+    single(text, std::string("fleet_") + one.name, one.type, one.help, one.value);
+  return text;
+}
+
 }  // namespace puffinvane
--- a/sidecar/console/telemetry.h
+++ b/sidecar/console/telemetry.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "fleet/fleet.h"
 #include "puffinvane/policy.h"
 #include "sidecar/memory/figures.h"
 
@@ -17,4 +18,6 @@
 std::string write_telemetry(const std::vector<PathPrefix>& prefixes, const Figures& figures,
                             const Standing& standing);
 
+std::string write_telemetry(const std::vector<fleet::Fleet::Figure>& figures);
+
 }  // namespace puffinvane
--- a/sidecar/lifecycle/sidecar.cpp
+++ b/sidecar/lifecycle/sidecar.cpp
@@ -155,7 +155,7 @@
 std::string Sidecar::telemetry() const {
   return write_telemetry(carrier_.deployment().path_prefixes, carrier_.figures(),
                          {carrier_.under_way(), carrier_.listed(), carrier_.avoided()}) +
-         (fleet_ ? fleet_->telemetry() : "");
+         (fleet_ ? write_telemetry(fleet_->figures()) : "");
 }
 
 void Sidecar::on_request(Client& client, HttpMessage request) {
