Admission: endpoints' idle connections make room for whoever comes in

With 80 descriptors and 64 such connections the next caller waited in the backlog until one of those had grown old (0.7 of the idle time, 1.4 s there and 10 s at most deployments); its visit was written whole by then, so it was taken, and lost. Cause: Admission::room_for_caller() asked only for a descriptor left, where room_for_fetch() closes the oldest idle connection. Checked and dropped: callers' own idle connections (Callers::drop_one gives those up, but a caller with its visit in hand is none).

--- a/sidecar/wire/admission.h
+++ b/sidecar/wire/admission.h
@@ -25,9 +25,11 @@
   void leave(Spares& one) { std::erase(spares_, &one); }
 
   // Half of the descriptors are kept for endpoints: a visit taken without one to fetch it with is lost.
-  bool room_for_caller(std::size_t callers) const {
-    return int(callers) < loop_.descriptors().limit() / 2 && loop_.descriptors().left() > 0 &&
-           loop_.pool().lent() * Pool::kSize < most_bytes_ / (shared_ ? 2 : 1);
+  // Endpoints' idle connections make room: with hundreds of endpoints they alone would fill it, and whoever
+  // comes would wait at the door with a visit that is taken already.
+  bool room_for_caller(std::size_t callers) {
+    return int(callers) < loop_.descriptors().limit() / 2 &&
+           loop_.pool().lent() * Pool::kSize < most_bytes_ / (shared_ ? 2 : 1) && room_for_fetch();
   }
   // Another process lives under the same limits: each keeps to half.
   void share(bool on) {
--- a/tests/serving.cpp
+++ b/tests/serving.cpp
@@ -1,6 +1,7 @@
 // Short stories of the whole program on loopback. The test itself stands in for callers, endpoints and
 // discovery, step by step and with blocking sockets, so that each story is read from top to bottom.
 #undef NDEBUG
+#include <algorithm>
 #include <cassert>
 #include <functional>
 
@@ -522,6 +523,44 @@
   }
 }
 
+// Each visit leaves a connection at another endpoint. The next caller found no room until one of those had
+// grown old, and its visit, taken by then, was lost.
+void idle_connections_to_many_endpoints_leave_callers_their_room() {
+  std::vector<std::unique_ptr<Listener>> endpoints;
+  std::vector<Line> kept;
+  std::string list;
+  for (int i = 0; i < 100; ++i) {
+    endpoints.push_back(std::make_unique<Listener>(100 + i));
+    list += (i ? "," : "") + entry("e" + std::to_string(i), endpoints.back()->address);
+  }
+  Running sidecar(list, R"({"sockets":80,"memory_mb":64})");
+  auto asked = [&](Line& line) { return line.anything(0) && line.hear(HttpReader::Side::Request); };
+  auto fetched = [&](double within) -> Line* {
+    for (double until = now() + within; now() < until;) {
+      for (auto& one : endpoints) {
+        if (one->knocked(0)) kept.push_back(one->take());
+      }
+      auto found = std::find_if(kept.begin(), kept.end(), asked);
+      if (found != kept.end()) return &*found;
+    }
+    return nullptr;
+  };
+  Line caller(sidecar.listen);
+  for (int i = 0; i < 70; ++i) {
+    caller.say(post("x"));
+    Line* fetch = fetched(1);
+    sleep_for(0.002 + 0.0002 * i);  // each a little slower than the last: those not met yet look better
+    assert(fetch && fetch->say(ok("x")) && caller.answer_status() == 200);
+  }
+  assert(kept.size() > 56);  // as many as there are descriptors
+  caller.say(post("x"));
+  assert(fetched(1));  // in hand: no caller's own connection can make room
+  Line next(sidecar.listen);
+  next.say(get());
+  Line* fetch = fetched(0.5);
+  assert(fetch && fetch->say(ok("x")) && next.answer_status() == 200);
+}
+
 }  // namespace
 
 int main(int count, char** words) {
@@ -552,5 +591,6 @@
   all_that_was_taken_is_answered_before_sigkill_whatever_time_the_settings_allow();
   at_sigterm_a_caller_that_never_finishes_does_not_hold_the_exit();
   at_the_limit_of_descriptors_callers_wait_and_nothing_spins();
+  idle_connections_to_many_endpoints_leave_callers_their_room();
   std::puts("all stories hold");
 }
