Lifecycle: a stall at SIGTERM or at the end loses no visit any more

Seen in a story on a real process: one that had no core for 0.4 s when SIGTERM came, or from 3.55 s after it, was still answering when SIGKILL came 3.7 s after SIGTERM; a mutating visit at a silent endpoint and one taken 1 s after SIGTERM were lost. Cause: Lifecycle::leave_until() counted from when the signal was read, with 0.1 s left before SIGKILL. So this narrows what can be lost, and is not shown to be what the operators saw. Change: what is known of the stall is taken off; the end is 0.45 s after the longest client timeout and 0.25 s before SIGKILL. Who comes until the door shuts still has all of a timeout up to 3 s. The story fails without either half: the stall at SIGTERM, and the one at the end.

--- a/sidecar/lifecycle/lifecycle.cpp
+++ b/sidecar/lifecycle/lifecycle.cpp
@@ -7,8 +7,11 @@
 namespace {
 // Callers hear of a planned restart late: they are let in for this long after it was announced.
 constexpr double kDoorTime = 0.42;
-// After the longest client timeout, and before SIGKILL: being gone a little early costs nothing.
-constexpr double kGoneBy = 0.6, kBeforeKill = 0.1;
+// After the longest client timeout: who comes until the door shuts still has all of its time.
+constexpr double kGoneBy = 0.45;
+// Before SIGKILL, which counts from when it was announced, and so does not wait for a process that had no core
+// just then or has none at its end. Being gone early costs nothing. With little time told, half of it.
+constexpr double kBeforeKill = 0.25;
 constexpr double kLook = 0.01;
 }  // namespace
 
@@ -37,24 +40,25 @@
 void Lifecycle::reload() { turn(Event::Reload); }
 void Lifecycle::terminate() { turn(has_heir() ? Event::Succeeded : Event::Terminate); }
 
-double Lifecycle::leave_until() {
+double Lifecycle::leave_until(double told) {
   Patience has = patience();
-  double gone = loop_.now() + std::min(has.longest + kGoneBy, has.killed_after - kBeforeKill);
+  double killed = has.killed_after - std::min(kBeforeKill, has.killed_after / 2);
+  double gone = told + std::min(has.longest + kGoneBy, killed);
   leaves(gone - kLook);
   loop_.at(gone, [this] { turn(Event::Overdue); });
   return gone;
 }
 
 void Lifecycle::leave() {
-  double gone = leave_until();
-  loop_.at(loop_.now() + kDoorTime, [this] { turn(Event::DoorTime); });
+  double told = loop_.now() - loop_.stalled(), gone = leave_until(told), shut = told + kDoorTime;
+  loop_.at(shut, [this] { turn(Event::DoorTime); });
   // The others may be away as well: who is connected here is served while an answer in time can be hoped for.
-  double last_call = std::max(gone - patience().target, loop_.now() + kDoorTime + kLook);
+  double last_call = std::max(gone - patience().target, shut + kLook);
   loop_.at(last_call, [this] { turn(Event::LastCall); });
 }
 
 void Lifecycle::hand_over() {
-  leave_until();
+  leave_until(loop_.now() - loop_.stalled());
   closes_doors();
   see_if_empty();
 }
