Discovery: a list may be indented over several lines

Change: a line ends where its braces are closed; one that breaks off amid its lines for 0.5 s is a bad line as before (an endless one after 8 MB, now with a word in the log). Stories: 1,100 endpoints as the configuration has them, whole, indented, as changes, and broken off; without it the indented list is never read.

--- a/sidecar/wire/discovery.cpp
+++ b/sidecar/wire/discovery.cpp
@@ -53,11 +53,23 @@
 }
 
 bool Lines::next(std::string& line) {
-  std::size_t end = held_.find('\n');
-  if (end == std::string::npos) return false;
-  line = held_.substr(0, end);
-  held_.erase(0, end + 1);
-  return true;
+  for (; seen_ < held_.size(); ++seen_) {
+    char one = held_[seen_];
+    if (one == '\n') {
+      broken_off_ = depth_ > 0 && !quoted_;  // no text goes over a line's end
+      if (broken_off_) continue;
+      line = held_.substr(0, seen_);
+      held_.erase(0, seen_ + 1);
+      seen_ = 0, depth_ = 0, quoted_ = escaped_ = false;
+      return true;
+    }
+    if (escaped_) escaped_ = false;
+    else if (one == '\\') escaped_ = quoted_;
+    else if (one == '"') quoted_ = !quoted_;
+    else if (!quoted_ && (one == '{' || one == '[')) ++depth_;
+    else if (!quoted_ && (one == '}' || one == ']')) --depth_;
+  }
+  return false;
 }
 
 }  // namespace puffinvane
--- a/sidecar/wire/discovery.h
+++ b/sidecar/wire/discovery.h
@@ -23,16 +23,21 @@
 EndpointList read_list(simdjson::dom::element list, double clock_offset);
 EndpointList read_list(std::string_view line, double clock_offset);
 
-// A watch's lines as they come: it holds back what has no end yet.
+// A watch's lines as they come: it holds back what has no end yet. A list may be indented over several: its
+// line ends where its braces are closed.
 class Lines {
  public:
   static constexpr std::size_t kMost = 8 << 20;  // no list is longer: an endless line must not eat the memory
   void add(std::string_view bytes) { held_ += bytes; }
   bool next(std::string& line);
   bool too_long() const { return held_.size() > kMost; }
+  bool unfinished() const { return broken_off_; }  // a list whose first lines have come and whose end has not
 
  private:
   std::string held_;
+  std::size_t seen_ = 0;
+  int depth_ = 0;
+  bool quoted_ = false, escaped_ = false, broken_off_ = false;
 };
 
 }  // namespace puffinvane
--- a/sidecar/wire/watch.cpp
+++ b/sidecar/wire/watch.cpp
@@ -8,6 +8,7 @@
 // Discovery sends at least an empty line every 2 s: two missed, and a connection that says nothing is taken
 // for one that was cut off, which the system itself would notice only after hours.
 constexpr double kSilence = 5, kCheck = 0.5, kRest = 0.25;
+constexpr double kBrokenOff = 0.5;  // a list that stops amid its lines is one that can't be read
 constexpr std::size_t kMostAtOnce = 8 << 20;
 }  // namespace
 
@@ -94,7 +95,17 @@
       return turn(Input::Nonsense);
     }
   }
-  if (lines_.too_long()) return turn(Input::Nonsense);
+  if (lines_.too_long()) {
+    loop_.log().warning() << "a list of over " << Lines::kMost << " bytes is not read";
+    return turn(Input::Nonsense);
+  }
+  if (lines_.unfinished() && !reader_.whole()) {
+    loop_.at(heard_ + kBrokenOff, alive_.guard([this, since = heard_] {
+      if (heard_ != since || !lines_.unfinished()) return;
+      loop_.log().warning() << "a list of discovery broke off";
+      turn(Input::Nonsense);
+    }));
+  }
   if (reader_.whole()) turn(Input::Ended);
 }
 
--- a/tests/serving.cpp
+++ b/tests/serving.cpp
@@ -361,6 +361,49 @@
   watch = open("12");
 }
 
+// Lists of over a thousand endpoints, as the configuration has them, whole, indented over many lines, and as
+// changes. An indented one was taken for a bad line each time, and the sidecar never heard the next list.
+void a_list_of_a_thousand_is_read_in_every_form() {
+  Listener old(2), fresh(3);
+  auto list = [](int index, bool whole, const std::string& others, const std::string& last) {
+    std::string text = R"({"index":)" + std::to_string(index) + R"(,"snapshot":)" + (whole ? "true" : "false") +
+                       R"(,"endpoints":[)";
+    for (int i = 0; i < 1100; ++i)
+      text += entry("e" + std::to_string(i), "127.201." + std::to_string(i / 200) + "." +
+                                                 std::to_string(i % 200 + 1) + ":1", others) + ",";
+    return text + last + "]}";
+  };
+  auto indented = [](std::string text) {
+    for (std::size_t at = 0; (at = text.find_first_of(",{[", at)) != std::string::npos; ++at)
+      text.insert(at + 1, "\n    ");
+    return text;
+  };
+  std::string known = list(7, true, "leaving", entry("a", old.address));
+  known = known.substr(known.find('[') + 1);
+  Running sidecar(known.substr(0, known.size() - 2));
+  auto goes_to = [&](Listener& where) {
+    Line caller(sidecar.listen);
+    caller.say(post("x"));
+    auto [fetch, request] = where.take_request();
+    fetch.say("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+    return caller.answer_status() == 200;
+  };
+  assert(goes_to(old));
+  Line watch = open_watch(sidecar.discovery(), "7");
+  watch.say(chunk(list(8, true, "leaving", entry("b", fresh.address)) + "\n\n"));
+  sleep_for(0.2);
+  assert(goes_to(fresh));
+  watch.say(chunk(indented(list(9, true, "leaving", entry("a", old.address))) + "\n"));
+  sleep_for(0.2);
+  assert(goes_to(old));
+  watch.say(chunk(list(10, false, "left", entry("a", old.address, "left") + "," + entry("b", fresh.address)) + "\n"));
+  sleep_for(0.2);
+  assert(goes_to(fresh));
+  watch.say(chunk(indented(list(11, true, "leaving", "")).substr(0, 5000)));
+  assert(watch.ended(2));  // broken off amid its lines
+  open_watch(sidecar.discovery(), "0");
+}
+
 // SIGHUP ended the program, and with it all visits in hand.
 void a_new_configuration_is_read_while_visits_go_on() {
   Listener endpoint(2), fresh(3), second(4), third(5);
@@ -611,6 +654,7 @@
   who_never_sends_a_whole_request_is_told_and_closed_in_time();
   a_caller_that_asks_first_is_told_to_send_its_body();
   the_list_is_followed_through_bad_lines_and_silence();
+  a_list_of_a_thousand_is_read_in_every_form();
   a_new_configuration_is_read_while_visits_go_on();
   endpoints_that_go_without_a_word_keep_no_connection();
   a_connection_still_coming_up_is_given_up_once_its_endpoint_leaves();
--- a/tests/wire.cpp
+++ b/tests/wire.cpp
@@ -280,6 +280,15 @@
   assert(lines.next(line) && line == "one" && !lines.next(line));
   lines.add("o\n\n");
   assert(lines.next(line) && line == "two" && lines.next(line) && line.empty() && !lines.next(line));
+  // Indented lists are whole where their braces close; what stands in quotes closes nothing.
+  std::string indented = "{\n  \"a\": [\n    {\"b\": \"}]\\\"{\"}\n  ]\n}";
+  lines.add(indented.substr(0, 20));
+  assert(!lines.next(line) && lines.unfinished());
+  lines.add(indented.substr(20) + "\n\nnext\n");
+  assert(lines.next(line) && line == indented && !lines.unfinished());
+  assert(lines.next(line) && line.empty() && lines.next(line) && line == "next");
+  lines.add("{\"no end\n}\n");  // no text goes over a line's end: that line is over, and can't be read
+  assert(lines.next(line) && lines.next(line) && line == "}");
 }
 
 void buffers_are_used_again() {
