Carrier: a short answer that stops while it is passed on ends with its visit's time

Lines at fault: Carrier::on_begun(), which leaves the visit's own end behind, and kCutOff in backend.cpp. Change: where no length was told and no more than 64 KiB have come, 0.2 s without a byte end it once the visit's time is over; the caller sees that it is not whole. Longer ones go on beyond it, as before. Story: held 5 s without, cut within 1.5 s with (client timeout 1 s).

--- a/sidecar/wire/carrier.cpp
+++ b/sidecar/wire/carrier.cpp
@@ -19,6 +19,7 @@
 constexpr std::size_t kMostUnsent = 256 * 1024;  // of one that streams, before it has a connection
 constexpr double kUploading = 1200;              // seconds: longer than any body takes at the least pace
 constexpr double kBeforeEnd = 0.01;
+constexpr double kStoppedLate = 0.2;  // seconds without a byte of a short answer whose visit's time is over
 constexpr double kNever = std::numeric_limits<double>::infinity();
 constexpr double kAfterLast = 0.5;  // seconds, for what is put off to the next turn or the next tick
 }  // namespace
@@ -247,11 +248,21 @@
   if (fetch.stood_idle) kept_uses_.note(*fetch.stood_idle, false);
   visit.relay = &backend;
   Load load = read_load(answer.header("X-Backend-Load"));
+  if (!size) loop_.at(visit.until, [this, id] { look_at_relay(id); });
   visit.client->begin_answer(answer, size);
   on_more(backend, std::move(answer.body));
   policy_->fetch_ended(now, {id, number, Outcome::Delivered, true, now - fetch.sent, load});
 }
 
+// Without a length it was passed on as it may have been a long one, which has time beyond the visit's. If it is
+// short and stops, its caller must not wait for it any longer.
+void Carrier::look_at_relay(VisitId id) {
+  VisitInHand* visit = visits_.find(id);
+  if (!visit || !visit->relay || visit->relay->is_long()) return;
+  if (visit->relay->silent() >= kStoppedLate) return visit->relay->stop();
+  loop_.at(loop_.now() + kStoppedLate / 2, [this, id] { look_at_relay(id); });
+}
+
 void Carrier::on_more(Backend& backend, Chain bytes) {
   Client& client = *visits_.find(backend.carried().visit)->client;
   client.more(std::move(bytes));
--- a/sidecar/wire/carrier.h
+++ b/sidecar/wire/carrier.h
@@ -98,6 +98,7 @@
   void on_drained(VisitId visit) override;
   Chain on_next(Backend& backend, bool& whole) override;
   void on_begun(Backend& backend, HttpMessage answer, std::optional<std::size_t> size) override;
+  void look_at_relay(VisitId id);
   void on_more(Backend& backend, Chain bytes) override;
   void on_finished(Backend& backend, Chain bytes) override;
   void on_cut(Backend& backend) override;
--- a/tests/serving.cpp
+++ b/tests/serving.cpp
@@ -186,6 +186,22 @@
   assert(caller.answer_status() == 502 && now() - start > 0.2 && now() - start < 0.6 && fetch.ended(0.2));
 }
 
+// Without a length it is passed on while it comes, as it may be a long one. One that stopped held its caller for
+// 5 s, long past its visit's time.
+void a_short_answer_passed_on_that_stops_is_cut_once_its_time_is_over() {
+  Listener endpoint(2);
+  Running sidecar(entry("a", endpoint.address));
+  Line caller(sidecar.listen);
+  double begun = now();
+  caller.say(post("x"));
+  auto [fetch, request] = endpoint.take_request();
+  fetch.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n");
+  sleep_for(0.25);
+  fetch.say("4\r\nmore\r\n");
+  assert(caller.text_until("more", 1).find("half") != std::string::npos);
+  assert(caller.ended(3) && now() - begun > 0.9 && now() - begun < 1.5);  // client timeout 1 s, half after
+}
+
 // A sidecar that had no core for a while finds answers and overdue timers at once. Timers first, it took its
 // endpoints for silent, though they had answered in time.
 void after_a_stall_what_has_come_in_is_heard_before_what_is_due() {
@@ -646,6 +662,7 @@
   idle_connections_are_closed_well_before_their_endpoint_does();
   a_silent_endpoint_costs_the_visit_but_not_its_answer();
   an_answer_that_stops_short_is_given_up_and_one_that_comes_slowly_is_not();
+  a_short_answer_passed_on_that_stops_is_cut_once_its_time_is_over();
   after_a_stall_what_has_come_in_is_heard_before_what_is_due();
   a_visit_that_came_during_a_stall_is_answered_in_what_is_left_of_its_time();
   a_caller_that_leaves_withdraws_its_visit();
