--- a/sidecar/wire/carrier.cpp
+++ b/sidecar/wire/carrier.cpp
@@ -248,7 +248,7 @@
   if (fetch.stood_idle) kept_uses_.note(*fetch.stood_idle, false);
   visit.relay = &backend;
   Load load = read_load(answer.header("X-Backend-Load"));
-  if (!size) loop_.at(visit.until, [this, id] { look_at_relay(id); });
+  if (!size) loop_.at(visit.until, alive_.guard([this, id] { look_at_relay(id); }));
   visit.client->begin_answer(answer, size);
   on_more(backend, std::move(answer.body));
   policy_->fetch_ended(now, {id, number, Outcome::Delivered, true, now - fetch.sent, load});
@@ -260,7 +260,8 @@
   VisitInHand* visit = visits_.find(id);
   if (!visit || !visit->relay || visit->relay->is_long()) return;
   if (visit->relay->silent() >= kStoppedLate) return visit->relay->stop();
-  loop_.at(loop_.now() + kStoppedLate / 2, [this, id] { look_at_relay(id); });
+  // Guarded: it may outlast the alarms that an ended pool waits for.
+  loop_.at(loop_.now() + kStoppedLate / 2, alive_.guard([this, id] { look_at_relay(id); }));
 }
 
 void Carrier::on_more(Backend& backend, Chain bytes) {
