--- a/sidecar/handover/message.cpp
+++ b/sidecar/handover/message.cpp
@@ -12,8 +12,7 @@
 // What a packet is filled up to: lists may have any length, and few packets fit into a socket at a time.
 constexpr std::size_t kFill = 48 * 1024;
 constexpr std::size_t kMostSamples = 1000, kMostAnswers = 64;  // no module keeps more
-constexpr std::string_view kWords[] = {"listing", "ordered", "door", "caller", "whole", "serving",
-                                       "learned"};
+constexpr std::string_view kWords[] = {"listing", "ordered", "door", "caller", "whole", "serving", "learned"};
 
 json head(Told::What what) { return {{"format", kHandoverFormat}, {"say", kWords[std::size_t(what)]}}; }
 
@@ -71,11 +70,10 @@
   for (Element each : value<simdjson::dom::array>(told.at(5).value())) {
     auto answer = fields(each, 5);
     repute.answers.push_back({value<double>(answer.at(0).value()), value<double>(answer.at(1).value()),
-                                whole(answer.at(2).value(), 0, 1 << 20), value<bool>(answer.at(3).value()),
-                                value<bool>(answer.at(4).value())});
+                              whole(answer.at(2).value(), 0, 1 << 20), value<bool>(answer.at(3).value()),
+                              value<bool>(answer.at(4).value())});
   }
-  if (repute.answers.size() > kMostAnswers || repute.hold < 0)
-    throw Malformed("a repute out of its bounds");
+  if (repute.answers.size() > kMostAnswers || repute.hold < 0) throw Malformed("a repute out of its bounds");
   return repute;
 }
 
@@ -94,7 +92,9 @@
     auto one = fields(each, 4);
     auto since = value<double>(one.at(1).value());
     Learned::OfEndpoint read{std::string(value<std::string_view>(one.at(0).value())),
-                             since > 0 ? since / 1000 - clock_offset : 0, read_repute(one.at(2).value()), {}};
+                             since > 0 ? since / 1000 - clock_offset : 0,
+                             read_repute(one.at(2).value()),
+                             {}};
     for (Element lane : value<simdjson::dom::array>(one.at(3).value()))
       read.lanes.push_back(read_repute(lane));
     learned.endpoints.push_back(std::move(read));
@@ -144,7 +144,8 @@
       bytes += text(entries.back()).size();
     }
     json packet = head(Told::What::Listing);
-    packet["list"] = {{"index", list.index}, {"snapshot", packets.empty()}, {"endpoints", std::move(entries)}};
+    packet["list"] = {
+        {"index", list.index}, {"snapshot", packets.empty()}, {"endpoints", std::move(entries)}};
     packets.push_back(text(packet));
   } while (from < list.entries.size());
   return packets;
--- a/sidecar/lifecycle/lifecycle.cpp
+++ b/sidecar/lifecycle/lifecycle.cpp
@@ -7,8 +7,8 @@
 namespace {
 // Callers hear of a planned restart late: they are let in for this long after it was announced.
 constexpr double kDoorTime = 0.42;
-// After the longest client timeout, and before SIGKILL. Being gone 0.15 s earlier would outlast a longer stall at
-// the end, and cost 0.07 of a day on which few sidecars are restarted among bad callers.
+// After the longest client timeout, and before SIGKILL. Being gone 0.15 s earlier would outlast a longer
+// stall at the end, and cost 0.07 of a day on which few sidecars are restarted among bad callers.
 constexpr double kGoneBy = 0.6, kBeforeKill = 0.1;
 constexpr double kLook = 0.01;
 }  // namespace
--- a/sidecar/wire/backend.h
+++ b/sidecar/wire/backend.h
@@ -43,7 +43,7 @@
   void hold_back(bool on) { stream_.read(!on), heard_ = loop_.now(); }  // of its answer
   void give_up() { stream_.close(), state_ = State::Over; }
   void pass_to(Owner& owner) { owner_ = &owner; }  // only while idle
-  void stop() { turn(Input::Stopped); }  // its answer has stopped amid its bytes
+  void stop() { turn(Input::Stopped); }            // its answer has stopped amid its bytes
   double silent() const { return stream_.reads() ? loop_.now() - heard_ : 0; }
   bool is_long() const { return reader_.body_so_far() > HttpReader::kMostBody; }  // its answer, so far
   bool idle() const { return state_ == State::Idle; }
--- a/sidecar/wire/carrier.cpp
+++ b/sidecar/wire/carrier.cpp
@@ -254,8 +254,8 @@
   policy_->fetch_ended(now, {id, number, Outcome::Delivered, true, now - fetch.sent, load});
 }
 
-// Without a length it was passed on as it may have been a long one, which has time beyond the visit's. If it is
-// short and stops, its caller must not wait for it any longer.
+// Without a length it was passed on as it may have been a long one, which has time beyond the visit's. If it
+// is short and stops, its caller must not wait for it any longer.
 void Carrier::look_at_relay(VisitId id) {
   VisitInHand* visit = visits_.find(id);
   if (!visit || !visit->relay || visit->relay->is_long()) return;
--- a/tests/handover.cpp
+++ b/tests/handover.cpp
@@ -60,7 +60,8 @@
     EndpointList list = some_list(count), back;
     for (const std::string& packet : write_listing(list, 1000)) {
       std::optional<Told> told = read_told(packet, 1000);
-      assert(packet.size() < 128 * 1024 && told && told->what == Told::What::Listing && told->list.index == 41);
+      assert(packet.size() < 128 * 1024 && told && told->what == Told::What::Listing &&
+             told->list.index == 41);
       for (const ListEntry& entry : told->list.entries) back.entries.push_back(entry);
       for (const std::string& address : told->list.addresses) back.addresses.push_back(address);
     }
@@ -145,7 +146,8 @@
     for (int i = 0; i < 2000; ++i, ++runs) {
       std::string text = whole;
       for (std::size_t k = below(4); k > 0 && !text.empty(); --k) {
-        std::string put = below(2) ? text.substr(below(text.size()), below(40)) : std::string(1, char(below(256)));
+        std::string put =
+            below(2) ? text.substr(below(text.size()), below(40)) : std::string(1, char(below(256)));
         text.replace(below(text.size()), below(4) ? below(9) : text.size(), put);
       }
       LLVMFuzzerTestOneInput(reinterpret_cast<const std::uint8_t*>(text.data()), text.size());
--- a/tests/serving.cpp
+++ b/tests/serving.cpp
@@ -186,8 +186,8 @@
   assert(caller.answer_status() == 502 && now() - start > 0.2 && now() - start < 0.6 && fetch.ended(0.2));
 }
 
-// Without a length it is passed on while it comes, as it may be a long one. One that stopped held its caller for
-// 5 s, long past its visit's time.
+// Without a length it is passed on while it comes, as it may be a long one. One that stopped held its caller
+// for 5 s, long past its visit's time.
 void a_short_answer_passed_on_that_stops_is_cut_once_its_time_is_over() {
   Listener endpoint(2);
   Running sidecar(entry("a", endpoint.address));
@@ -382,11 +382,12 @@
 void a_list_of_a_thousand_is_read_in_every_form() {
   Listener old(2), fresh(3);
   auto list = [](int index, bool whole, const std::string& others, const std::string& last) {
-    std::string text = R"({"index":)" + std::to_string(index) + R"(,"snapshot":)" + (whole ? "true" : "false") +
-                       R"(,"endpoints":[)";
+    std::string text = R"({"index":)" + std::to_string(index) + R"(,"snapshot":)" +
+                       (whole ? "true" : "false") + R"(,"endpoints":[)";
     for (int i = 0; i < 1100; ++i)
-      text += entry("e" + std::to_string(i), "127.201." + std::to_string(i / 200) + "." +
-                                                 std::to_string(i % 200 + 1) + ":1", others) + ",";
+      text += entry("e" + std::to_string(i),
+                    "127.201." + std::to_string(i / 200) + "." + std::to_string(i % 200 + 1) + ":1", others) +
+              ",";
     return text + last + "]}";
   };
   auto indented = [](std::string text) {
@@ -412,7 +413,8 @@
   watch.say(chunk(indented(list(9, true, "leaving", entry("a", old.address))) + "\n"));
   sleep_for(0.2);
   assert(goes_to(old));
-  watch.say(chunk(list(10, false, "left", entry("a", old.address, "left") + "," + entry("b", fresh.address)) + "\n"));
+  watch.say(chunk(list(10, false, "left", entry("a", old.address, "left") + "," + entry("b", fresh.address)) +
+                  "\n"));
   sleep_for(0.2);
   assert(goes_to(fresh));
   watch.say(chunk(indented(list(11, true, "leaving", "")).substr(0, 5000)));
@@ -549,8 +551,8 @@
   }
 }
 
-// Whoever sent SIGTERM counts from there, also where the program had no core just then: it was still answering
-// when SIGKILL came.
+// Whoever sent SIGTERM counts from there, also where the program had no core just then: it was still
+// answering when SIGKILL came.
 void a_stall_at_sigterm_loses_no_visit() {
   Listener silent(2);
   Running::Options options;
--- a/tests/upgrade.cpp
+++ b/tests/upgrade.cpp
@@ -153,7 +153,8 @@
   std::string known = entry("last", here(7) + ":1"), many;
   for (int i = 0; i < count; ++i)
     many += entry("e" + std::to_string(i),
-                  "127.200." + std::to_string(i / 200) + "." + std::to_string(i % 200 + 1) + ":1") + ",";
+                  "127.200." + std::to_string(i / 200) + "." + std::to_string(i % 200 + 1) + ":1") +
+            ",";
   auto figure = [](int number, const std::string& name) {
     Line line(console_of(number));
     line.say("GET /api/telemetry HTTP/1.1\r\n\r\n");
@@ -164,7 +165,8 @@
   };
   auto sockets = [](const Running& one) {
     std::set<std::string> open;
-    for (const auto& each : std::filesystem::directory_iterator("/proc/" + std::to_string(one.child()) + "/fd")) {
+    for (const auto& each :
+         std::filesystem::directory_iterator("/proc/" + std::to_string(one.child()) + "/fd")) {
       std::error_code gone;
       std::string to = std::filesystem::read_symlink(each.path(), gone).string();
       if (to.starts_with("socket:")) open.insert(to);
@@ -172,7 +174,8 @@
     return open;
   };
   Running elder(many + known, options(0, discovery));
-  for (int i = 0; i < 60; ++i) elder.status_of(get("", std::to_string(i)));  // three more that refuse it, each
+  for (int i = 0; i < 60; ++i)
+    elder.status_of(get("", std::to_string(i)));  // three more that refuse it, each
   Running heir(known, options(1, discovery));
   wait_ready(1);
   assert(figure(1, "cluster_size") == count + 1);
