--- a/sidecar/handover/succession.cpp
+++ b/sidecar/handover/succession.cpp
@@ -126,8 +126,8 @@
   if (!entered || self.heir_) return G_SOURCE_CONTINUE;
   self.loop_.log().info() << "a new process of this sidecar takes over";
   self.heir_ = std::make_unique<Channel>(self.loop_, static_cast<Channel::Owner&>(self), std::move(entered));
-  // First, as it goes at once or not at all: behind a long list there was no room for it, the heir opened a
-  // door of its own, and whoever waited at the old one was turned away with it.
+  // First, as it goes at once or not at all: behind a long list there was no room for it, and the heir could
+  // not listen.
   if (GSocket* door = self.owner_.door()) self.heir_->send(write_door(), door);
   for (std::string& packet : write_listing(self.owner_.listing(), self.clock_offset_))
     self.heir_->send(std::move(packet));
