Carrier: a reset is no end of an answer without a length

Cause: Stream::receive (stream.cpp) reported an orderly end and a reset by the same on_ended, and Backend::on_ended let an answer without a length count as whole at either. Answers with a length or in chunks were never taken for whole (bulk's story of a long answer that breaks), so these were dropped as a cause; so was a relay, which ends the same way. Change: Stream says how a connection ended; only an orderly end ends such an answer. A failed write consumes the socket's error and the read after it looks like an end: told as broken as well. An answer cut while it is passed on resets its caller's connection, as an HTTP/1.0 caller has no other sign of it.

--- a/fleet/link/link.cpp
+++ b/fleet/link/link.cpp
@@ -51,19 +51,19 @@
     if (heard_.size() < kLength) return;
     std::size_t length = 0;
     for (std::size_t i = 0; i < kLength; ++i) length = length << 8 | std::uint8_t(heard_[i]);
-    if (length > kMostState) return ++link_.counts_.malformed, on_ended();
+    if (length > kMostState) return ++link_.counts_.malformed, link_.end(*this);
     if (heard_.size() < kLength + length) return;
     Fault fault;
     std::optional<Message> state =
         decode(std::string_view(heard_).substr(kLength, length), link_.key_, fault);
     over_ = true;
-    if (!state) return link_.count(fault), on_ended();
+    if (!state) return link_.count(fault), link_.end(*this);
     ++link_.counts_.states;
     if (!asks) say();  // as it was: what the other says is its own to judge
     link_.owner_.on_state(*state);
-    if (asks) on_ended();  // who asked closes, once it has it all
+    if (asks) link_.end(*this);  // who asked closes, once it has it all
   }
-  void on_ended() override { link_.end(*this); }
+  void on_ended(Stream::End) override { link_.end(*this); }
 
   Link& link_;
   Stream stream_;
--- a/sidecar/wire/backend.cpp
+++ b/sidecar/wire/backend.cpp
@@ -124,8 +124,9 @@
   }));
 }
 
-void Backend::on_ended() {
-  reader_.end();
+void Backend::on_ended(Stream::End end) {
+  // An answer that says no length ends with its connection; a reset is no end, and what has come is a part.
+  if (end == Stream::End::Closed) reader_.end();
   turn(reader_.whole() ? Input::AnsweredLast : Input::Ended);
 }
 
--- a/sidecar/wire/backend.h
+++ b/sidecar/wire/backend.h
@@ -86,7 +86,7 @@
   void on_connected() override { turn(Input::Connected); }
   void on_received(std::string_view bytes) override;
   void on_written() override { push(); }
-  void on_ended() override;
+  void on_ended(Stream::End end) override;
 
   Loop& loop_;
   Owner* owner_;
--- a/sidecar/wire/client.cpp
+++ b/sidecar/wire/client.cpp
@@ -31,6 +31,7 @@
     {State::Relaying, Input::Written, State::Relaying, &Client::drained},
     {State::Relaying, Input::Answer, State::Answering, &Client::nothing},
     {State::Relaying, Input::LastAnswer, State::Parting, &Client::nothing},
+    {State::Relaying, Input::Cut, State::Over, &Client::leave_cut},
     {State::Relaying, Input::Ended, State::Over, &Client::leave},
     {State::Reading, Input::Request, State::Waiting, &Client::hand_over},
     {State::Reading, Input::Fault, State::Parting, &Client::refuse},
@@ -217,6 +218,12 @@
   used_ = heard_ = loop_.now();
 }
 
+// Where neither a length nor chunks say so, only a reset tells the caller that it has not got all.
+void Client::leave_cut() {
+  stream_.reset();
+  owner_.on_left(*this);
+}
+
 void Client::leave() {
   stream_.close();
   owner_.on_left(*this);
--- a/sidecar/wire/client.h
+++ b/sidecar/wire/client.h
@@ -44,7 +44,7 @@
   void begin_answer(const HttpMessage& from, std::optional<std::size_t> size);
   void more(Chain bytes);
   void end_answer();
-  void cut_answer() { turn(Input::Ended); }
+  void cut_answer() { turn(Input::Cut); }
   bool behind() const { return stream_.unsent() > kMostBehind; }  // it does not read as fast as that comes
   // Of a request handed over before its body was whole.
   bool uploading() const { return state_ == State::Uploading; }
@@ -75,7 +75,7 @@
  private:
   static constexpr std::size_t kMostBehind = 64 * 1024;
   enum class State { Reading, Uploading, Waiting, Relaying, Answering, Parting, Lingering, Over };
-  enum class Input { Begun, Request, Fault, Late, Relay, Answer, LastAnswer, Written, Ended };
+  enum class Input { Begun, Request, Fault, Late, Relay, Answer, LastAnswer, Written, Cut, Ended };
   static const Row<Client, State, Input> kRows[];
   void turn(Input input);
   bool between() const { return state_ == State::Reading && !reader_.started() && unread_.empty(); }
@@ -89,10 +89,11 @@
   void read_on();
   void linger();
   void leave();
+  void leave_cut();
 
   void on_received(std::string_view bytes) override;
   void on_written() override { turn(Input::Written); }
-  void on_ended() override { turn(Input::Ended); }
+  void on_ended(Stream::End) override { turn(Input::Ended); }
   void take_in();
 
   Loop& loop_;
--- a/sidecar/wire/stream.cpp
+++ b/sidecar/wire/stream.cpp
@@ -3,6 +3,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/epoll.h>
+#include <sys/socket.h>
 
 #include <charconv>
 
@@ -103,7 +104,7 @@
   if (connecting_) {
     connecting_ = false;
     want(wants_in_, false);
-    if (!g_socket_check_connect_result(socket_.get(), nullptr)) return owner_.on_ended();
+    if (!g_socket_check_connect_result(socket_.get(), nullptr)) return owner_.on_ended(End::Broken);
     read(true);
     return owner_.on_connected();
   }
@@ -128,7 +129,9 @@
   }
   if (count == 0 || !g_error_matches(raw, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK)) {
     want(false, wants_out_);
-    owner_.on_ended();
+    // A reset is told once, to the sending side if that meets it first: what is read after it looks like an
+    // end.
+    owner_.on_ended(count == 0 && !broken_ ? End::Closed : End::Broken);
   }
   return false;
 }
@@ -144,6 +147,12 @@
   return std::move(socket_);
 }
 
+void Stream::reset() {
+  linger at_once{1, 0};
+  if (socket_) setsockopt(g_socket_get_fd(socket_.get()), SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+  close();
+}
+
 void Stream::close() {
   if (Ref<GSocket> released = release()) g_socket_close(released.get(), nullptr);
 }
--- a/sidecar/wire/stream.h
+++ b/sidecar/wire/stream.h
@@ -12,13 +12,14 @@
 
 class Stream final : Ready {
  public:
+  enum class End { Closed, Broken };  // Closed: the far end said that no more comes; Broken: anything else
   class Owner {
    public:
     virtual ~Owner() = default;
     virtual void on_connected() {}
     virtual void on_received(std::string_view bytes) = 0;
-    virtual void on_written() {}  // what 'send' could not write at once; see 'written'
-    virtual void on_ended() = 0;  // closed, reset, or never came up
+    virtual void on_written() {}         // what 'send' could not write at once; see 'written'
+    virtual void on_ended(End end) = 0;  // closed, reset, or never came up
   };
 
   Stream(Loop& loop, Owner& owner) : loop_(loop), owner_(owner), out_(loop.pool()) {}
@@ -38,6 +39,7 @@
   void finish_sending();
   void hurry() { reads_at_once_ = kHurried; }  // what comes is only to be got over with
   void close();
+  void reset();            // so that the far end can tell that what it has is not all
   Ref<GSocket> release();  // the socket as it is, open: somebody else's from now on
 
  private:
--- a/sidecar/wire/watch.h
+++ b/sidecar/wire/watch.h
@@ -36,7 +36,7 @@
 
   void on_connected() override { turn(Input::Connected); }
   void on_received(std::string_view bytes) override;
-  void on_ended() override { turn(Input::Ended); }
+  void on_ended(Stream::End) override { turn(Input::Ended); }
   void check_silence();
   void heard() { heard_ = loop_.now(); }
 
--- a/tests/peers.h
+++ b/tests/peers.h
@@ -125,6 +125,16 @@
     }
     return false;
   }
+  // It ends, and not by a reset.
+  bool closed(double within) {
+    pollfd one{descriptor_, POLLIN, 0};
+    char byte;
+    for (double until = now() + within; now() < until;) {
+      if (poll(&one, 1, int((until - now()) * 1000) + 1) <= 0) continue;
+      if (ssize_t count = recv(descriptor_, &byte, 1, 0); count <= 0) return count == 0;
+    }
+    return false;
+  }
   bool anything(double within) const {
     pollfd one{descriptor_, POLLIN, 0};
     return poll(&one, 1, int(within * 1000)) > 0;
