Watch: a change is heard within 6 s of any failed call; ready once the list is heard

Seen by reading (watch.cpp as it was): one silence of 5 s, looked at every 0.5 s, stood for a connection that listens, one that never comes up and one that was asked and says nothing, so two in a row passed 6 s; any byte was a sign of life, so half lines and blanks kept a dead watch; heartbeats without entries kept one for good; an index that went back was taken for news, an empty whole list emptied the fleet for good; a new process answered ready before it had heard the list, and sent by the one known from before. Now each stage has its limit (sums beside the constants). Pushed lists, which cost nothing, are asked for whole every 2 s, and of a whole list only what is new reaches the module, as it looks at each entry it is told; priced ones (RegistryMode on_request) stand while whole lines come. Ready waits for the first list, 0.3 s at most. One log line in a row for what can't be read. Others looked at: a stall of ours (alarms come after the sockets, and each state's time starts anew with what they have), SIGHUP in any state (a row each), bytes of an old watch (its stream is closed first). Tests: three stories in tests/crossings.cpp fail on the program before, the fourth (idle callers fill the descriptors while discovery is down) is a guard.

--- a/sidecar/console/console.h
+++ b/sidecar/console/console.h
@@ -18,7 +18,7 @@
     virtual ~Owner() = default;
     virtual bool ready() const = 0;
     virtual std::string telemetry() const = 0;
-    virtual void on_order() = 0;  // one was obeyed
+    virtual void on_order() = 0;                      // one was obeyed
     virtual std::string fleet() const { return {}; }  // as JSON; empty: it is part of none
   };
 
--- a/sidecar/lifecycle/lifecycle.h
+++ b/sidecar/lifecycle/lifecycle.h
@@ -26,6 +26,7 @@
   };
   void opened();
   Loop& loop() { return loop_; }
+  const Loop& loop() const { return loop_; }
 
   virtual void serves() = 0;
   virtual void reads_anew() = 0;
--- a/sidecar/lifecycle/sidecar.cpp
+++ b/sidecar/lifecycle/sidecar.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 constexpr double kDrainLook = 0.05;  // seconds
+// What discovery's agent has counts as told from the first moment; it answers at once, unless discovery is
+// down.
+constexpr double kFirstList = 0.3;
 constexpr double kShareLook = 0.25;
 constexpr double kFresh = 0.2;  // a connection younger than that may have its first request on the way
 constexpr std::size_t kBufferShare = 2;  // of the memory: the rest is for the module, GLib and the heap
@@ -35,7 +38,8 @@
                Manner{false, HttpReader::kMostBody, "", true}),
       callers_(loop, admission_, *this, HttpReader::kMostBody, 0, HttpReader::kMostStreamed),
       door_(loop, callers_),
-      watch_(loop, carrier_, assignment_.discovery, clock_offset, assignment_.known.index),
+      watch_(loop, carrier_, assignment_.discovery, clock_offset, assignment_.known.index,
+             assignment_.asking),
       operations_(*this),
       inherited_(std::move(inherited)) {
   if (assignment_.fleet)
@@ -50,6 +54,7 @@
 }
 
 void Sidecar::start() {
+  started_ = loop().now();
   on_orders(inherited_.orders);
   carrier_.know(assignment_.known);
   watch_.open();
@@ -122,6 +127,11 @@
   look_at_drain();
 }
 
+// Until then it would send by the list that it knows from before, to who may have left since.
+bool Sidecar::informed() const {
+  return watch_.listed() || inherited_.list || loop().now() - started_ > kFirstList;
+}
+
 void Sidecar::hands_over() {
   // It died before it had all: the front finds the others, and who is connected hears that this was the last.
   if (!has_heir()) return callers_.last_call(true), callers_.close_idle();
@@ -160,7 +170,7 @@
 
 void Sidecar::on_request(Client& client, HttpMessage request) {
   if (request.target == "/healthz" && request.method == "GET") {
-    bool takes = (!leaving_ || has_heir()) && !operations_.drains();
+    bool takes = (!leaving_ || has_heir()) && !operations_.drains() && informed();
     return client.answer(takes ? 200 : 503, nullptr, "", takes ? "ready\n" : "leaving\n", false);
   }
   if (request.target == "/watch" && request.method == "GET" && assignment_.watched)
--- a/sidecar/lifecycle/sidecar.h
+++ b/sidecar/lifecycle/sidecar.h
@@ -59,10 +59,12 @@
   void on_caller(Ref<GSocket> socket, bool asked) override { callers_.take_over(std::move(socket), asked); }
   void on_company(bool two) override { admission_.share(two); }
   void look_at_drain();
+  bool informed() const;
 
   Assignment assignment_;
   const double clock_offset_;
   const std::string assigned_in_;
+  double started_ = 0;
   bool serving_ = false, leaving_ = false, looking_ = false, members_changed_ = false, has_elder_ = false;
   std::optional<fleet::Fleet::Part> part_;
   std::int64_t shared_list_ = -1;  // the list that its part was cut from
--- a/sidecar/lifecycle/start.cpp
+++ b/sidecar/lifecycle/start.cpp
@@ -57,7 +57,8 @@
   element settings, known, limits;
   if (told["settings"].get(settings)) throw Malformed("no 'settings'");
   read.deployment = read_deployment(settings);
-  // On sockets discovery is always watched, at no cost: the module has nothing to ask for.
+  // On sockets discovery is always watched: the module has nothing to ask for.
+  read.asking = read.deployment.list_on_request ? Watch::Asking::Priced : Watch::Asking::Free;
   read.deployment.list_on_request = false;
   element watched;
   if (!told["watch"].get(watched)) {
--- a/sidecar/lifecycle/start.h
+++ b/sidecar/lifecycle/start.h
@@ -8,6 +8,7 @@
 #include "deployment/deployment.h"
 #include "fleet/fleet.h"
 #include "sidecar/wire/discovery.h"
+#include "sidecar/wire/watch.h"
 
 namespace puffinvane {
 
@@ -20,7 +21,8 @@
   Deployment deployment;
   std::optional<Deployment> watched;  // other settings whose decisions are only counted
   EndpointList known;
-  std::optional<fleet::Place> fleet;  // none: it talks to no other instance
+  Watch::Asking asking = Watch::Asking::Free;  // for the list
+  std::optional<fleet::Place> fleet;           // none: it talks to no other instance
 };
 
 // Throws Malformed with a plain message that says what is wrong.
--- a/sidecar/memory/visits.h
+++ b/sidecar/memory/visits.h
@@ -72,8 +72,8 @@
   }
   std::size_t count() const { return in_hand_.size(); }
   std::size_t under_way() const {  // neither answered nor given up by their callers
-    return std::size_t(std::count_if(in_hand_.begin(), in_hand_.end(),
-                                     [](const auto& one) { return !one.second.over(); }));
+    return std::size_t(
+        std::count_if(in_hand_.begin(), in_hand_.end(), [](const auto& one) { return !one.second.over(); }));
   }
 
  private:
--- a/sidecar/wire/carrier.cpp
+++ b/sidecar/wire/carrier.cpp
@@ -453,7 +453,34 @@
 void Carrier::know(const EndpointList& known) { note_entries(known, ListScope::Cached); }
 
 void Carrier::on_list(const EndpointList& list) {
-  note_entries(list, list.whole ? ListScope::Full : ListScope::Changes);
+  if (!list.whole || listed_.empty())
+    return note_entries(list, list.whole ? ListScope::Full : ListScope::Changes);
+  EndpointList changes = news(list);
+  index_ = list.index;
+  if (!changes.entries.empty()) note_entries(changes, ListScope::Changes);
+}
+
+// Of a whole list what is not known yet: it comes again and again, and the module looks at each entry it is
+// told.
+EndpointList Carrier::news(const EndpointList& whole) const {
+  EndpointList changes;
+  changes.index = whole.index;
+  std::set<std::string_view> there;
+  for (std::size_t i = 0; i < whole.entries.size(); ++i) {
+    const ListEntry& entry = whole.entries[i];
+    there.insert(entry.endpoint);
+    auto known = listed_.find(entry.endpoint);
+    const std::string* address = addresses_.find(entry.endpoint);
+    bool same = known == listed_.end() ? entry.state == Listed::Gone
+                                       : known->second == entry && address && *address == whole.addresses[i];
+    if (!same) changes.entries.push_back(entry), changes.addresses.push_back(whole.addresses[i]);
+  }
+  for (const auto& [name, entry] : listed_) {  // what a whole list leaves out is gone without a word
+    if (there.contains(name)) continue;
+    changes.entries.push_back(entry), changes.addresses.emplace_back();
+    changes.entries.back().state = Listed::Gone;
+  }
+  return changes;
 }
 
 EndpointList Carrier::listing() const {
--- a/sidecar/wire/carrier.h
+++ b/sidecar/wire/carrier.h
@@ -126,6 +126,7 @@
   void drop_connections(const std::string& endpoint);
   Backend::Carried let_go(Backend& backend);
   void note_entries(const EndpointList& list, ListScope scope);
+  EndpointList news(const EndpointList& whole) const;
   void note_listed(const ListEntry& entry);
   void tell(const ListEntry& entry);
   ListEntry as_told(ListEntry entry) const;
--- a/sidecar/wire/watch.cpp
+++ b/sidecar/wire/watch.cpp
@@ -5,9 +5,14 @@
 namespace puffinvane {
 
 namespace {
-// Discovery sends at least an empty line every 2 s: two missed, and a connection that says nothing is taken
-// for one that was cut off, which the system itself would notice only after hours.
-constexpr double kSilence = 5, kCheck = 0.5, kRest = 0.25;
+// A change counts as told 6 s after discovery had it and could be reached, whatever became of the calls
+// between. Free: the list is asked for anew after kRenew. With a connection that never comes up, one that
+// comes up and says nothing and another that never comes up it is heard after 2.1 + 0.85 + 1.05 + 0.85 = 4.85
+// s (each with the look and the rest that follow), which leaves a second for a stall of ours.
+constexpr double kRenew = 2, kConnect = 0.6, kFirstList = 0.8, kLook = 0.1, kRest = 0.15;
+// Priced: an empty line comes every 2 s, also as the first, where nothing changed. With one that says nothing
+// after the one that fell silent: 2.8 + 2.75 = 5.55 s.
+constexpr double kSilence = 2.7, kFirstLine = 2.5;
 constexpr double kBrokenOff = 0.5;  // a list that stops amid its lines is one that can't be read
 constexpr std::size_t kMostAtOnce = 8 << 20;
 }  // namespace
@@ -16,28 +21,41 @@
     {State::Resting, Input::Rested, State::Connecting, &Watch::open},
     {State::Resting, Input::Moved, State::Connecting, &Watch::open},
     {State::Connecting, Input::Moved, State::Connecting, &Watch::open},
+    {State::Asked, Input::Moved, State::Connecting, &Watch::open},
     {State::Listening, Input::Moved, State::Connecting, &Watch::open},
-    {State::Connecting, Input::Connected, State::Listening, &Watch::ask},
-    {State::Connecting, Input::Silent, State::Resting, &Watch::rest},
+    {State::Connecting, Input::Connected, State::Asked, &Watch::ask},
+    {State::Connecting, Input::Overdue, State::Resting, &Watch::rest},
     {State::Connecting, Input::Ended, State::Resting, &Watch::rest},
-    {State::Listening, Input::Silent, State::Resting, &Watch::rest},
+    {State::Asked, Input::Heard, State::Listening, &Watch::heard},
+    {State::Asked, Input::Overdue, State::Resting, &Watch::rest},
+    {State::Asked, Input::Ended, State::Resting, &Watch::rest},
+    {State::Asked, Input::Nonsense, State::Resting, &Watch::rest_and_forget},
+    {State::Listening, Input::Overdue, State::Connecting, &Watch::open},
     {State::Listening, Input::Ended, State::Resting, &Watch::rest},
     {State::Listening, Input::Nonsense, State::Resting, &Watch::rest_and_forget},
 };
 
-Watch::Watch(Loop& loop, Owner& owner, std::string address, double clock_offset, std::int64_t known)
+Watch::Watch(Loop& loop, Owner& owner, std::string address, double clock_offset, std::int64_t known,
+             Asking asking)
     : loop_(loop),
       owner_(owner),
       address_(std::move(address)),
       clock_offset_(clock_offset),
       index_(known),
+      asking_(asking),
       stream_(loop, *this),
       reader_(HttpReader::Side::Answer, loop.pool(), kMostAtOnce) {
-  check_silence();
+  look();
 }
 
 void Watch::turn(Input input) { step(kRows, *this, state_, input); }
 
+double Watch::limit() const {
+  if (state_ == State::Connecting) return kConnect;
+  if (state_ == State::Asked) return asking_ == Asking::Free ? kFirstList : kFirstLine;
+  return asking_ == Asking::Free ? kRenew : kSilence;
+}
+
 void Watch::open() {
   state_ = State::Connecting;
   heard();
@@ -54,8 +72,9 @@
 
 void Watch::ask() {
   heard();
+  std::int64_t after = asking_ == Asking::Free ? 0 : index_;
   Chain out(loop_.pool());
-  out.add("GET /v1/servers?watch=1&after=" + std::to_string(index_) + " HTTP/1.1\r\nHost: " + address_ +
+  out.add("GET /v1/servers?watch=1&after=" + std::to_string(after) + " HTTP/1.1\r\nHost: " + address_ +
           "\r\n\r\n");
   stream_.send(std::move(out));
 }
@@ -70,40 +89,58 @@
   rest();
 }
 
-void Watch::check_silence() {
-  if (loop_.now() - heard_ > kSilence) turn(Input::Silent);
-  loop_.at(loop_.now() + kCheck, alive_.guard([this] { check_silence(); }));
+// Late itself, it comes after what the sockets have for it: a stall of ours is nobody's silence.
+void Watch::look() {
+  if (loop_.now() - since_ > limit()) turn(Input::Overdue);
+  loop_.at(loop_.now() + kLook, alive_.guard([this] { look(); }));
+}
+
+void Watch::not_understood(const char* why) {
+  // Once in a row: what can't be read is asked for again and again.
+  if (!std::exchange(complained_, true))
+    loop_.log().warning() << "discovery was not understood, and is asked for the whole list: " << why;
+  turn(Input::Nonsense);
+}
+
+// Only whole lines are a sign of life, also empty ones; where the list was asked for, only the list is.
+bool Watch::follow(const std::string& line) {
+  bool empty = line.find_first_not_of(" \t\r") == std::string::npos;
+  if (!empty) {
+    EndpointList list = read_list(line, clock_offset_);
+    // A discovery that has lost its list, or its count of changes, tells nothing of who is there.
+    if (!list.whole && list.index < index_) return not_understood("the index went back"), false;
+    if (list.whole && list.entries.empty() && !std::exchange(emptied_, true))
+      return not_understood("the whole list is empty"), false;
+    if (list.whole && !list.entries.empty()) emptied_ = false;
+    index_ = list.index, listed_ = true, complained_ = false;
+    owner_.on_list(list);
+  }
+  if (asking_ == Asking::Priced) heard();
+  if (!empty || asking_ == Asking::Priced) turn(Input::Heard);
+  return true;
 }
 
 void Watch::on_received(std::string_view bytes) {
-  heard();
+  bytes_at_ = loop_.now();
   reader_.feed(bytes);
   if (reader_.fault() != HttpReader::Fault::None || (reader_.in_body() && reader_.message().status != 200)) {
-    loop_.log().warning() << "discovery does not answer as it should: status " << reader_.message().status;
+    if (!std::exchange(complained_, true))
+      loop_.log().warning() << "discovery does not answer as it should: status " << reader_.message().status;
     return turn(Input::Ended);
   }
   if (reader_.in_body() || reader_.whole()) lines_.add(reader_.take_body());
   std::string line;
-  while (state_ == State::Listening && lines_.next(line)) {
-    if (line.find_first_not_of(" \t\r") == std::string::npos) continue;
+  while ((state_ == State::Asked || state_ == State::Listening) && lines_.next(line)) {
     try {
-      EndpointList list = read_list(line, clock_offset_);
-      index_ = list.index;
-      owner_.on_list(list);
+      if (!follow(line)) return;
     } catch (const Malformed& fault) {
-      loop_.log().warning() << "a line of discovery was not understood: " << fault.what();
-      return turn(Input::Nonsense);
+      return not_understood(fault.what());
     }
   }
-  if (lines_.too_long()) {
-    loop_.log().warning() << "a list of over " << Lines::kMost << " bytes is not read";
-    return turn(Input::Nonsense);
-  }
+  if (lines_.too_long()) return not_understood("a list of more bytes than are read");
   if (lines_.unfinished() && !reader_.whole()) {
-    loop_.at(heard_ + kBrokenOff, alive_.guard([this, since = heard_] {
-      if (heard_ != since || !lines_.unfinished()) return;
-      loop_.log().warning() << "a list of discovery broke off";
-      turn(Input::Nonsense);
+    loop_.at(bytes_at_ + kBrokenOff, alive_.guard([this, since = bytes_at_] {
+      if (bytes_at_ == since && lines_.unfinished()) not_understood("a list broke off");
     }));
   }
   if (reader_.whole()) turn(Input::Ended);
--- a/sidecar/wire/watch.h
+++ b/sidecar/wire/watch.h
@@ -1,4 +1,6 @@
-// The standing watch on discovery: it is opened again whenever it ends, falls silent or makes no sense.
+// The standing watch on discovery: it is opened again whenever it ends, falls silent or makes no sense. Where
+// the list costs nothing to ask for it is opened anew for the whole of it all the time, so that neither a
+// watch that goes on without its entries nor one that can't be told from a quiet one keeps a change back.
 #pragma once
 
 #include <cstdint>
@@ -19,15 +21,20 @@
     virtual void on_list(const EndpointList& list) = 0;
   };
 
-  Watch(Loop& loop, Owner& owner, std::string address, double clock_offset, std::int64_t known);
+  // Free: lists are pushed to an agent, which answers at once. Priced: asking is work that somebody pays for.
+  enum class Asking { Free, Priced };
+
+  Watch(Loop& loop, Owner& owner, std::string address, double clock_offset, std::int64_t known,
+        Asking asking);
   void open();
   // Discovery has moved: what was heard of it holds, and what came since is asked for at the new address.
   void move(const std::string& address);
   void close() { state_ = State::Over, stream_.close(); }
+  bool listed() const { return listed_; }  // a list has come since the start
 
  private:
-  enum class State { Resting, Connecting, Listening, Over };
-  enum class Input { Rested, Connected, Silent, Ended, Nonsense, Moved };
+  enum class State { Resting, Connecting, Asked, Listening, Over };
+  enum class Input { Rested, Connected, Heard, Overdue, Ended, Nonsense, Moved };
   static const Row<Watch, State, Input> kRows[];
   void turn(Input input);
   void ask();
@@ -37,19 +44,25 @@
   void on_connected() override { turn(Input::Connected); }
   void on_received(std::string_view bytes) override;
   void on_ended(Stream::End) override { turn(Input::Ended); }
-  void check_silence();
-  void heard() { heard_ = loop_.now(); }
+  void look();
+  double limit() const;
+  void heard() { since_ = loop_.now(); }
+  bool follow(const std::string& line);
+  void not_understood(const char* why);
 
   Loop& loop_;
   Owner& owner_;
   std::string address_;
   double clock_offset_;
   std::int64_t index_;
+  const Asking asking_;
   Stream stream_;
   HttpReader reader_;
   Lines lines_;
   State state_ = State::Resting;
-  double heard_ = 0;
+  double since_ = 0;  // that its state, or a watch's last whole line, has lasted
+  double bytes_at_ = 0;
+  bool listed_ = false, emptied_ = false, complained_ = false;
   Alive alive_;
 };
 
--- a/tests/crossings.cpp
+++ b/tests/crossings.cpp
@@ -186,6 +186,102 @@
   assert(caller.closed(1) && !fetch.anything(0));
 }
 
+std::string chunk(const std::string& line) {
+  char size[16];
+  std::snprintf(size, sizeof size, "%zx", line.size());
+  return std::string(size) + "\r\n" + line + "\r\n";
+}
+std::string list_of(int index, const std::string& entries, bool whole = true) {
+  return chunk(R"({"index":)" + std::to_string(index) + R"(,"snapshot":)" + (whole ? "true" : "false") +
+               R"(,"endpoints":[)" + entries + "]}\n");
+}
+const std::string kWatching = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+bool goes_to(Listener& where, const Running& sidecar, const std::string& id) {
+  Line caller(sidecar.listen);
+  caller.say(get("", id));
+  if (!where.knocked(1)) return false;
+  Line fetch = where.take();
+  return fetch.hear(Side::Request) &&
+         fetch.say("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n") &&
+         caller.answer_status() == 200;
+}
+
+// A watch that goes on without its entries, half lines and blanks on it, one that comes up and says nothing,
+// one that is reset: the change is heard within 6 s of all that.
+void a_change_is_heard_in_time_whatever_became_of_the_calls() {
+  Listener old(2), fresh(3);
+  Running sidecar(entry("a", old.address));
+  Line watch = sidecar.discovery().take_request().first;
+  double until = now() + 20;
+  while (watch.ended(0.02) && now() < until)
+    watch = sidecar.discovery().take_request().first;  // it was slow to be asked
+  watch.say(kWatching + list_of(8, entry("a", old.address)));
+  double changed = now();
+  assert(goes_to(old, sidecar, "1"));
+  while (!sidecar.discovery().knocked(0.2) && now() < changed + 6)
+    watch.say(chunk(" ")) && watch.say(chunk("\n  {"));
+  {
+    Line silent = sidecar.discovery().take_request().first;
+    silent.say(kWatching + chunk("\n\n"));
+    assert(silent.ended(2));
+  }
+  sidecar.discovery().take_request().first.reset();
+  Line last = sidecar.discovery().take_request().first;
+  last.say(kWatching + list_of(9, entry("a", old.address, "leaving") + "," + entry("b", fresh.address)));
+  sleep_for(0.05);
+  assert(now() - changed < 6 && goes_to(fresh, sidecar, "2") && !old.knocked(0));
+}
+
+// A discovery that has lost its list, or its count of changes, tells nothing of who is there.
+void an_index_that_goes_back_and_a_list_that_is_empty_are_asked_for_again() {
+  Listener here(2), other(3);
+  Running sidecar(entry("a", here.address), Running::Options{.registry = "on_request"});
+  Line watch = sidecar.discovery().take_request().first;
+  watch.say(kWatching + list_of(5, entry("b", other.address), false));
+  assert(watch.ended(1));
+  auto [again, asked] = sidecar.discovery().take_request();
+  assert(asked.target.ends_with("after=0"));
+  again.say(kWatching + list_of(1, ""));
+  assert(again.ended(1) && goes_to(here, sidecar, "1") && !other.knocked(0));
+  Line whole = sidecar.discovery().take_request().first;
+  whole.say(kWatching + list_of(3, entry("b", other.address)));
+  sleep_for(0.05);
+  assert(goes_to(other, sidecar, "2") && !here.knocked(0));
+}
+
+// Who restarts has a list from before: what has left since must get nothing from it.
+void a_new_process_is_ready_once_it_has_heard_the_list_or_found_discovery_silent() {
+  Listener discovery(9), old(2), fresh(3);
+  Running::Options options;
+  options.discovery = &discovery;
+  std::thread answers([&] {
+    Line watch = discovery.take_request().first;
+    sleep_for(0.1);
+    watch.say(kWatching + list_of(8, entry("a", old.address, "leaving") + "," + entry("b", fresh.address)));
+    watch.ended(1);
+  });
+  Running sidecar(entry("a", old.address), options);
+  assert(goes_to(fresh, sidecar, "1") && !old.knocked(0));
+  answers.join();
+}
+
+// Idle callers that fill the descriptors while discovery is down keep out neither its list, nor the next
+// caller, nor what is sent for it.
+void idle_callers_that_fill_the_descriptors_keep_out_nothing() {
+  Listener old(2), fresh(3);
+  Running sidecar(entry("a", old.address), R"({"sockets":64,"memory_mb":64})");
+  std::vector<Line> idle;
+  for (int i = 0; i < 150; ++i) idle.emplace_back(sidecar.listen);
+  sleep_for(0.5);
+  while (sidecar.discovery().knocked(0)) sidecar.discovery().take();
+  Line watch = sidecar.discovery().take_request().first;
+  watch.say(kWatching + list_of(8, entry("a", old.address, "leaving") + "," + entry("b", fresh.address)));
+  sleep_for(0.05);
+  for (int i = 0; i < 5; ++i) assert(goes_to(fresh, sidecar, std::to_string(i)));
+  assert(!old.knocked(0) && sidecar.cpu_seconds() < 1);
+}
+
 }  // namespace
 
 // With a story's name after the program's, that one alone.
@@ -208,6 +304,10 @@
       STORY(a_second_answer_that_comes_late_is_nobodys),
       STORY(an_upload_that_turns_to_nonsense_is_told_so),
       STORY(a_resting_connection_is_shut_before_it_is_closed),
+      STORY(a_change_is_heard_in_time_whatever_became_of_the_calls),
+      STORY(an_index_that_goes_back_and_a_list_that_is_empty_are_asked_for_again),
+      STORY(a_new_process_is_ready_once_it_has_heard_the_list_or_found_discovery_silent),
+      STORY(idle_callers_that_fill_the_descriptors_keep_out_nothing),
 #undef STORY
   };
   int told = 0;
