Module: a keyed repeat leaves its connection the time to come up within the window

A repeat begun inside the window could run after it, a second time. Change: the window ends connect_timeout earlier. Dropped: a check where the request is written, as the module alone knows the window. Late connects after a stall are given up already. Test: fails without (sent at 0.75 of a window of 1 s with connections of 0.3 s).

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -263,7 +263,9 @@
       if (!fetch.out && !fetch.may_have_run) continue;
       if (kind.kind == Kind::Mutating) return false;
       if (kind.kind == Kind::ReadLike) continue;
-      if (now_ > fetch.sent + kind.memory_span - 2 * deployment_.round) return false;
+      // What goes out on a new connection may be written as late as that comes up.
+      double latest = fetch.sent + kind.memory_span - deployment_.connect_timeout;
+      if (now_ > latest - 2 * deployment_.round) return false;
       if (kind.group == Group::Zone && fetch.zone != endpoint.zone) return false;
       if (kind.group == Group::Cell && fetch.cell != endpoint.cell) return false;
     }
@@ -474,8 +476,7 @@
     return best / (double(std::clamp(rates_.size(), kLeastTicks, kRateTicks)) * kTick);
   }
   int count(Health health) const {
-    return int(std::count_if(endpoints_.begin(), endpoints_.end(),
-                             [&](const Endpoint& endpoint) { return endpoint.health == health; }));
+    return int(std::ranges::count(endpoints_, health, &Endpoint::health));
   }
   int listed() const { return int(endpoints_.size()) - count(Health::Gone); }
   bool room(const Taken& visit) const {
@@ -640,9 +641,7 @@
 
   // ---- the list
   void note_listed(const ListEntry& entry) {
-    auto named = [&](std::string_view name) {
-      return std::find_if(endpoints_.begin(), endpoints_.end(), [&](auto& one) { return one.name == name; });
-    };
+    auto named = [&](std::string_view name) { return std::ranges::find(endpoints_, name, &Endpoint::name); };
     auto found = named(entry.endpoint);
     if (found == endpoints_.end()) found = named("");
     if (found == endpoints_.end()) found = endpoints_.insert(found, Endpoint());
--- a/tests/stories.cpp
+++ b/tests/stories.cpp
@@ -1,7 +1,9 @@
 // Short stories, one for each failure met. Run without arguments; a story that does not hold aborts.
 #include <malloc.h>
 
+#include <cmath>
 #include <cstdio>
+#include <memory>
 #include <set>
 #include <utility>
 
@@ -253,6 +255,76 @@
   assert(in_first_second < warm / 2 * 0.45);
 }
 
+// However many share it, and whatever they saved up in a calm: then all ask at once, and the warm endpoints
+// answer nobody any more. In any window the fresh one gets no more than the settings allow, N, and by chance
+// twice the root of N and 2. The rule's tightest figures: a second, twice what it can do.
+void the_sum_of_all_sidecars_never_pushes_a_fresh_endpoint_over() {
+  constexpr double kWindow = 1, kMultiple = 2, kEach = 8,
+                   kStep = 0.02;                // kEach: requests a second of a warm one
+  constexpr int kEndpoints = 7, kAnswered = 5;  // so few that all share them; steps
+  for (int sidecars : {1, 5, 30, 300}) {
+    for (unsigned seed = 0; seed < 4; ++seed) {
+      std::vector<std::unique_ptr<FakeHost>> hosts;
+      for (int me = 0; me < sidecars; ++me) {
+        Deployment made = deployment();
+        made.me = me, made.sidecars = sidecars;
+        hosts.push_back(std::make_unique<FakeHost>(made, seed * 1000 + unsigned(me)));
+        hosts.back()->ready(kEndpoints);
+      }
+      std::vector<std::size_t> answered(hosts.size(), 0);
+      std::vector<double> got;
+      unsigned turn = seed;
+      double due = 0, told = 0;
+      for (int i = 0; i < 800; ++i) {
+        bool calm = i >= 400 && i < 650, hanging = i >= 650;
+        if (i == 400) {
+          told = hosts[0]->now;
+          for (auto& host : hosts)
+            host->list({{"a0", "here", 1, Listed::Ready, 1, host->now}}, ListScope::Changes);
+        }
+        for (due += calm ? 0 : 0.9 * kEach * kEndpoints * kStep * (hanging ? 8 : 1); due > 0; due -= 1)
+          hosts[(turn = turn * 1664525 + 1013904223) % hosts.size()]->visit("read", 1);
+        for (std::size_t n = 0; n < hosts.size(); ++n) {
+          FakeHost& host = *hosts[n];
+          host.run(kStep);
+          while (!hanging && answered[n] < host.sent.size() &&
+                 host.sent[answered[n]].at < host.now - kAnswered * kStep)
+            host.end(Sent(host.sent[answered[n]++]), Outcome::Delivered);
+        }
+      }
+      for (auto& host : hosts)
+        for (const Sent& one : host->sent)
+          if (told > 0 && one.endpoint == "a0" && one.at >= told) got.push_back(one.at);
+      std::sort(got.begin(), got.end());
+      for (std::size_t first = 0, last = 0; first < got.size(); ++first) {
+        while (last < got.size() && got[last] < got[first] + kWindow) ++last;
+        double share = 0.2 + 0.8 * (got[first] - told) / 10;  // of what it can do once warm, then
+        double allowed = kMultiple * share * kEach * kWindow;
+        if (double(last - first) > allowed + 2 * std::sqrt(allowed) + 2)
+          std::printf("%d sidecars, seed %u: %zu where %.1f are allowed\n", sidecars, seed, last - first,
+                      allowed);
+        assert(double(last - first) <= allowed + 2 * std::sqrt(allowed) + 2);
+      }
+      assert(sidecars > 30 || !got.empty());  // it is sent to at all
+    }
+  }
+}
+
+// A repeat that was begun within the time that its group remembers the key, on a connection that came up
+// after it, ran a second time.
+void a_keyed_request_is_not_sent_again_where_its_connection_may_outlast_the_window() {
+  for (bool in_time : {true, false}) {
+    Deployment made = deployment();
+    made.connect_timeout = 0.3;  // of a window of a second
+    FakeHost host(made);
+    host.ready(4);
+    host.visit("tagged");
+    host.run(in_time ? 0.6 : 0.75);
+    host.end(host.sent[0], Outcome::Broken);
+    assert(host.sent.size() == (in_time ? 2 : 1) && host.errored.size() == (in_time ? 0 : 1));
+  }
+}
+
 void a_sidecar_that_has_just_started_holds_to_the_cold_budget() {
   Deployment made = deployment();
   made.sidecars = 2;
@@ -847,6 +919,8 @@
   nothing_goes_to_an_endpoint_that_drains_or_is_missing();
   a_failed_list_call_is_asked_again_spread_and_ever_later_and_the_old_list_serves();
   all_sidecars_together_give_a_fresh_endpoint_less_than_a_warm_one_gets();
+  the_sum_of_all_sidecars_never_pushes_a_fresh_endpoint_over();
+  a_keyed_request_is_not_sent_again_where_its_connection_may_outlast_the_window();
   a_sidecar_that_has_just_started_holds_to_the_cold_budget();
   first_fetches_go_to_the_lowest_depth_of_our_own_whatever_old_reports_say();
   idle_endpoints_are_drawn_by_size();
