Door: shut over who waits there without room, it lost a request that was taken

Seen by reading, shown by a story: Door::close (door.cpp) took in those who wait as long as there was room, then closed the listening socket, which resets the others. At the end of the door's time with all of the callers' descriptors in use a request that the system had taken was lost. Now the door stays until each of them is in; the process is not empty before. The story fails on the program before (no answer), holds now. Beside it: how long an answer may lie unread follows from the longest client timeout of the settings (10 s was shorter than a deployment's 12 s); up to 64 KiB fit the system's buffer, so no story shows it. A status line that holds a second one is malformed: half a line on a resting connection, and then the next request's answer. Tried and taken back: a process that ends 50 ms after its last answers; on Linux the end that it says before reaches the caller ahead of the reset, and no story could tell the two apart.

--- a/serving/server.cpp
+++ b/serving/server.cpp
@@ -59,7 +59,9 @@
       version_(site::version(router_.site())),
       killed_after_(killed_after),
       admission_(loop, router_.site().limits.memory / kBufferShare),
-      callers_(loop, admission_, *this, router_.site().limits.body) {}
+      callers_(loop, admission_, *this, router_.site().limits.body) {
+  callers_.longest_wait(patience().longest);
+}
 
 void Server::start() {
   open_doors(router_.site());
@@ -102,6 +104,7 @@
     set_pools(next.site());
     if (!gone_) close_doors(next.site());  // once it leaves, all of them are closed or about to be
     router_ = std::move(next);
+    callers_.longest_wait(patience().longest);
     loop()
         .log()
         .event(Level::Info, "site.reloaded")
--- a/serving/server.h
+++ b/serving/server.h
@@ -51,7 +51,10 @@
   void closes_doors() override;
   void last_call() override { callers_.last_call(true); }
   void close_idle_callers() override { callers_.close_idle(); }
-  bool empty() const override { return callers_.empty(); }
+  bool empty() const override {
+    return callers_.empty() &&
+           std::ranges::all_of(doors_, [](const Opened& one) { return one.door->shut(); });
+  }
   void ends() override;
   void on_request(Client& client, HttpMessage request) override;
 
--- a/sidecar/lifecycle/sidecar.cpp
+++ b/sidecar/lifecycle/sidecar.cpp
@@ -42,6 +42,7 @@
              assignment_.asking),
       operations_(*this),
       inherited_(std::move(inherited)) {
+  callers_.longest_wait(patience().longest);
   if (assignment_.fleet)
     fleet_.emplace(loop, *assignment_.fleet, clock_offset, assignment_.seed,
                    static_cast<fleet::Fleet::Owner&>(*this));
--- a/sidecar/lifecycle/sidecar.h
+++ b/sidecar/lifecycle/sidecar.h
@@ -36,7 +36,9 @@
   void hands_over() override;
   void last_call() override { callers_.last_call(true); }
   void close_idle_callers() override { callers_.close_idle(); }
-  bool empty() const override { return callers_.empty() && !(succession_ && succession_->telling()); }
+  bool empty() const override {
+    return callers_.empty() && door_.shut() && !(succession_ && succession_->telling());
+  }
   void ends() override;
   void on_request(Client& client, HttpMessage request) override;
 
--- a/sidecar/wire/callers.h
+++ b/sidecar/wire/callers.h
@@ -26,7 +26,8 @@
   bool empty() const { return clients_.empty(); }
   std::size_t most() const { return most_; }
   void last_call(bool on) { last_call_ = on; }  // answers are the last on their connections from here on
-  void close_idle(double longer_than = 0);      // seconds
+  void longest_wait(double seconds) { longest_wait_ = seconds; }  // of a caller for its answer
+  void close_idle(double longer_than = 0);                        // seconds
   void close_door(int door);  // who came in by it gets the answer in hand, and that is the last
 
   // Those between two visits, to whoever takes them: `take` says whether it did.
@@ -41,6 +42,7 @@
   void on_left(Client& client) override;
   bool last_call() const override { return last_call_; }
   std::size_t most_held() const override { return admission_.most_held(); }
+  double longest_wait() const override { return longest_wait_; }
   void enter(Ref<GSocket> socket, int door, bool asked);
   bool drop_one();
   void sweep();
@@ -50,6 +52,7 @@
   Server& server_;
   const std::size_t most_body_, most_, most_streamed_;
   bool last_call_ = false;
+  double longest_wait_ = 6;
   std::unordered_map<const Client*, std::unique_ptr<Client>> clients_;
   Alive alive_;
 };
--- a/sidecar/wire/client.cpp
+++ b/sidecar/wire/client.cpp
@@ -14,8 +14,9 @@
 constexpr double kHalfHead = 2.6;
 constexpr double kPace = 32 * 1024;  // bytes a second that a body has to make: half of what callers promise
 constexpr double kUnreadPart = 60;   // an answer of which nothing more goes out: the system holds megabytes
-// An answer that is not read; longer than any client timeout, as cutting it short would lose the visit.
-constexpr double kUnread = 10;
+// An answer that is not read, beyond the longest time that a caller may have for it: cut sooner, it would be
+// lost.
+constexpr double kUnread = 4;
 constexpr std::size_t kAhead = Pool::kSize;  // of requests sent before the one in hand is answered
 }  // namespace
 
@@ -74,7 +75,7 @@
   } else if (state_ == State::Lingering) {
     if (now - heard_ > kLinger || now - used_ > kLongestLinger) turn(Input::Ended);
   } else if (state_ == State::Answering || state_ == State::Parting) {
-    if (now - used_ > kUnread) turn(Input::Ended);
+    if (now - used_ > owner_.longest_wait() + kUnread) turn(Input::Ended);
   }
 }
 
--- a/sidecar/wire/client.h
+++ b/sidecar/wire/client.h
@@ -19,6 +19,7 @@
     virtual void on_left(Client& client) = 0;   // its connection is over; the owner lets go of it
     virtual bool last_call() const = 0;         // answers are the last on their connections
     virtual std::size_t most_held() const = 0;  // of a body, before it is handed over in parts
+    virtual double longest_wait() const = 0;    // seconds that a caller may have for its answer
   };
   class Visited {  // who has its visit in hand
    public:
--- a/sidecar/wire/door.cpp
+++ b/sidecar/wire/door.cpp
@@ -37,7 +37,7 @@
 }
 
 void Door::listen() {
-  if (!socket_) return;
+  if (!socket_ || closing_) return;
   GSource* source = g_socket_create_source(socket_.get(), G_IO_IN, nullptr);
   g_source_set_callback(source, G_SOURCE_FUNC(&Door::knocked), this, nullptr);
   if (turn_ == Turn::First) g_source_set_priority(source, G_PRIORITY_HIGH);
@@ -98,7 +98,11 @@
 void Door::close() {
   if (!socket_) return;
   source_.reset();
-  while (somebody_waits() && owner_.on_knock() && take_one()) {
+  closing_ = true;
+  while (somebody_waits()) {
+    if (owner_.on_knock() && take_one()) continue;
+    // The system has taken their requests already, and would reset them.
+    return loop_.at(loop_.now() + kPause, alive_.guard([this] { close(); }));
   }
   let_go();
 }
--- a/sidecar/wire/door.h
+++ b/sidecar/wire/door.h
@@ -25,8 +25,9 @@
   enum class Beside { Nobody, Another };  // Another: a second process may listen there at the same time
   void open(std::string_view address, Beside beside = Beside::Nobody);  // throws std::runtime_error
   void adopt(Ref<GSocket> listening);  // another process's, which goes on with it or not
-  void close();                        // takes in those who wait already
-  void let_go();                       // who waits is another process's
+  void close();                        // takes in those who wait already, as soon as there is room for them
+  bool shut() const { return !socket_; }
+  void let_go();  // who waits is another process's
   GSocket* socket() const { return socket_.get(); }
 
  private:
@@ -42,6 +43,7 @@
   const Turn turn_;
   Ref<GSocket> socket_;
   Source source_;
+  bool closing_ = false;
   Alive alive_;
 };
 
--- a/sidecar/wire/http.cpp
+++ b/sidecar/wire/http.cpp
@@ -194,6 +194,9 @@
   if (!known || line.size() < 12 || (line.size() > 12 && line[12] != ' ')) return fail(Fault::Malformed);
   if (!whole_number(line.substr(9, 3), message_.status) || message_.status < 100)
     return fail(Fault::Malformed);
+  // Half a line of something else, and then the answer to the next request: which of the two it is can't be
+  // told.
+  if (line.find("HTTP/", 1) != std::string_view::npos) return fail(Fault::Malformed);
   message_.keep_alive = line[7] == '1';
   state_ = State::Headers;
 }
--- a/tests/crossings.cpp
+++ b/tests/crossings.cpp
@@ -282,6 +282,28 @@
   assert(!old.knocked(0) && sidecar.cpu_seconds() < 1);
 }
 
+// At the end of the time in which a leaving process lets callers in there is no room for one who waits at its
+// door: shut over it, the system would reset a request that it has taken.
+void a_door_that_is_shut_lets_in_who_waits_there_once_there_is_room() {
+  Running sidecar(entry("a", here(4) + ":1"), R"({"sockets":64,"memory_mb":64})");
+  std::vector<Line> callers;
+  for (int i = 0; i < 20; ++i) {  // half of the descriptors that are not kept out
+    callers.emplace_back(sidecar.listen);
+    callers.back().say("POST /write HTTP/1.1\r\nX-Correlation-Id: s" + std::to_string(i) +
+                       "\r\nContent-Length: 20\r\n\r\n");
+  }
+  sidecar.terminate();
+  sleep_for(0.1);
+  Line late(sidecar.listen);
+  late.say(get());
+  for (int i = 0; i < 20; ++i) {  // a byte now and then: none of them makes room
+    for (Line& caller : callers) caller.say("x");
+    sleep_for(0.04);
+  }
+  for (Line& caller : callers) assert(caller.answer_status() == 503);
+  assert(late.answer_status() == 503 && sidecar.exit_code(4) == 0);
+}
+
 }  // namespace
 
 // With a story's name after the program's, that one alone.
@@ -308,6 +330,7 @@
       STORY(an_index_that_goes_back_and_a_list_that_is_empty_are_asked_for_again),
       STORY(a_new_process_is_ready_once_it_has_heard_the_list_or_found_discovery_silent),
       STORY(idle_callers_that_fill_the_descriptors_keep_out_nothing),
+      STORY(a_door_that_is_shut_lets_in_who_waits_there_once_there_is_room),
 #undef STORY
   };
   int told = 0;
--- a/tests/wire.cpp
+++ b/tests/wire.cpp
@@ -98,8 +98,8 @@
       assert(reader.fault() == Fault::Malformed && !reader.whole());
     });
   }
-  for (const char* bad :
-       {"HTTP/1.1 20 OK\r\n", "HTTP/1.1 2000 OK\r\n", "ICY 200 OK\r\n", "HTTP/1.1 abc\r\n"}) {
+  for (const char* bad : {"HTTP/1.1 20 OK\r\n", "HTTP/1.1 2000 OK\r\n", "ICY 200 OK\r\n", "HTTP/1.1 abc\r\n",
+                          "HTTP/1.1 200 OHTTP/1.1 500 Oops\r\n"}) {
     at_every_cut(Side::Answer, bad,
                  [](HttpReader& reader, std::size_t) { assert(reader.fault() == Fault::Malformed); });
   }
