Carrier: an answer that never ends is cut; want of descriptors blames no endpoint

Seen by reading, shown by stories that fail on the program before and hold now: - look_at_relay (carrier.cpp) cut a short answer that was passed on only where it stopped for 0.2 s; one that goes on by a few bytes at a time held its caller for ever, with a length as well. Under 8 KiB/s at the end of its request's time it is cut, so that its caller can tell. - start() told the module 'could not connect' where no descriptor was left; the endpoint was set aside for it. Told as not sent.

--- a/sidecar/wire/backend.h
+++ b/sidecar/wire/backend.h
@@ -47,6 +47,9 @@
   void stop() { turn(Input::Stopped); }            // its answer has stopped amid its bytes
   double silent() const { return stream_.reads() ? loop_.now() - heard_ : 0; }
   bool is_long() const { return reader_.body_so_far() > HttpReader::kMostBody; }  // its answer, so far
+  double pace() const {
+    return double(reader_.body_so_far()) / (loop_.now() - answered_since_);
+  }  // bytes a second
   bool idle() const { return state_ == State::Idle; }
   bool connecting() const { return state_ == State::Connecting; }
   bool quiet() const { return stream_.quiet(); }
--- a/sidecar/wire/carrier.cpp
+++ b/sidecar/wire/carrier.cpp
@@ -23,6 +23,8 @@
 constexpr double kUploading = 1200;              // seconds: longer than any body takes at the least pace
 constexpr double kBeforeEnd = 0.01;
 constexpr double kStoppedLate = 0.2;  // seconds without a byte of a short answer whose visit's time is over
+constexpr double kLeastPace =
+    8 * 1024;  // bytes a second, a quarter of what the least promise for a long body
 constexpr double kNever = std::numeric_limits<double>::infinity();
 constexpr double kAfterLast = 0.5;  // seconds, for what is put off to the next turn or the next tick
 }  // namespace
@@ -93,7 +95,7 @@
   if (caller_left(id)) return end_soon(id, number, Outcome::NotSent);
   // What was let go of its body can't be sent again: that is nobody's fault, and nothing has run.
   if (visit.spent) return end_soon(id, number, Outcome::NotSent);
-  if (!start({id, number}, visit.fetches.back().endpoint)) end_soon(id, number, Outcome::ConnectFailed);
+  if (auto fault = start({id, number}, visit.fetches.back().endpoint)) end_soon(id, number, *fault);
 }
 
 std::unique_ptr<Backend> Carrier::take_kept(Backend::Carried fetch, const std::string& endpoint) {
@@ -111,7 +113,7 @@
   return {};
 }
 
-bool Carrier::start(Backend::Carried fetch, const std::string& endpoint) {
+std::optional<Outcome> Carrier::start(Backend::Carried fetch, const std::string& endpoint) {
   VisitInHand& visit = *visits_.find(fetch.visit);
   Backend*& used = visit.fetches[std::size_t(fetch.number)].backend;
   bool head = visit.request.method == "HEAD";
@@ -120,16 +122,17 @@
     used = kept.get();
     busy_[used] = std::move(kept);
     used->carry(fetch, head);
-    return true;
+    return {};
   }
   const std::string* address = addresses_.find(endpoint);
-  if (!address || !admission_.room_for_fetch()) return false;
+  if (!address) return Outcome::ConnectFailed;
+  if (!admission_.room_for_fetch()) return Outcome::NotSent;  // our own want: it says nothing of the endpoint
   auto fresh = std::make_unique<Backend>(loop_, *this, endpoint, manner_.most_body, manner_.streams);
-  if (!fresh->connect(*address, deployment_.connect_timeout)) return false;
+  if (!fresh->connect(*address, deployment_.connect_timeout)) return Outcome::ConnectFailed;
   used = fresh.get();
   busy_[used] = std::move(fresh);
   used->carry(fetch, head);
-  return true;
+  return {};
 }
 
 // Answers, alarms and a caller's end that are found in one turn of the loop come in any order, and after a
@@ -277,18 +280,19 @@
   if (fetch.stood_idle) kept_uses_.note(*fetch.stood_idle, false);
   visit.relay = &backend;
   Load load = read_load(answer.header("X-Backend-Load"));
-  if (!size) loop_.at(visit.until, alive_.guard([this, id] { look_at_relay(id); }));
+  loop_.at(visit.until, alive_.guard([this, id] { look_at_relay(id); }));
   visit.client->begin_answer(answer, size);
   on_more(backend, std::move(answer.body));
   policy_->fetch_ended(now, {id, number, Outcome::Delivered, true, now - fetch.sent, load});
 }
 
-// Without a length it was passed on as it may have been a long one, which has time beyond the visit's. If it
-// is short and stops, its caller must not wait for it any longer.
+// It was passed on as it is, or may be, a long one, which has time beyond the visit's. If it is short by then
+// and stops, or goes on by a few bytes at a time, its caller must not wait for it any longer.
 void Carrier::look_at_relay(VisitId id) {
   VisitInHand* visit = visits_.find(id);
   if (!visit || !visit->relay || visit->relay->is_long()) return;
-  if (visit->relay->silent() >= kStoppedLate) return visit->relay->stop();
+  if (visit->relay->silent() >= kStoppedLate || visit->relay->pace() < kLeastPace)
+    return visit->relay->stop();
   // Guarded: it may outlast the alarms that an ended pool waits for.
   loop_.at(loop_.now() + kStoppedLate / 2, alive_.guard([this, id] { look_at_relay(id); }));
 }
--- a/sidecar/wire/carrier.h
+++ b/sidecar/wire/carrier.h
@@ -122,7 +122,7 @@
   void ended(VisitId id, int number, Outcome outcome, HttpMessage* answer);
   void end_soon(VisitId id, int number, Outcome outcome);
   void out_of_time(VisitId id, int number);
-  bool start(Backend::Carried fetch, const std::string& endpoint);
+  std::optional<Outcome> start(Backend::Carried fetch, const std::string& endpoint);  // why it could not
   void drop_connections(const std::string& endpoint);
   Backend::Carried let_go(Backend& backend);
   void note_entries(const EndpointList& list, ListScope scope);
--- a/tests/crossings.cpp
+++ b/tests/crossings.cpp
@@ -304,6 +304,47 @@
   assert(late.answer_status() == 503 && sidecar.exit_code(4) == 0);
 }
 
+// An answer that never ends, a few bytes at a time: its caller waited for it for ever.
+void an_answer_that_never_ends_is_cut_once_its_time_is_over() {
+  Listener endpoint(2);
+  Running sidecar(entry("a", endpoint.address));
+  for (bool sized : {false, true}) {
+    Line caller(sidecar.listen);
+    double begun = now();
+    caller.say(post("x"));
+    auto [fetch, request] = endpoint.take_request();
+    fetch.say(sized ? "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n" : kWatching);
+    while (fetch.say(sized ? "x" : chunk("x")) && now() < begun + 2.5) sleep_for(0.05);
+    assert(now() - begun < 1.45 && caller.ended(0.2));  // client timeout 1 s, half a second after it is lost
+  }
+}
+
+// Want of descriptors of its own was put down to the endpoints, and one of them left out for it.
+void want_of_descriptors_blames_no_endpoint() {
+  std::vector<std::unique_ptr<Listener>> endpoints;
+  std::string list;
+  for (int i = 0; i < 4; ++i) {
+    endpoints.push_back(std::make_unique<Listener>(100 + i));
+    list += (i ? "," : "") + entry("e" + std::to_string(i), endpoints.back()->address);
+  }
+  Running sidecar(list, R"({"sockets":64,"memory_mb":64})");
+  std::vector<Line> callers, fetches;
+  auto ask = [&](const std::string& id) {
+    callers.emplace_back(sidecar.listen);
+    callers.back().say("POST /write HTTP/1.1\r\nX-Correlation-Id: " + id + "\r\nContent-Length: 0\r\n\r\n");
+  };
+  for (int i = 0; i < 20; ++i)
+    ask("d" + std::to_string(i));  // more than there are descriptors to send all on
+  for (auto& each : endpoints) {
+    while (each->knocked(0.02)) fetches.push_back(each->take());
+  }
+  assert(fetches.size() > 10 && fetches.size() < 20);
+  callers.clear();  // they leave, and with them all that was out
+  for (Line& fetch : fetches) assert(fetch.ended(1));
+  for (int i = 0; i < 4; ++i) ask("e" + std::to_string(i));
+  for (auto& each : endpoints) assert(each->knocked(0.3));  // by depth: one at each
+}
+
 }  // namespace
 
 // With a story's name after the program's, that one alone.
@@ -331,6 +372,8 @@
       STORY(a_new_process_is_ready_once_it_has_heard_the_list_or_found_discovery_silent),
       STORY(idle_callers_that_fill_the_descriptors_keep_out_nothing),
       STORY(a_door_that_is_shut_lets_in_who_waits_there_once_there_is_room),
+      STORY(an_answer_that_never_ends_is_cut_once_its_time_is_over),
+      STORY(want_of_descriptors_blames_no_endpoint),
 #undef STORY
   };
   int told = 0;
