Carrier: no start goes back, as a list told again made warm what was taken back cold

Seen by reading what the list asked for anew changes: use_again (carrier.cpp) marks an endpoint that was taken back as started now; the next whole list, 2 s later since pushed lists are asked for anew, told the old start, and the module took it for warm: half of all went there at once. Before, only a list that named it did so.

--- a/sidecar/wire/carrier.cpp
+++ b/sidecar/wire/carrier.cpp
@@ -456,7 +456,14 @@
 
 void Carrier::know(const EndpointList& known) { note_entries(known, ListScope::Cached); }
 
-void Carrier::on_list(const EndpointList& list) {
+void Carrier::on_list(const EndpointList& told) {
+  EndpointList list = told;
+  for (ListEntry& entry : list.entries) {
+    // No start goes back: one taken back by order is cold, though the list, told again, knows nothing of
+    // that.
+    if (auto known = listed_.find(entry.endpoint); known != listed_.end())
+      entry.online_since = std::max(entry.online_since, known->second.online_since);
+  }
   if (!list.whole || listed_.empty())
     return note_entries(list, list.whole ? ListScope::Full : ListScope::Changes);
   EndpointList changes = news(list);
--- a/sidecar/wire/carrier.h
+++ b/sidecar/wire/carrier.h
@@ -81,7 +81,7 @@
   // prefix: of this carrier's deployment. time_left: seconds that its caller still waits.
   void take(Client& client, HttpMessage request, const PathPrefix& prefix, double time_left);
 
-  void on_list(const EndpointList& list) override;
+  void on_list(const EndpointList& told) override;
 
  private:
   void fetch(VisitId visit, std::string_view endpoint, double abandon_at) override;
--- a/tests/crossings.cpp
+++ b/tests/crossings.cpp
@@ -1,6 +1,7 @@
 // Stories of two events that cross, on real sockets: the one is held until the other is under way.
 #include <sys/socket.h>
 
+#include <atomic>
 #include <vector>
 
 #include "tests/running.h"
@@ -345,6 +346,54 @@
   for (auto& each : endpoints) assert(each->knocked(0.3));  // by depth: one at each
 }
 
+// Taken back by order it is cold from then on. The list, which comes again and again and knows nothing of
+// that, made it warm, and half of all went there at once.
+void an_endpoint_taken_back_stays_cold_though_the_list_comes_again() {
+  Listener discovery(9), one(2), other(3);
+  Running::Options options;
+  options.discovery = &discovery, options.console = here(8) + ":5008";
+  std::atomic<int> listed = 0;
+  std::atomic<bool> over = false;
+  std::thread agent([&] {
+    std::vector<Line> watches;
+    while (!over) {
+      if (!discovery.knocked(0.05)) continue;
+      watches.push_back(discovery.take());
+      if (!watches.back().hear(Side::Request)) continue;
+      watches.back().say(kWatching + list_of(8, entry("a", one.address) + "," + entry("b", other.address)));
+      ++listed;
+    }
+  });
+  {
+    Running sidecar(entry("a", one.address) + "," + entry("b", other.address), options);
+    auto order = [&](const std::string& what) {
+      Line line(options.console);
+      line.say("PUT /api/" + what + " HTTP/1.1\r\nContent-Length: 1\r\n\r\na");
+      return line.answer_status() == 200;
+    };
+    assert(order("exclude") && order("include"));
+    int before = listed;
+    for (double until = now() + 6; listed < before + 2 && now() < until;) sleep_for(0.02);
+    assert(listed >= before + 2);
+    int there = 0;
+    for (int i = 0; i < 40; ++i) {
+      Line caller(sidecar.listen);
+      caller.say(get("", std::to_string(i)));
+      while (!one.knocked(0.001) && !other.knocked(0.001)) {
+      }
+      bool at_one = one.knocked(0);
+      Line fetch = (at_one ? one : other).take();
+      assert(fetch.hear(Side::Request) &&
+             fetch.say("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n") &&
+             caller.answer_status() == 200);
+      there += at_one;
+    }
+    assert(there < 12);  // a cold one's share is a tenth at first
+  }
+  over = true;
+  agent.join();
+}
+
 }  // namespace
 
 // With a story's name after the program's, that one alone.
@@ -374,6 +423,7 @@
       STORY(a_door_that_is_shut_lets_in_who_waits_there_once_there_is_room),
       STORY(an_answer_that_never_ends_is_cut_once_its_time_is_over),
       STORY(want_of_descriptors_blames_no_endpoint),
+      STORY(an_endpoint_taken_back_stays_cold_though_the_list_comes_again),
 #undef STORY
   };
   int told = 0;
