--- a/tests/wire.cpp
+++ b/tests/wire.cpp
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include <cstdio>
+#include <pcg_random.hpp>
 #include <sstream>
 
 #include "helpers.h"
@@ -468,6 +469,56 @@
   }
 }
 
+// What comes from outside, spoilt at random and cut at random: it is read, refused or waited for, and nothing
+// of it stays behind.
+void spoilt_messages_and_lists_are_read_or_refused() {
+  const std::string kinds[] = {
+      "GET /read/a?b HTTP/1.1\r\nX-Correlation-Id: 77\r\n\r\n",
+      "POST /w HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n0\r\nT: t\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+      "HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 200 OK\r\n\r\nuntil its end",
+      R"({"index":9,"snapshot":true,"endpoints":[{"name":"a","address":"1.2.3.4:5","status":"leaving","since_ms":7}]})"
+      "\n"};
+  const std::string bits[] = {
+      "\r\n", "{", "}", "\"", "\\", "HTTP/1.1 ", "0", "-1", "ffffffff", "Content-Length: 1\r\n", "\n\n", "]"};
+  Pool pool;
+  pcg32 chance(39);
+  int whole = 0, refused = 0, lists = 0;
+  for (int round = 0; round < 20000; ++round) {
+    std::size_t kind = chance(5);
+    std::string text = kinds[kind];
+    for (std::uint32_t i = chance(4); i > 0; --i) {
+      std::size_t at = chance(std::uint32_t(text.size()));
+      switch (chance(4)) {
+        case 0: text[at] = char(chance(256)); break;
+        case 1: text.insert(at, bits[chance(std::size(bits))]); break;
+        case 2: text.erase(at, chance(8)); break;
+        default: text += text.substr(at);
+      }
+      if (text.empty()) text = " ";
+    }
+    HttpReader reader(kind < 2 ? Side::Request : Side::Answer, pool);
+    Lines lines;
+    std::string line;
+    for (std::size_t at = 0; at < text.size();) {
+      std::string_view part = std::string_view(text).substr(at, 1 + chance(20));
+      at += part.size();
+      std::size_t used = reader.feed(part);
+      assert(used <= part.size() && !(reader.whole() && reader.fault() != Fault::None));
+      lines.add(part);
+      while (lines.next(line)) {
+        assert(line.size() <= text.size());
+        try {
+          lists += !read_list(line, 0).entries.empty();
+        } catch (const Malformed&) {
+        }
+      }
+    }
+    whole += reader.whole(), refused += reader.fault() != Fault::None;
+  }
+  assert(whole > 2000 && refused > 2000 && lists > 500 && pool.lent() == 0);
+}
+
 }  // namespace
 
 int main() {
@@ -496,5 +547,6 @@
   a_socket_that_took_the_number_of_one_closed_is_not_told_of_what_that_had();
   alarms_run_in_order_over_many_milliseconds_and_new_ones_wait_a_turn();
   lines_below_the_level_are_not_written();
+  spoilt_messages_and_lists_are_read_or_refused();
   std::puts("all stories hold");
 }
