Carrier: an answer that has only begun at the end of its time is not one that crawls

Read again: its pace was looked at from its first byte, so a long answer begun just before the end of its request's time could be cut between its head and its body. Looked at from 0.3 s on.

--- a/sidecar/wire/backend.h
+++ b/sidecar/wire/backend.h
@@ -47,9 +47,11 @@
   void stop() { turn(Input::Stopped); }            // its answer has stopped amid its bytes
   double silent() const { return stream_.reads() ? loop_.now() - heard_ : 0; }
   bool is_long() const { return reader_.body_so_far() > HttpReader::kMostBody; }  // its answer, so far
-  double pace() const {
-    return double(reader_.body_so_far()) / (loop_.now() - answered_since_);
-  }  // bytes a second
+  // Its answer has gone on for a while, and by less than that many bytes a second.
+  bool crawls(double least) const {
+    double since = loop_.now() - answered_since_;
+    return since > kWhile && double(reader_.body_so_far()) < least * since;
+  }
   bool idle() const { return state_ == State::Idle; }
   bool connecting() const { return state_ == State::Connecting; }
   bool quiet() const { return stream_.quiet(); }
@@ -58,6 +60,7 @@
   double stood_idle(double now) const { return now - idle_since_; }
 
  private:
+  static constexpr double kWhile = 0.3;  // seconds: one that has only begun says nothing of its pace
   enum class State { Connecting, Idle, Sending, Awaiting, Relaying, Over };
   enum class Input {
     Connected,
--- a/sidecar/wire/carrier.cpp
+++ b/sidecar/wire/carrier.cpp
@@ -23,8 +23,7 @@
 constexpr double kUploading = 1200;              // seconds: longer than any body takes at the least pace
 constexpr double kBeforeEnd = 0.01;
 constexpr double kStoppedLate = 0.2;  // seconds without a byte of a short answer whose visit's time is over
-constexpr double kLeastPace =
-    8 * 1024;  // bytes a second, a quarter of what the least promise for a long body
+constexpr double kLeastPace = 8 * 1024;  // bytes a second: a quarter of what callers keep to
 constexpr double kNever = std::numeric_limits<double>::infinity();
 constexpr double kAfterLast = 0.5;  // seconds, for what is put off to the next turn or the next tick
 }  // namespace
@@ -291,8 +290,7 @@
 void Carrier::look_at_relay(VisitId id) {
   VisitInHand* visit = visits_.find(id);
   if (!visit || !visit->relay || visit->relay->is_long()) return;
-  if (visit->relay->silent() >= kStoppedLate || visit->relay->pace() < kLeastPace)
-    return visit->relay->stop();
+  if (visit->relay->silent() >= kStoppedLate || visit->relay->crawls(kLeastPace)) return visit->relay->stop();
   // Guarded: it may outlast the alarms that an ended pool waits for.
   loop_.at(loop_.now() + kStoppedLate / 2, alive_.guard([this, id] { look_at_relay(id); }));
 }
