--- a/tests/crossings.cpp
+++ b/tests/crossings.cpp
@@ -187,11 +187,6 @@
   assert(caller.closed(1) && !fetch.anything(0));
 }
 
-std::string chunk(const std::string& line) {
-  char size[16];
-  std::snprintf(size, sizeof size, "%zx", line.size());
-  return std::string(size) + "\r\n" + line + "\r\n";
-}
 std::string list_of(int index, const std::string& entries, bool whole = true) {
   return chunk(R"({"index":)" + std::to_string(index) + R"(,"snapshot":)" + (whole ? "true" : "false") +
                R"(,"endpoints":[)" + entries + "]}\n");
--- a/tests/running.h
+++ b/tests/running.h
@@ -135,6 +135,11 @@
   return "POST /write HTTP/1.1\r\nHost: origin.svc\r\nX-Correlation-Id: 78\r\nContent-Length: " +
          std::to_string(body.size()) + "\r\n" + more + "\r\n" + body;
 }
+inline std::string chunk(const std::string& line) {
+  char size[16];
+  std::snprintf(size, sizeof size, "%zx", line.size());
+  return std::string(size) + "\r\n" + line + "\r\n";
+}
 inline std::string ok(const std::string& body) {
   return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
--- a/tests/serving.cpp
+++ b/tests/serving.cpp
@@ -339,12 +339,6 @@
   assert(caller.answer_status() == 200);  // the reader skips the interim answer
 }
 
-std::string chunk(const std::string& line) {
-  char size[16];
-  std::snprintf(size, sizeof size, "%zx", line.size());
-  return std::string(size) + "\r\n" + line + "\r\n";
-}
-
 // Where asking is priced one watch stands as long as it says something, so that a story can tell it what it
 // likes.
 const Running::Options kPriced{.registry = "on_request"};
