Watch: calls that a priced discovery refuses rest twice as long each time, drawn

Cause: a discovery that is asked is one service for all. Dropped: a missed entry or a misread list (no list came at all), the drain's own time (2 s).

Change: the rest starts at 0.4 s, doubles to 1.1 s with each call in a row that failed, and is drawn by a quarter up or down, from the process's seed; pushed lists, whose agent answers at no cost, keep 0.15 s. A status that is no 200 is named in the log also without a body.

--- a/serving/server.cpp
+++ b/serving/server.cpp
@@ -217,8 +217,8 @@
     }
   }
   if (!running.listed.empty()) running.carrier->know(running.known());
-  running.watch =
-      std::make_unique<Watch>(loop(), running, pool.discovery, Loop::unix_offset(), 0, Watch::Asking::Free);
+  running.watch = std::make_unique<Watch>(loop(), running, pool.discovery, Loop::unix_offset(), 0,
+                                          Watch::Asking::Free, chance_());
   running.watch->open();
 }
 
--- a/sidecar/wire/watch.cpp
+++ b/sidecar/wire/watch.cpp
@@ -1,5 +1,8 @@
 #include "sidecar/wire/watch.h"
 
+#include <algorithm>
+#include <cmath>
+#include <limits>
 #include <utility>
 
 namespace puffinvane {
@@ -10,9 +13,16 @@
 // comes up and says nothing and another that never comes up it is heard after 2.1 + 0.85 + 1.05 + 0.85 = 4.85
 // s (each with the look and the rest that follow), which leaves a second for a stall of ours.
 constexpr double kRenew = 2, kConnect = 0.6, kFirstList = 0.8, kLook = 0.1, kRest = 0.15;
-// Priced: an empty line comes every 2 s, also as the first, where nothing changed. With one that says nothing
-// after the one that fell silent: 2.8 + 2.75 = 5.55 s.
-constexpr double kSilence = 2.7, kFirstLine = 2.5;
+// Priced: an empty line comes every 2 s, also as the first, where nothing changed, and a call waits 2 s for
+// its turn at most. With one that says nothing after the one that fell silent: 2.6 + 2.3 + 0.5 = 5.4 s.
+constexpr double kSilence = 2.5, kFirstLine = 2.2;
+// One discovery answers all, in turn, and a call that it refuses is work as well: asked again at once by
+// everybody, as when all watches are reset, it refuses for ever. Each call that fails doubles the rest, drawn
+// so that they do not come together again. A change is heard 6 s after the watch broke though three calls
+// were refused: 0.5 + 1 + 1.4 s of rests at their longest, and 2 s in which the last call has its turn.
+constexpr double kFirstRest = 0.4, kLongestRest = 1.1, kSpread = 0.25;
+constexpr double kNever = std::numeric_limits<double>::infinity();
+constexpr double kStood = 2;  // for so long a watch has to stand before its end is no failure of the call
 constexpr double kBrokenOff = 0.5;  // a list that stops amid its lines is one that can't be read
 constexpr std::size_t kMostAtOnce = 8 << 20;
 }  // namespace
@@ -26,7 +36,7 @@
     {State::Connecting, Input::Connected, State::Asked, &Watch::ask},
     {State::Connecting, Input::Overdue, State::Resting, &Watch::rest},
     {State::Connecting, Input::Ended, State::Resting, &Watch::rest},
-    {State::Asked, Input::Heard, State::Listening, &Watch::heard},
+    {State::Asked, Input::Heard, State::Listening, &Watch::listen},
     {State::Asked, Input::Overdue, State::Resting, &Watch::rest},
     {State::Asked, Input::Ended, State::Resting, &Watch::rest},
     {State::Asked, Input::Nonsense, State::Resting, &Watch::rest_and_forget},
@@ -36,13 +46,14 @@
 };
 
 Watch::Watch(Loop& loop, Owner& owner, std::string address, double clock_offset, std::int64_t known,
-             Asking asking)
+             Asking asking, std::uint64_t seed)
     : loop_(loop),
       owner_(owner),
       address_(std::move(address)),
       clock_offset_(clock_offset),
       index_(known),
       asking_(asking),
+      chance_(seed),
       stream_(loop, *this),
       reader_(HttpReader::Side::Answer, loop.pool(), kMostAtOnce) {
   look();
@@ -81,7 +92,23 @@
 
 void Watch::rest() {
   stream_.close();
-  loop_.at(loop_.now() + kRest, alive_.guard([this] { turn(Input::Rested); }));
+  double now = loop_.now();
+  if (now - std::exchange(listening_since_, kNever) > kStood) failed_ = 0;
+  rests_until_ = now + pause();
+  loop_.at(rests_until_, alive_.guard([this, until = rests_until_] {
+    if (until == rests_until_) turn(Input::Rested);  // else that rest was cut short, and this is another
+  }));
+}
+
+double Watch::pause() {
+  if (asking_ == Asking::Free) return kRest;
+  double longest = std::min(kLongestRest, std::ldexp(kFirstRest, std::min(failed_++, 8)));
+  return longest * (1 - kSpread + 2 * kSpread * std::ldexp(double(chance_()), -32));
+}
+
+void Watch::listen() {
+  heard();
+  listening_since_ = loop_.now();
 }
 
 void Watch::rest_and_forget() {
@@ -123,12 +150,13 @@
 void Watch::on_received(std::string_view bytes) {
   bytes_at_ = loop_.now();
   reader_.feed(bytes);
-  if (reader_.fault() != HttpReader::Fault::None || (reader_.in_body() && reader_.message().status != 200)) {
+  bool answers = reader_.in_body() || reader_.whole();
+  if (reader_.fault() != HttpReader::Fault::None || (answers && reader_.message().status != 200)) {
     if (!std::exchange(complained_, true))
       loop_.log().warning() << "discovery does not answer as it should: status " << reader_.message().status;
     return turn(Input::Ended);
   }
-  if (reader_.in_body() || reader_.whole()) lines_.add(reader_.take_body());
+  if (answers) lines_.add(reader_.take_body());
   std::string line;
   while ((state_ == State::Asked || state_ == State::Listening) && lines_.next(line)) {
     try {
--- a/sidecar/wire/watch.h
+++ b/sidecar/wire/watch.h
@@ -4,6 +4,8 @@
 #pragma once
 
 #include <cstdint>
+#include <limits>
+#include <pcg_random.hpp>
 #include <string>
 
 #include "puffinvane/table.h"
@@ -24,8 +26,9 @@
   // Free: lists are pushed to an agent, which answers at once. Priced: asking is work that somebody pays for.
   enum class Asking { Free, Priced };
 
-  Watch(Loop& loop, Owner& owner, std::string address, double clock_offset, std::int64_t known,
-        Asking asking);
+  // seed: of its rests, so that many of one discovery do not ask it together.
+  Watch(Loop& loop, Owner& owner, std::string address, double clock_offset, std::int64_t known, Asking asking,
+        std::uint64_t seed);
   void open();
   // Discovery has moved: what was heard of it holds, and what came since is asked for at the new address.
   void move(const std::string& address);
@@ -38,8 +41,10 @@
   static const Row<Watch, State, Input> kRows[];
   void turn(Input input);
   void ask();
+  void listen();
   void rest();
   void rest_and_forget();
+  double pause();  // between two calls
 
   void on_connected() override { turn(Input::Connected); }
   void on_received(std::string_view bytes) override;
@@ -56,12 +61,14 @@
   double clock_offset_;
   std::int64_t index_;
   const Asking asking_;
+  pcg32 chance_;
   Stream stream_;
   HttpReader reader_;
   Lines lines_;
   State state_ = State::Resting;
   double since_ = 0;  // that its state, or a watch's last whole line, has lasted
-  double bytes_at_ = 0;
+  double bytes_at_ = 0, rests_until_ = 0, listening_since_ = std::numeric_limits<double>::infinity();
+  int failed_ = 0;  // calls in a row
   bool listed_ = false, emptied_ = false, complained_ = false;
   Alive alive_;
 };
