Carrier: two names listed at one address do not take it from each other

Cause: Carrier::news compared a told address with the one that the name holds (Addresses), which two names at one address can't both do, and Addresses::note gave it to whoever was named last.

Change: what each name was told is kept with its entry and compared with what it is told next. An address belongs to a ready one, of two to the one that started last, and goes back when that one leaves. Addresses are found by name and by address, in place of a walk over all for each entry.

The story plays an old name that leaves and one that is still called active; the new one's connection carries on over three lists. It fails on the program before.

--- a/sidecar/memory/addresses.h
+++ b/sidecar/memory/addresses.h
@@ -14,17 +14,20 @@
   // and whoever had this address before. Two can't listen there, so that one is gone, told or not.
   std::vector<std::string> note(const std::string& endpoint, const std::string& address) {
     std::vector<std::string> stale;
-    auto [found, is_new] = by_name_.try_emplace(endpoint, address);
-    if (!is_new && found->second == address) return stale;
-    for (auto& [name, at] : by_name_) {
-      if ((name == endpoint) != (at == address)) stale.push_back(name);
-    }
-    found->second = address;
-    for (const std::string& name : stale) {
-      if (name != endpoint) by_name_.erase(name);
+    if (const std::string* known = find(endpoint)) {
+      if (*known == address) return stale;
+      stale.push_back(endpoint);
     }
+    if (const std::string* before = owner(address)) stale.push_back(*before);
+    for (const std::string& name : stale) forget(name);
+    by_name_[endpoint] = address, by_address_[address] = endpoint;
     return stale;
   }
+  // Who has it.
+  const std::string* owner(const std::string& address) const {
+    auto found = by_address_.find(address);
+    return found == by_address_.end() ? nullptr : &found->second;
+  }
   std::vector<std::string> missing_from(const std::set<std::string>& listed) const {
     std::vector<std::string> missing;
     for (const auto& [name, address] : by_name_) {
@@ -36,10 +39,14 @@
     auto found = by_name_.find(endpoint);
     return found == by_name_.end() ? nullptr : &found->second;
   }
-  void forget(const std::string& endpoint) { by_name_.erase(endpoint); }
+  void forget(const std::string& endpoint) {
+    auto found = by_name_.find(endpoint);
+    if (found == by_name_.end()) return;
+    by_address_.erase(found->second), by_name_.erase(found);
+  }
 
  private:
-  std::map<std::string, std::string> by_name_;
+  std::map<std::string, std::string> by_name_, by_address_;
 };
 
 }  // namespace puffinvane
--- a/sidecar/wire/carrier.cpp
+++ b/sidecar/wire/carrier.cpp
@@ -481,9 +481,9 @@
     const ListEntry& entry = whole.entries[i];
     there.insert(entry.endpoint);
     auto known = listed_.find(entry.endpoint);
-    const std::string* address = addresses_.find(entry.endpoint);
-    bool same = known == listed_.end() ? entry.state == Listed::Gone
-                                       : known->second == entry && address && *address == whole.addresses[i];
+    bool same = known == listed_.end()
+                    ? entry.state == Listed::Gone
+                    : known->second == entry && known->second.address == whole.addresses[i];
     if (!same) changes.entries.push_back(entry), changes.addresses.push_back(whole.addresses[i]);
   }
   for (const auto& [name, entry] : listed_) {  // what a whole list leaves out is gone without a word
@@ -497,10 +497,8 @@
 EndpointList Carrier::listing() const {
   EndpointList list;
   list.index = index_, list.whole = true;
-  for (const auto& [name, entry] : listed_) {
-    const std::string* address = addresses_.find(name);
-    list.entries.push_back(entry), list.addresses.push_back(address ? *address : "");
-  }
+  for (const auto& [name, told] : listed_)
+    list.entries.push_back(told), list.addresses.push_back(told.address);
   return list;
 }
 
@@ -557,9 +555,24 @@
   policy_->list(loop_.now(), ListScope::Changes, {&told, 1});
 }
 
-void Carrier::note_listed(const ListEntry& entry) {
+void Carrier::note_listed(const ListEntry& entry, const std::string& address) {
   if (entry.state == Listed::Gone) return note_gone(entry.endpoint);
-  listed_.insert_or_assign(entry.endpoint, entry);
+  auto& told = listed_[entry.endpoint];
+  static_cast<ListEntry&>(told) = entry;
+  if (!address.empty()) told.address = address;
+}
+
+// Two may be listed at one address for a while, the old one not yet known to be gone, or on its way out. Only
+// one can listen there: who is ready, and of those who started last. The list comes again and again, and must
+// not pass it to and fro.
+void Carrier::note_address(const Told& told) {
+  if (told.state != Listed::Ready || told.address.empty()) return;
+  if (const std::string* has = addresses_.owner(told.address); has && *has != told.endpoint) {
+    auto owner = listed_.find(*has);
+    bool ready = owner != listed_.end() && owner->second.state == Listed::Ready;
+    if (ready && owner->second.online_since > told.online_since) return;
+  }
+  for (const std::string& stale : addresses_.note(told.endpoint, told.address)) drop_connections(stale);
 }
 
 void Carrier::note_gone(const std::string& endpoint) {
@@ -574,18 +587,18 @@
   for (std::size_t i = 0; i < list.entries.size(); ++i) {
     const ListEntry& entry = list.entries[i];
     listed.insert(entry.endpoint);
-    note_listed(entry);
+    note_listed(entry, list.addresses[i]);
     if (entry.state != Listed::Ready) drop_connections(entry.endpoint);
     if (entry.state == Listed::Gone) addresses_.forget(entry.endpoint);
-    else if (!list.addresses[i].empty()) {
-      for (const std::string& stale : addresses_.note(entry.endpoint, list.addresses[i]))
-        drop_connections(stale);
-    }
+    else note_address(listed_.at(entry.endpoint));
   }
   if (list.whole) {  // what a whole list leaves out is gone without a word
     for (const std::string& gone : addresses_.missing_from(listed))
       drop_connections(gone), addresses_.forget(gone), note_gone(gone);
   }
+  for (const auto& [name, entry] : listed_) {  // who had its address may have just left it
+    if (!addresses_.find(name)) note_address(entry);
+  }
   std::vector<ListEntry> told = list.entries;
   for (ListEntry& entry : told) entry = as_told(std::move(entry));
   policy_->list(loop_.now(), scope, told);
--- a/sidecar/wire/carrier.h
+++ b/sidecar/wire/carrier.h
@@ -127,7 +127,11 @@
   Backend::Carried let_go(Backend& backend);
   void note_entries(const EndpointList& list, ListScope scope);
   EndpointList news(const EndpointList& whole) const;
-  void note_listed(const ListEntry& entry);
+  struct Told : ListEntry {
+    std::string address;
+  };
+  void note_listed(const ListEntry& entry, const std::string& address);
+  void note_address(const Told& told);
   void tell(const ListEntry& entry);
   ListEntry as_told(ListEntry entry) const;
   void note_gone(const std::string& endpoint);
@@ -146,11 +150,11 @@
   std::size_t next_heir_ = 0;
   double last_visit_ = 0;
   Addresses addresses_;
-  std::map<std::string, ListEntry, std::less<>> listed_;  // as discovery says
-  std::set<std::string, std::less<>> out_;                // by order
-  std::map<std::string, double, std::less<>> parts_;      // none: the module deals by the numbers given
-  std::deque<std::string> lately_;                        // listed no more
-  std::int64_t index_ = 0;                                // of the list
+  std::map<std::string, Told, std::less<>> listed_;   // as discovery says
+  std::set<std::string, std::less<>> out_;            // by order
+  std::map<std::string, double, std::less<>> parts_;  // none: the module deals by the numbers given
+  std::deque<std::string> lately_;                    // listed no more
+  std::int64_t index_ = 0;                            // of the list
   Figures figures_;
   Visits visits_;
   Idle<Backend> idle_;
--- a/tests/crossings.cpp
+++ b/tests/crossings.cpp
@@ -400,52 +400,98 @@
   for (auto& each : endpoints) assert(each->knocked(0.3));  // by depth: one at each
 }
 
+// A discovery that tells whoever asks one whole list, the same to each.
+class Agent {
+ public:
+  Agent(Listener& listener, std::string entries)
+      : listener_(listener), entries_(std::move(entries)), telling_([this] { tell(); }) {}
+  ~Agent() {
+    over_ = true;
+    telling_.join();
+  }
+  int told() const { return told_; }
+  void wait_for(int more) const {
+    int before = told_;
+    for (double until = now() + 6; told_ < before + more && now() < until;) sleep_for(0.02);
+    assert(told_ >= before + more);
+  }
+
+ private:
+  void tell() {
+    std::vector<Line> watches;
+    while (!over_) {
+      if (!listener_.knocked(0.05)) continue;
+      watches.push_back(listener_.take());
+      if (watches.back().hear(Side::Request)) watches.back().say(kWatching + list_of(8, entries_)), ++told_;
+    }
+  }
+  Listener& listener_;
+  const std::string entries_;
+  std::atomic<int> told_ = 0;
+  std::atomic<bool> over_ = false;
+  std::thread telling_;
+};
+
+// An old name is still listed, leaving or not known to be gone, at the address that a new one has taken. Each
+// time that the list came the address was passed to and fro, and the new one's connections were closed.
+void two_names_at_one_address_do_not_take_it_from_each_other() {
+  for (const char* status : {"leaving", "active"}) {
+    Listener discovery(9), endpoint(2);
+    Running::Options options;
+    options.discovery = &discovery;
+    std::string fresh = entry("new", endpoint.address);
+    fresh.replace(fresh.find(R"("since_ms":0)"), 12, R"("since_ms":1700000000000)");
+    Agent agent(discovery, fresh + "," + entry("old", endpoint.address, status));
+    Running sidecar(entry("new", endpoint.address), options);
+    auto ask = [&](const std::string& id, Line& fetch) {
+      Line caller(sidecar.listen);
+      caller.say(get("", id));
+      if (!fetch.anything(1)) return false;
+      return fetch.hear(Side::Request) && fetch.say(ok("x")) && caller.answer_status() == 200;
+    };
+    Line first(sidecar.listen);
+    first.say(get("", "0"));
+    auto [fetch, request] = endpoint.take_request();
+    fetch.say(ok("x"));
+    assert(first.answer_status() == 200);
+    for (int i = 1, until = agent.told() + 2; agent.told() < until; ++i) {
+      sleep_for(0.3);
+      assert(i < 20 && ask(std::to_string(i), fetch));
+    }
+    assert(!endpoint.knocked(0));
+  }
+}
+
 // Taken back by order it is cold from then on. The list, which comes again and again and knows nothing of
 // that, made it warm, and half of all went there at once.
 void an_endpoint_taken_back_stays_cold_though_the_list_comes_again() {
   Listener discovery(9), one(2), other(3);
   Running::Options options;
   options.discovery = &discovery, options.console = here(8) + ":5008";
-  std::atomic<int> listed = 0;
-  std::atomic<bool> over = false;
-  std::thread agent([&] {
-    std::vector<Line> watches;
-    while (!over) {
-      if (!discovery.knocked(0.05)) continue;
-      watches.push_back(discovery.take());
-      if (!watches.back().hear(Side::Request)) continue;
-      watches.back().say(kWatching + list_of(8, entry("a", one.address) + "," + entry("b", other.address)));
-      ++listed;
-    }
-  });
-  {
-    Running sidecar(entry("a", one.address) + "," + entry("b", other.address), options);
-    auto order = [&](const std::string& what) {
-      Line line(options.console);
-      line.say("PUT /api/" + what + " HTTP/1.1\r\nContent-Length: 1\r\n\r\na");
-      return line.answer_status() == 200;
-    };
-    assert(order("exclude") && order("include"));
-    int before = listed;
-    for (double until = now() + 6; listed < before + 2 && now() < until;) sleep_for(0.02);
-    assert(listed >= before + 2);
-    int there = 0;
-    for (int i = 0; i < 40; ++i) {
-      Line caller(sidecar.listen);
-      caller.say(get("", std::to_string(i)));
-      while (!one.knocked(0.001) && !other.knocked(0.001)) {
-      }
-      bool at_one = one.knocked(0);
-      Line fetch = (at_one ? one : other).take();
-      assert(fetch.hear(Side::Request) &&
-             fetch.say("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n") &&
-             caller.answer_status() == 200);
-      there += at_one;
+  const std::string entries = entry("a", one.address) + "," + entry("b", other.address);
+  Agent agent(discovery, entries);
+  Running sidecar(entries, options);
+  auto order = [&](const std::string& what) {
+    Line line(options.console);
+    line.say("PUT /api/" + what + " HTTP/1.1\r\nContent-Length: 1\r\n\r\na");
+    return line.answer_status() == 200;
+  };
+  assert(order("exclude") && order("include"));
+  agent.wait_for(2);
+  int there = 0;
+  for (int i = 0; i < 40; ++i) {
+    Line caller(sidecar.listen);
+    caller.say(get("", std::to_string(i)));
+    while (!one.knocked(0.001) && !other.knocked(0.001)) {
     }
-    assert(there < 12);  // a cold one's share is a tenth at first
+    bool at_one = one.knocked(0);
+    Line fetch = (at_one ? one : other).take();
+    assert(fetch.hear(Side::Request) &&
+           fetch.say("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n") &&
+           caller.answer_status() == 200);
+    there += at_one;
   }
-  over = true;
-  agent.join();
+  assert(there < 12);  // a cold one's share is a tenth at first
 }
 
 }  // namespace
@@ -479,6 +525,7 @@
       STORY(time_spent_at_the_door_or_behind_another_request_is_not_told_again),
       STORY(an_answer_that_never_ends_is_cut_once_its_time_is_over),
       STORY(want_of_descriptors_blames_no_endpoint),
+      STORY(two_names_at_one_address_do_not_take_it_from_each_other),
       STORY(an_endpoint_taken_back_stays_cold_though_the_list_comes_again),
 #undef STORY
   };
