Carrier: a connection that comes up late is kept, and a second one opened beside it

Cause: a third of the connections come up late there, up to 1.5 s. Backend closed each at the end of its time (row Connecting, TimedOut), so that the next attempt began with a new one and the same odds.

Change: what is not up in its time goes on for 2 s (state Rising) and is kept once it is up; at half of the time one more is opened to the same endpoint, and whichever is up first carries the request. Four at most rise at an endpoint; they go when it leaves, and first where descriptors are wanted.

--- a/sidecar/wire/backend.cpp
+++ b/sidecar/wire/backend.cpp
@@ -23,7 +23,12 @@
     {State::Connecting, Input::Connected, State::Sending, &Backend::write},
     {State::Connecting, Input::ConnectedLate, State::Over, &Backend::report_late},
     {State::Connecting, Input::Ended, State::Over, &Backend::report_unsent},
-    {State::Connecting, Input::TimedOut, State::Over, &Backend::report_unsent},
+    {State::Connecting, Input::TimedOut, State::Rising, &Backend::report_not_up},
+    {State::Connecting, Input::Freed, State::Rising, &Backend::nothing},
+    {State::Rising, Input::Connected, State::Idle, &Backend::report_risen},
+    {State::Rising, Input::ConnectedLate, State::Idle, &Backend::report_risen},
+    {State::Rising, Input::Ended, State::Over, &Backend::report_idle_end},
+    {State::Rising, Input::Expired, State::Over, &Backend::report_idle_end},
     {State::Idle, Input::Fetch, State::Sending, &Backend::write},
     {State::Idle, Input::Ended, State::Over, &Backend::report_idle_end},
     {State::Idle, Input::Nonsense, State::Over, &Backend::report_idle_end},
@@ -58,6 +63,7 @@
   if (!stream_.connect(address)) return false;
   timeout_ = timeout;
   loop_.at(loop_.now() + timeout, alive_.guard([this] { turn(Input::TimedOut); }));
+  loop_.at(loop_.now() + std::max(timeout, kLongestRise), alive_.guard([this] { turn(Input::Expired); }));
   return true;
 }
 
@@ -167,6 +173,13 @@
   bool dropped = kept_ && !answering_ && loop_.now() - sent_ < timeout_;
   report(dropped ? Outcome::Stale : outcome_of_break(true));
 }
+void Backend::report_not_up() {
+  owner_->on_fetched(*this, outcome_of_break(false), HttpMessage(loop_.pool()));
+}
+void Backend::report_risen() {
+  idle_since_ = loop_.now();
+  owner_->on_risen(*this);
+}
 void Backend::report_idle_end() {
   stream_.close();
   owner_->on_idle_end(*this);
--- a/sidecar/wire/backend.h
+++ b/sidecar/wire/backend.h
@@ -34,12 +34,14 @@
     virtual void on_sent() = 0;  // a request's last byte was written
     virtual Outcome outcome_of(const HttpMessage& answer) const = 0;
     virtual void on_fetched(Backend& backend, Outcome outcome, HttpMessage answer) = 0;
-    virtual void on_idle_end(Backend& backend) = 0;
+    virtual void on_risen(Backend& backend) = 0;     // up, with nothing to carry
+    virtual void on_idle_end(Backend& backend) = 0;  // while it carries nothing
   };
 
   Backend(Loop& loop, Owner& owner, std::string endpoint, std::size_t most_body, bool streams);
   bool connect(std::string_view address, double timeout);  // false: it can't even begin
   void carry(Carried fetch, bool head);                    // once up, or at once on an idle connection
+  void rise() { turn(Input::Freed); }                      // goes on coming up, with nothing to carry
   void push();                                             // more of the request's body has come
   void hold_back(bool on) { stream_.read(!on), heard_ = loop_.now(); }  // of its answer
   void give_up() { stream_.close(), state_ = State::Over; }
@@ -54,14 +56,16 @@
   }
   bool idle() const { return state_ == State::Idle; }
   bool connecting() const { return state_ == State::Connecting; }
+  bool rising() const { return state_ == State::Rising; }
   bool quiet() const { return stream_.quiet(); }
   const Carried& carried() const { return carried_; }
   const std::string& endpoint() const { return endpoint_; }
   double stood_idle(double now) const { return now - idle_since_; }
 
  private:
-  static constexpr double kWhile = 0.3;  // seconds: one that has only begun says nothing of its pace
-  enum class State { Connecting, Idle, Sending, Awaiting, Relaying, Over };
+  static constexpr double kWhile = 0.3;      // seconds: one that has only begun says nothing of its pace
+  static constexpr double kLongestRise = 2;  // seconds: the system's own second and third try are within
+  enum class State { Connecting, Rising, Idle, Sending, Awaiting, Relaying, Over };
   enum class Input {
     Connected,
     ConnectedLate,
@@ -73,7 +77,9 @@
     Nonsense,
     Stopped,
     Ended,
-    TimedOut
+    TimedOut,
+    Freed,
+    Expired
   };
   static const Row<Backend, State, Input> kRows[];
   void turn(Input input);
@@ -86,6 +92,9 @@
   bool too_long_to_hold() const;
   void report_nonsense();
   void report_unsent();
+  void report_not_up();
+  void report_risen();
+  void nothing() {}
   void report_late() { report(Outcome::NotSent); }
   void report_reset();
   void report_idle_end();
--- a/sidecar/wire/carrier.cpp
+++ b/sidecar/wire/carrier.cpp
@@ -17,8 +17,10 @@
 // An endpoint may say something more some milliseconds after its answer. On a connection that carries the
 // next request by then it would be read as that one's answer.
 constexpr double kSettled = 0.03;
-constexpr std::size_t kLately = 4096;            // endpoints that are known though no longer listed
-constexpr std::size_t kInOne = 64 * 1024;        // of a body, written at a time
+constexpr double kHelpAfter = 0.5;         // of the time that a connection has to come up
+constexpr std::size_t kMostRising = 4;     // connections to an endpoint that come up with nothing to carry
+constexpr std::size_t kLately = 4096;      // endpoints that are known though no longer listed
+constexpr std::size_t kInOne = 64 * 1024;  // of a body, written at a time
 constexpr std::size_t kMostUnsent = 256 * 1024;  // of one that streams, before it has a connection
 constexpr double kUploading = 1200;              // seconds: longer than any body takes at the least pace
 constexpr double kBeforeEnd = 0.01;
@@ -50,6 +52,7 @@
 void Carrier::retire(const std::vector<Carrier*>& heirs) {
   retired_ = loop_.now();
   for (Carrier* heir : heirs) heirs_.push_back({heir, heir->alive_.watch()});
+  while (!rising_.empty()) drop_rising(std::string(rising_.begin()->first));
   for (double since = idle_.oldest(); !std::isinf(since); since = idle_.oldest())
     pass_on(idle_.take_oldest(since), since);
 }
@@ -123,17 +126,70 @@
     used->carry(fetch, head);
     return {};
   }
-  const std::string* address = addresses_.find(endpoint);
-  if (!address) return Outcome::ConnectFailed;
+  if (!addresses_.find(endpoint)) return Outcome::ConnectFailed;
   if (!admission_.room_for_fetch()) return Outcome::NotSent;  // our own want: it says nothing of the endpoint
-  auto fresh = std::make_unique<Backend>(loop_, *this, endpoint, manner_.most_body, manner_.streams);
-  if (!fresh->connect(*address, deployment_.connect_timeout)) return Outcome::ConnectFailed;
+  std::unique_ptr<Backend> fresh = open(endpoint);
+  if (!fresh) return Outcome::ConnectFailed;
   used = fresh.get();
   busy_[used] = std::move(fresh);
   used->carry(fetch, head);
+  loop_.at(loop_.now() + kHelpAfter * deployment_.connect_timeout,
+           alive_.guard([this, fetch] { help(fetch); }));
   return {};
 }
 
+std::unique_ptr<Backend> Carrier::open(const std::string& endpoint) {
+  auto fresh = std::make_unique<Backend>(loop_, *this, endpoint, manner_.most_body, manner_.streams);
+  const std::string* address = addresses_.find(endpoint);
+  bool begun = address && fresh->connect(*address, deployment_.connect_timeout);
+  return begun ? std::move(fresh) : nullptr;
+}
+
+// A connection that is not up by half of its time may be one of those that come up late, or never: another
+// one to the same endpoint may be up before it. Whichever is first carries the fetch, the other is kept.
+void Carrier::help(Backend::Carried fetch) {
+  VisitInHand* visit = visits_.find(fetch.visit);
+  Backend* waiting = visit ? visit->fetches[std::size_t(fetch.number)].backend : nullptr;
+  if (!waiting || !waiting->connecting() || retired_ || loop_.descriptors().left() <= 0) return;
+  const std::string endpoint = waiting->endpoint();
+  if (auto there = rising_.find(endpoint); there != rising_.end() && there->second.size() >= kMostRising)
+    return;
+  if (std::unique_ptr<Backend> helper = open(endpoint)) {
+    helper->rise();
+    rising_[endpoint].push_back(std::move(helper));
+  }
+}
+
+void Carrier::on_risen(Backend& backend) {
+  const std::string endpoint = backend.endpoint();
+  std::unique_ptr<Backend> risen = no_longer_rising(backend);
+  auto waits = std::find_if(busy_.begin(), busy_.end(), [&](const auto& one) {
+    return one.second->connecting() && one.second->endpoint() == endpoint;
+  });
+  if (retired_) return loop_.bury(std::move(risen));
+  if (waits == busy_.end()) return idle_.put(endpoint, std::move(risen), loop_.now() - kSettled);
+  std::unique_ptr<Backend> waiting = std::move(busy_.extract(waits).mapped());
+  const Backend::Carried fetch = waiting->carried();
+  waiting->rise();
+  rising_[endpoint].push_back(std::move(waiting));
+  VisitInHand& visit = *visits_.find(fetch.visit);
+  visit.fetches[std::size_t(fetch.number)].backend = &backend;
+  busy_[&backend] = std::move(risen);
+  backend.carry(fetch, visit.request.method == "HEAD");
+}
+
+std::unique_ptr<Backend> Carrier::no_longer_rising(const Backend& backend) {
+  auto there = rising_.find(backend.endpoint());
+  if (there == rising_.end()) return {};
+  auto at = std::find_if(there->second.begin(), there->second.end(),
+                         [&](const auto& one) { return one.get() == &backend; });
+  if (at == there->second.end()) return {};
+  std::unique_ptr<Backend> taken = std::move(*at);
+  there->second.erase(at);
+  if (there->second.empty()) rising_.erase(there);
+  return taken;
+}
+
 // Answers, alarms and a caller's end that are found in one turn of the loop come in any order, and after a
 // stall or a wait at the door the end is an old one: it is looked for before anything is sent on.
 bool Carrier::caller_left(VisitId id) {
@@ -334,7 +390,11 @@
 }
 
 void Carrier::keep_or_close(std::unique_ptr<Backend> backend) {
-  if (!backend->idle()) return loop_.bury(std::move(backend));
+  if (backend->rising() && !retired_) {
+    auto& there = rising_[backend->endpoint()];
+    if (there.size() < kMostRising) return there.push_back(std::move(backend));
+  }
+  if (!backend->idle()) return backend->give_up(), loop_.bury(std::move(backend));
   if (retired_) return pass_on(std::move(backend), loop_.now());
   std::string endpoint = backend->endpoint();
   idle_.put(endpoint, std::move(backend), loop_.now());
@@ -353,7 +413,10 @@
   return manner_.any_status ? outcome_of_any(answer) : puffinvane::outcome_of(answer);
 }
 
-void Carrier::on_idle_end(Backend& backend) { loop_.bury(idle_.take(backend.endpoint(), backend)); }
+void Carrier::on_idle_end(Backend& backend) {
+  std::unique_ptr<Backend> risen = no_longer_rising(backend);
+  loop_.bury(risen ? std::move(risen) : idle_.take(backend.endpoint(), backend));
+}
 
 void Carrier::out_of_time(VisitId id, int number) {
   VisitInHand* visit = visits_.find(id);
@@ -429,11 +492,19 @@
 // ---- endpoints and their list
 
 void Carrier::drop_oldest_idle() {
+  if (!rising_.empty()) return drop_rising(std::string(rising_.begin()->first));
   std::unique_ptr<Backend> oldest = idle_.take_oldest(std::numeric_limits<double>::infinity());
   if (oldest) oldest->give_up(), loop_.bury(std::move(oldest));
 }
 
+void Carrier::drop_rising(const std::string& endpoint) {
+  auto there = rising_.extract(endpoint);
+  if (there.empty()) return;
+  for (auto& one : there.mapped()) one->give_up(), loop_.bury(std::move(one));
+}
+
 void Carrier::drop_connections(const std::string& endpoint) {
+  drop_rising(endpoint);
   while (std::unique_ptr<Backend> kept = idle_.take(endpoint)) kept->give_up(), loop_.bury(std::move(kept));
   // Rule 3: a connect time-out may be longer than the grace, and the request is written at its end.
   std::vector<Backend*> coming_up;
--- a/sidecar/wire/carrier.h
+++ b/sidecar/wire/carrier.h
@@ -107,8 +107,9 @@
   void on_sent() override { figures_.note_fetch(); }
   Outcome outcome_of(const HttpMessage& answer) const override;
   void on_fetched(Backend& backend, Outcome outcome, HttpMessage answer) override;
+  void on_risen(Backend& backend) override;
   void on_idle_end(Backend& backend) override;
-  double oldest_idle() const override { return idle_.oldest(); }
+  double oldest_idle() const override { return rising_.empty() ? idle_.oldest() : 0; }
   void drop_oldest_idle() override;
 
   void pass_on(std::unique_ptr<Backend> idle, double since);
@@ -123,7 +124,11 @@
   void end_soon(VisitId id, int number, Outcome outcome);
   void out_of_time(VisitId id, int number);
   std::optional<Outcome> start(Backend::Carried fetch, const std::string& endpoint);  // why it could not
+  std::unique_ptr<Backend> open(const std::string& endpoint);
+  void help(Backend::Carried fetch);
+  std::unique_ptr<Backend> no_longer_rising(const Backend& backend);
   void drop_connections(const std::string& endpoint);
+  void drop_rising(const std::string& endpoint);
   Backend::Carried let_go(Backend& backend);
   void note_entries(const EndpointList& list, ListScope scope);
   EndpointList news(const EndpointList& whole) const;
@@ -158,6 +163,7 @@
   Figures figures_;
   Visits visits_;
   Idle<Backend> idle_;
+  std::map<std::string, std::vector<std::unique_ptr<Backend>>> rising_;  // by endpoint; none empty
   KeptUses kept_uses_;
   std::unordered_map<const Backend*, std::unique_ptr<Backend>> busy_;
   Alive alive_;
--- a/tests/crossings.cpp
+++ b/tests/crossings.cpp
@@ -12,6 +12,12 @@
 
 namespace {
 
+std::string list_of(int index, const std::string& entries, bool whole = true) {
+  return chunk(R"({"index":)" + std::to_string(index) + R"(,"snapshot":)" + (whole ? "true" : "false") +
+               R"(,"endpoints":[)" + entries + "]}\n");
+}
+const std::string kWatching = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
 // An answer that says no length ends with its connection. A reset under it was taken for that end, and half
 // an answer for a whole one.
 void an_answer_without_a_length_is_whole_at_an_end_and_a_part_at_a_reset() {
@@ -143,6 +149,56 @@
   assert(!taken.back().hear(Side::Request) && caller.answer_status() == 503);  // it can't have run
 }
 
+// What knocks on a full backlog comes up when the system tries again, after 1 s. It was closed when its time
+// was over, the next request began with a new one, and where many come up late all were given up like that.
+void a_connection_that_comes_up_late_carries_the_next_request() {
+  Listener endpoint(2, 0);
+  Line filling(endpoint.address);
+  Running sidecar(entry("a", endpoint.address), Running::Options{.connect_timeout = "0.3"});
+  assert(sidecar.status_of(post("x")) == 503);
+  endpoint.take();
+  std::vector<Line> late;
+  late.push_back(endpoint.take());  // and another one beside it, opened when it was not up by half its time
+  late.push_back(endpoint.take());
+  sleep_for(0.05);
+  Line caller(sidecar.listen);
+  caller.say(post("y"));
+  assert(!endpoint.knocked(0.2));
+  Line& used = late[0].anything(0.2) ? late[0] : late[1];
+  assert(used.hear(Side::Request)->body.text() == "y" && used.say(ok("x")) && caller.answer_status() == 200);
+}
+
+// The first connection hangs, and there is room at the endpoint again: a second one carries the request.
+void a_request_whose_connection_does_not_come_up_goes_on_another() {
+  Listener endpoint(2, 0);
+  Line filling(endpoint.address);
+  Running sidecar(entry("a", endpoint.address), Running::Options{.connect_timeout = "0.6"});
+  Line caller(sidecar.listen);
+  double begun = now();
+  caller.say(post("x"));
+  sleep_for(0.1);
+  endpoint.take();
+  auto [fetch, request] = endpoint.take_request();
+  fetch.say(ok("x"));
+  assert(caller.answer_status() == 200 && now() - begun < 0.55);
+}
+
+// What comes up late at an endpoint that is told to leave carries nothing any more.
+void a_connection_that_comes_up_at_one_told_to_leave_is_closed() {
+  Listener discovery(9), endpoint(2, 0);
+  Line filling(endpoint.address);
+  Running::Options options{.connect_timeout = "0.3"};
+  options.discovery = &discovery, options.registry = "on_request";
+  Running sidecar(entry("a", endpoint.address), options);
+  Line watch = discovery.take_request().first;
+  watch.say(kWatching + list_of(8, entry("a", endpoint.address)));
+  assert(sidecar.status_of(post("x")) == 503);
+  watch.say(list_of(9, entry("a", endpoint.address, "leaving"), false));
+  sleep_for(0.05);
+  endpoint.take();
+  assert(!endpoint.knocked(1.2) || endpoint.take().ended(0.2));
+}
+
 // On a kept connection a second answer, some milliseconds late, was taken for that of the request which the
 // connection carried by then.
 void a_second_answer_that_comes_late_is_nobodys() {
@@ -187,12 +243,6 @@
   assert(caller.closed(1) && !fetch.anything(0));
 }
 
-std::string list_of(int index, const std::string& entries, bool whole = true) {
-  return chunk(R"({"index":)" + std::to_string(index) + R"(,"snapshot":)" + (whole ? "true" : "false") +
-               R"(,"endpoints":[)" + entries + "]}\n");
-}
-const std::string kWatching = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-
 bool goes_to(Listener& where, const Running& sidecar, const std::string& id) {
   Line caller(sidecar.listen);
   caller.say(get("", id));
@@ -513,6 +563,9 @@
       STORY(a_caller_that_sent_much_ahead_and_left_is_seen_to_leave),
       STORY(a_connection_that_comes_up_when_its_caller_has_left_carries_nothing),
       STORY(a_connection_found_up_after_its_time_is_over_carries_nothing),
+      STORY(a_connection_that_comes_up_late_carries_the_next_request),
+      STORY(a_request_whose_connection_does_not_come_up_goes_on_another),
+      STORY(a_connection_that_comes_up_at_one_told_to_leave_is_closed),
       STORY(a_second_answer_that_comes_late_is_nobodys),
       STORY(an_upload_that_turns_to_nonsense_is_told_so),
       STORY(a_resting_connection_is_shut_before_it_is_closed),
