Watch: where asking is free a call that says nothing is followed by another at once

After each call without a word (Asked/Overdue) the watch rested 0.15 s, in which nobody was there to be told. Dropped: a shorter rest for all ends, as a refusing agent would be knocked at without a pause.

--- a/sidecar/wire/watch.cpp
+++ b/sidecar/wire/watch.cpp
@@ -11,7 +11,7 @@
 // A change counts as told 6 s after discovery had it and could be reached, whatever became of the calls
 // between. Each with the look that follows, in the worst order that there is one of each:
 // Free: the list is asked for anew after kRenew. With a connection that never comes up, one that comes up and
-// says nothing and another that never comes up it is heard after 2.05 + 0.45 + 0.85 + 0.15 + 0.45 = 3.95 s,
+// says nothing and another that never comes up it is heard after 2.05 + 0.45 + 0.85 + 0.45 = 3.8 s,
 // which leaves two for a stall of ours or another call.
 constexpr double kRenew = 2, kConnect = 0.4, kFirstList = 0.8, kLook = 0.05, kRest = 0.15;
 // Priced: an empty line comes every 2 s, also as the first, where nothing changed, and a call waits 2 s for
@@ -116,7 +116,9 @@
 
 void Watch::rest_and_bear() {
   if (lines_.started()) bears_ = std::min(kSlowestList, 2 * std::max(first(), bears_));
-  rest();
+  // An agent that was silent tells what it has the moment that it can, to whom it finds there, and that counts
+  // at once: there is little more than a drain's grace to lose.
+  asking_ == Asking::Free ? turn(Input::Rested) : rest();
 }
 
 void Watch::listen() {
--- a/tests/watch.cpp
+++ b/tests/watch.cpp
@@ -182,6 +182,25 @@
   assert(!member.heard.empty());
 }
 
+// A silent agent tells what it has the moment that it can, and that counts at once: nobody was there then.
+void a_call_that_says_nothing_is_followed_by_another_at_once() {
+  Listener discovery(9);
+  Log log(std::cerr, Level::Error);
+  Loop loop(log, 64);
+  Member member(loop, discovery.address, 3, Watch::Asking::Free);
+  bool there = false;
+  std::thread answers([&] {
+    Line silent = discovery.take_request().first;
+    there = silent.ended(2) && discovery.knocked(0.1);
+    discovery.take_request().first.say(kAnswers + chunk(list_of(1)));
+    sleep_for(0.2);
+  });
+  loop.at(loop.now() + 2.5, [&] { loop.quit(); });
+  loop.run();
+  answers.join();
+  assert(there && !member.heard.empty());
+}
+
 // Asked for the whole list, a discovery that only goes on with empty lines has not answered.
 void empty_lines_are_no_answer_to_who_has_no_list() {
   Listener discovery(9);
@@ -207,6 +226,7 @@
 int main() {
   signal(SIGPIPE, SIG_IGN);
   a_list_that_comes_slowly_is_heard();
+  a_call_that_says_nothing_is_followed_by_another_at_once();
   empty_lines_are_no_answer_to_who_has_no_list();
   a_silent_watch_a_connection_that_never_comes_up_and_a_silent_call_in_a_row();
   calls_that_are_refused_come_less_often_and_go_on();
