--- a/rehearsal/world/clients.cpp
+++ b/rehearsal/world/clients.cpp
@@ -100,7 +100,8 @@
     if (std::size_t at = said.find("ID"); at != std::string::npos) said.replace(at, 2, id);
     if (!said.empty()) line_.send(said);
     // Dead before its last byte: its visit was never taken, and nothing of it may run.
-    if (said.ends_with("dies")) loop().at(loop().now() + 0.005, [this] { line_.reset(), over(true); });
+    if (said.ends_with("dies"))
+      death_ = loop().at(loop().now() + 0.005, [this] { line_.reset(), over(true); });
   }
 
  private:
@@ -115,7 +116,7 @@
   void on_end(Line&, bool) override { over(true); }
   void over(bool told) {
     if (!told) ++clients_.bad_unanswered_;
-    loop().cancel(timer_);
+    loop().cancel(timer_), loop().cancel(death_);
     line_.close();
     auto found = clients_.bad_callers_.extract(this);
     if (!found.empty()) loop().bury(std::move(found.mapped()));
@@ -123,7 +124,7 @@
   Clients& clients_;
   Line line_;
   Reader reader_;
-  Loop::Timer timer_{};
+  Loop::Timer timer_{}, death_{};
 };
 
 Clients::Clients(World& world, std::vector<Arrival> arrivals, Told told)
