Door: a fault on a later try for the address ends the start by its message

Read again: tries after the first run from the loop; one that failed by another cause than the address in use (no descriptor, say) threw through GLib, which ends in a crash. It now ends the program as the first try does. The story of the process that waits holds; no story forces that second cause.

--- a/sidecar/lifecycle/sidecar.cpp
+++ b/sidecar/lifecycle/sidecar.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <exception>
+#include <stdexcept>
 #include <utility>
 
 #include "sidecar/console/telemetry.h"
@@ -70,15 +71,23 @@
     if (console_ && console_->shut()) console_->open(assignment_.console);
     if (inherited_.door) door_.adopt(std::move(inherited_.door));
     else door_.open(assignment_.listen, console_ ? Door::Beside::Another : Door::Beside::Nobody);
-  } catch (const Door::InUse& fault) {
-    if (loop().now() > started_ + kKilledAfter) return fail(fault.what());
-    return loop().at(loop().now() + kDoorLook, alive_.guard([this] { open_doors(); }));
+  } catch (const Door::InUse&) {
+    if (loop().now() > started_ + kKilledAfter) throw;
+    return loop().at(loop().now() + kDoorLook, alive_.guard([this] { try_doors(); }));
   }
   if (fleet_) has_elder_ ? fleet_->open_in_turn() : fleet_->open(), look_at_shares();
   opened();
   if (succession_) succession_->serving();
 }
 
+void Sidecar::try_doors() {
+  try {
+    open_doors();
+  } catch (const std::runtime_error& fault) {
+    fail(fault.what());  // the loop is no place to throw through
+  }
+}
+
 void Sidecar::serves() {
   serving_ = true;
   if (fleet_) fleet_->serving();
--- a/sidecar/lifecycle/sidecar.h
+++ b/sidecar/lifecycle/sidecar.h
@@ -27,7 +27,8 @@
   void start() override;
 
  private:
-  void open_doors();
+  void open_doors();  // throws std::runtime_error
+  void try_doors();
   void serves() override;
   void reads_anew() override;
   Patience patience() const override;
