--- a/tests/crossings.cpp
+++ b/tests/crossings.cpp
@@ -598,8 +598,8 @@
   std::size_t ended = 0;
   std::vector<std::unique_ptr<Carrier>> pools;
   for (unsigned i = 0; i < 50; ++i)
-    pools.push_back(std::make_unique<Carrier>(loop, admission, read_deployment(parser.parse(settings)), i,
-                                              make_policy));
+    pools.push_back(
+        std::make_unique<Carrier>(loop, admission, read_deployment(parser.parse(settings)), i, make_policy));
   loop.at(loop.now() + 0.02, [&] {
     for (auto& pool : pools) pool->retire({});
     sleep_for(2.1);
