--- a/sidecar/lifecycle/lifecycle.h
+++ b/sidecar/lifecycle/lifecycle.h
@@ -18,10 +18,10 @@
   // The platform's SIGKILL comes 0.7 s after the longest client timeout, of which it counts 3 s at most.
   static constexpr double kKilledAfter = 3.7;
 
-  virtual void start() = 0;  // throws std::runtime_error if it can't listen
+  virtual void start() = 0;                              // throws std::runtime_error if it can't listen
   const std::string& failed() const { return failed_; }  // why it ended before it served; empty: it did not
-  void terminate();          // leaves once all that was taken is answered
-  void reload();             // reads its file anew; one that can't be used changes nothing
+  void terminate();                                      // leaves once all that was taken is answered
+  void reload();  // reads its file anew; one that can't be used changes nothing
 
  protected:
   struct Patience {
--- a/sidecar/lifecycle/sidecar.cpp
+++ b/sidecar/lifecycle/sidecar.cpp
@@ -40,8 +40,8 @@
                Manner{false, HttpReader::kMostBody, "", true}),
       callers_(loop, admission_, *this, HttpReader::kMostBody, 0, HttpReader::kMostStreamed),
       door_(loop, callers_),
-      watch_(loop, carrier_, assignment_.discovery, clock_offset, assignment_.known.index,
-             assignment_.asking, assignment_.seed),
+      watch_(loop, carrier_, assignment_.discovery, clock_offset, assignment_.known.index, assignment_.asking,
+             assignment_.seed),
       operations_(*this),
       inherited_(std::move(inherited)) {
   callers_.longest_wait(patience().longest);
--- a/sidecar/wire/discovery.h
+++ b/sidecar/wire/discovery.h
@@ -31,7 +31,7 @@
   void add(std::string_view bytes) { held_ += bytes; }
   bool next(std::string& line);
   bool too_long() const { return held_.size() > kMost; }
-  bool started() const { return depth_ > 0; }  // some of a list has come
+  bool started() const { return depth_ > 0; }      // some of a list has come
   bool unfinished() const { return broken_off_; }  // a list whose first lines have come and whose end has not
 
  private:
--- a/sidecar/wire/door.h
+++ b/sidecar/wire/door.h
@@ -26,7 +26,7 @@
   ~Door();
   int number() const { return number_; }  // told with each who enters
   enum class Beside { Nobody, Another };  // Another: a second process may listen there at the same time
-  struct InUse : std::runtime_error {  // somebody else listens there
+  struct InUse : std::runtime_error {     // somebody else listens there
     using std::runtime_error::runtime_error;
   };
   void open(std::string_view address, Beside beside = Beside::Nobody);  // throws std::runtime_error
--- a/sidecar/wire/watch.cpp
+++ b/sidecar/wire/watch.cpp
@@ -116,8 +116,8 @@
 
 void Watch::rest_and_bear() {
   if (lines_.started()) bears_ = std::min(kSlowestList, 2 * std::max(first(), bears_));
-  // An agent that was silent tells what it has the moment that it can, to whom it finds there, and that counts
-  // at once: there is little more than a drain's grace to lose.
+  // An agent that was silent tells what it has the moment that it can, to whom it finds there, and that
+  // counts at once: there is little more than a drain's grace to lose.
   asking_ == Asking::Free ? turn(Input::Rested) : rest();
 }
 
--- a/tests/running.h
+++ b/tests/running.h
@@ -28,12 +28,13 @@
     std::string client_timeout = "1.0", target_latency = "0.5";
     std::string registry = "pushed";  // or on_request: asking for the list is priced
     int number = 0;                   // of several processes of one sidecar
-    unsigned system = 0;              // descriptors that the system lets it have; none: as many as this process
-    Listener* discovery = nullptr;    // another's
+    unsigned system = 0;            // descriptors that the system lets it have; none: as many as this process
+    Listener* discovery = nullptr;  // another's
   };
   Running(const std::string& known, const std::string& limits, const std::string& connect_timeout = "0.1",
           const std::string& watched = "")
-      : Running(known, Options{limits, connect_timeout, watched, "", "1.0", "0.5", "pushed", 0, 0, nullptr}) {}
+      : Running(known, Options{limits, connect_timeout, watched, "", "1.0", "0.5", "pushed", 0, 0, nullptr}) {
+  }
   explicit Running(const std::string& known) : Running(known, Options()) {}
   Running(const std::string& known, const Options& options)
       : listen(here(1) + ":5001"),
