--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -475,7 +475,9 @@
     }
     return best / (double(std::clamp(rates_.size(), kLeastTicks, kRateTicks)) * kTick);
   }
-  int count(Health health) const { return int(std::ranges::count(endpoints_, health, &Endpoint::health)); }
+  int count(Health health) const {
+    return int(std::ranges::count(endpoints_, health, &Endpoint::health));
+  }
   int listed() const { return int(endpoints_.size()) - count(Health::Gone); }
   bool room(const Taken& visit) const {
     // The floor is shared: many sidecars' own small allowances would add up to a crowd on every endpoint.
