--- a/deploy/sites/derive.py
+++ b/deploy/sites/derive.py
@@ -2,6 +2,7 @@
 """Writes two variants of a site of the operators' kit, to play the bench's days on other settings.
 
     deploy/sites/derive.py ../given/kit
+    deploy/sites/derive.py ../given/kit --drawn 26     (settings drawn by that number, as out/drawn-26.toml)
 
 They go to deploy/sites/out/, which git leaves out, with the files that the bench wants beside a site. The
 variants differ from the site in what the program must take from the settings alone: names, shares, effects,
@@ -9,6 +10,7 @@
 lists where the site is pushed to.
 """
 import pathlib
+import random
 import re
 import shutil
 import sys
@@ -17,6 +19,8 @@
 BESIDE = ["sites/real.json", "sites/wire.json"]
 UNLOCKS = ["sites/unlock.txt", "more/mass/unlock.txt", "more/mass/other/unlock.txt"]
 
+ASKED = '"ask"\ncapacity = [3, 6]\ncall_lines = [15, 77]\ntimeout_ms = 2000'
+
 # Key, table, and the figures' factor; a table [x] or [[x]] is named by its last word.
 VARIANTS = {
     "brisk": {
@@ -45,13 +49,20 @@
                   "connect_timeout_ms": 3, "max_retry_after_ms": 2},
         "set": {("max_attempts", "allow"): "5", ("idle_s", "conn"): "25", ("late_worth", "class"): "0.5",
                 ("waste", "prices"): "0.2", ("connection", "prices"): "0.03",
-                ("mode", "discovery"): '"ask"\ncapacity = [3, 6]\ncall_lines = [15, 77]\ntimeout_ms = 2000'},
+                ("mode", "discovery"): ASKED},
         "effects": {"report": "safe", "ledger": "keyed", "archive": "unsafe"},
         "shares": {"desk-one": "0.34", "desk-two": "0.33", "desk-three": "0.33"},
     },
 }
 KEYED_WINDOW_MS = 5000  # leuven-main's
 
+# Of the drawn ones: sites in turn, and between which factors each key lies.
+DRAWN_FROM = [SITE, "sites/lisboa-compensacao.toml", "sites/nyeri-rounds.toml", "more/mass/other/portal-shah-alam.toml"]
+DRAWN = {"deadline_ms": (0.3, 3), "aim_ms": (0.4, 1.5), "work_ms": (0.3, 1.5), "window_ms": (0.15, 3),
+         "drain_grace_ms": (0.3, 3), "fall_ms": (0.3, 2), "connect_timeout_ms": (0.5, 4), "idle_s": (0.2, 2),
+         "cold_from": (0.25, 1), "cold_s": (0.5, 3), "error_rate": (1, 5), "fall_multiple": (0.6, 1.2),
+         "notice_s": (0.3, 1.5)}
+
 
 def scaled(value, factor):
     return re.sub(r"[0-9.]+", lambda found: f"{float(found[0]) * factor:g}", value)
@@ -83,14 +94,40 @@
     return "".join(blocks)
 
 
+def drawn(kit, number):
+    chance = random.Random(number)
+    text = (kit / DRAWN_FROM[number % len(DRAWN_FROM)]).read_text()
+    for key, (least, most) in DRAWN.items():
+        factor = chance.uniform(least, most)
+        text = re.sub(rf"(?m)^({key} = )([\[0-9].*)$", lambda line: line[1] + scaled(line[2], factor), text)
+    for key in ("second_copies", "retry_after", "probes"):
+        if chance.random() < 0.3:
+            text = re.sub(rf"(?m)^({key} = ).*$", r"\1false", text)
+    text = re.sub(r"(?m)^(max_attempts = ).*$", rf"\g<1>{chance.choice([1, 2, 3, 4, 6])}", text)
+    if chance.random() < 0.4:
+        text = text.replace('mode = "push"', f"mode = {ASKED}")
+    blocks = re.split(r"(?m)^(?=\[)", text)
+    for i, block in enumerate(blocks):
+        if not block.startswith("[[class]]") or chance.random() < 0.5:
+            continue
+        block = re.sub(r"(?m)^(effect|group|window_ms) = .*\n", "", block).rstrip("\n") + "\n"
+        effect = chance.choice(["safe", "keyed", "unsafe"])
+        where = f'group = "{chance.choice(["zone", "cell", "all"])}"\nwindow_ms = {chance.choice([600, 1500, 5000])}\n'
+        blocks[i] = block + f'effect = "{effect}"\n' + (where if effect == "keyed" else "") + "\n"
+    return re.sub(r'^name = "[^"]*"', f'name = "drawn-{number}"', "".join(blocks))
+
+
 def main():
-    if len(sys.argv) != 2 or not (pathlib.Path(sys.argv[1]) / SITE).is_file():
-        sys.exit(f"usage: {sys.argv[0]} KIT    (the operators' kit, with {SITE})")
+    asked = len(sys.argv) == 4 and sys.argv[2] == "--drawn" and sys.argv[3].isdecimal()
+    if not (len(sys.argv) == 2 or asked) or not (pathlib.Path(sys.argv[1]) / SITE).is_file():
+        sys.exit(f"usage: {sys.argv[0]} KIT [--drawn NUMBER]    (the operators' kit, with {SITE})")
     kit = pathlib.Path(sys.argv[1])
     out = pathlib.Path(__file__).resolve().parent / "out"
     out.mkdir(exist_ok=True)
     for name, how in VARIANTS.items():
         (out / f"{name}.toml").write_text(derive((kit / SITE).read_text(), name, how))
+    if asked:
+        (out / f"drawn-{sys.argv[3]}.toml").write_text(drawn(kit, int(sys.argv[3])))
     for beside in BESIDE:
         shutil.copyfile(kit / beside, out / pathlib.Path(beside).name)
     lines = []
