net: never block the event loop on a log that nobody reads

Callers saw: with standard output a full pipe that nobody reads, no answer to any request or admin call after the next log line, until the pipe was read; SIGTERM and a failed start had no effect either. Cause: Log wrote to a blocking stream on the event loop's thread.

--- a/src/admin/telemetry.cpp
+++ b/src/admin/telemetry.cpp
@@ -28,7 +28,7 @@
 }  // namespace
 
 std::string write_telemetry(const std::vector<RequestClass>& request_classes, const Figures& figures,
-                            const Standing& standing) {
+                            const Standing& standing, std::uint64_t dropped_log_lines) {
   struct Counter {
     std::string_view name, help;
     Ended how;
@@ -50,6 +50,8 @@
   single(text, "cluster_size", "gauge", "Endpoints in the list.", standing.endpoints);
   single(text, "cluster_unhealthy", "gauge", "Listed endpoints avoided now, by order or by choice.",
          standing.avoided);
+  single(text, "log_lines_dropped_total", "counter",
+         "Log lines that were dropped because the log's reader did not take them.", dropped_log_lines);
   return text;
 }
 
--- a/src/admin/telemetry.h
+++ b/src/admin/telemetry.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -16,7 +17,7 @@
 };
 
 std::string write_telemetry(const std::vector<RequestClass>& request_classes, const Figures& figures,
-                            const Standing& standing);
+                            const Standing& standing, std::uint64_t dropped_log_lines);
 
 std::string write_telemetry(const std::vector<fleet::Fleet::Figure>& figures);
 
--- a/src/net/log.h
+++ b/src/net/log.h
@@ -9,6 +9,8 @@
 #include <string>
 #include <string_view>
 
+#include "src/net/log_output.h"
+
 namespace puffinvane {
 
 enum class Level { Error, Warning, Info, Debug };
@@ -16,8 +18,9 @@
 
 class Log {
  public:
-  Log(std::ostream& out, Level most, LogFormat format = LogFormat::Plain)
-      : out_(out), most_(most), format_(format) {}
+  // output: what `out` writes to, where lines may be dropped rather than block.
+  Log(std::ostream& out, Level most, LogFormat format = LogFormat::Plain, const LogOutput* output = nullptr)
+      : out_(out), most_(most), format_(format), output_(output) {}
 
   // One line: ends itself, and costs nothing but the test where its level is filtered out.
   class Line {
@@ -66,6 +69,8 @@
   Line debug() { return line(Level::Debug); }
   Event event(Level level, std::string_view name) { return {level <= most_ ? this : nullptr, level, name}; }
   bool as_json() const { return format_ == LogFormat::Json; }
+  // Since the process started.
+  std::uint64_t dropped_lines() const { return output_ != nullptr ? output_->dropped_lines() : 0; }
 
  private:
   void end_line();
@@ -73,6 +78,7 @@
   std::ostream& out_;
   Level most_;
   LogFormat format_;
+  const LogOutput* output_;
 };
 
 Level read_level(std::string_view word);  // an unknown word is Info
--- a/src/server/lifecycle.h
+++ b/src/server/lifecycle.h
@@ -43,6 +43,7 @@
   void fail(std::string reason);
   Loop& loop() { return loop_; }
   const Loop& loop() const { return loop_; }
+  const Log& log() const { return loop_.log(); }
 
   virtual void on_serving() = 0;
   // Settings that can't be used change nothing.
--- a/src/server/run.cpp
+++ b/src/server/run.cpp
@@ -6,7 +6,8 @@
 
 #include <csignal>
 #include <cstdlib>
-#include <iostream>
+#include <ostream>
+#include <string_view>
 
 #include "src/hot_restart/control_address.h"
 #include "src/hot_restart/takeover.h"
@@ -68,21 +69,45 @@
 
 }  // namespace
 
-int run_program(Log& log, const std::function<std::unique_ptr<Lifecycle>(std::unique_ptr<Loop>&)>& prepare) {
+namespace {
+
+// Time that the reader of the log has for the last lines. Responses are written by then, and SIGKILL follows
+// 0.17 s after the end of a drain.
+constexpr double kLastLinesSeconds = 0.05;
+// The same for the message of a start that failed.
+constexpr double kFailureMessageSeconds = 1;
+
+// Standard error may be the pipe of the log, with nobody who reads it.
+void write_failure_message(std::string_view reason) {
+  LogOutput output(STDERR_FILENO);
+  std::ostream stream(&output);
+  stream << "puffinvane: " << reason << std::endl;
+  output.write_queued_within(kFailureMessageSeconds);
+}
+
+}  // namespace
+
+int run_program(ProcessLog& process_log,
+                const std::function<std::unique_ptr<Lifecycle>(std::unique_ptr<Loop>&)>& prepare) {
   std::signal(SIGPIPE, SIG_IGN);
   const sigset_t heeded = hold_back();
   try {
     std::unique_ptr<Loop> loop;  // outlives what it carries
     std::unique_ptr<Lifecycle> lifecycle = prepare(loop);
     if (!lifecycle) return 1;
+    LogDrain log_drain(*loop, process_log);
     Signals signals(*loop, *lifecycle, heeded);
     lifecycle->start();
     loop->run();
     if (!lifecycle->failure().empty()) throw std::runtime_error(lifecycle->failure());
+    process_log.output().write_queued_within(kLastLinesSeconds);
     return 0;
   } catch (const std::exception& fault) {
-    if (log.as_json()) log.event(Level::Error, "program.failed").with("why", fault.what());
-    std::cerr << "puffinvane: " << fault.what() << std::endl;
+    if (process_log.log().as_json()) {
+      process_log.log().event(Level::Error, "program.failed").with("why", fault.what());
+    }
+    process_log.output().write_queued_within(kLastLinesSeconds);
+    write_failure_message(fault.what());
     return 1;
   }
 }
@@ -113,8 +138,9 @@
 
 int run_sidecar(PolicyMaker make) {
   const char* level = std::getenv("PUFFINVANE_LOG");
-  Log log(std::cout, read_level(level ? level : "info"));
-  return run_program(log, [&](std::unique_ptr<Loop>& loop) {
+  ProcessLog process_log(STDOUT_FILENO, read_level(level ? level : "info"));
+  Log& log = process_log.log();
+  return run_program(process_log, [&](std::unique_ptr<Loop>& loop) {
     const char* file = std::getenv("BALANCER_CONFIG");
     Assignment assignment = load_assignment(file);
     const char* admin = std::getenv("BALANCER_CONSOLE");
--- a/src/server/run.h
+++ b/src/server/run.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 
+#include "src/net/process_log.h"
 #include "src/proxy/request_forwarder.h"
 #include "src/server/lifecycle.h"
 
@@ -14,7 +15,9 @@
 // with.
 int run_sidecar(PolicyMaker make);
 
-// Signals are held back while `prepare` reads what it is told, and heeded by what it makes.
-int run_program(Log& log, const std::function<std::unique_ptr<Lifecycle>(std::unique_ptr<Loop>&)>& prepare);
+// Signals are held back while `prepare` reads what it is told, and heeded by what it makes. Lines that the
+// log's reader does not take are queued, and at the end waited for briefly.
+int run_program(ProcessLog& process_log,
+                const std::function<std::unique_ptr<Lifecycle>(std::unique_ptr<Loop>&)>& prepare);
 
 }  // namespace puffinvane
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -371,7 +371,8 @@
 // ---- the program
 
 int run_site(const std::string& file, const std::string& level, bool json_log, double killed_after) {
-  Log log(std::cout, read_level(level), json_log ? LogFormat::Json : LogFormat::Plain);
+  ProcessLog process_log(STDOUT_FILENO, read_level(level), json_log ? LogFormat::Json : LogFormat::Plain);
+  Log& log = process_log.log();
   auto read = [file, &log](std::string& why) -> std::optional<site::Site> {
     language::Disk disk;
     language::Reading reading = language::read_site(file, disk);
@@ -389,7 +390,7 @@
           (reading.messages.count() == 1 ? " fault" : " faults");
     return std::nullopt;
   };
-  return run_program(log, [&](std::unique_ptr<Loop>& loop) -> std::unique_ptr<Lifecycle> {
+  return run_program(process_log, [&](std::unique_ptr<Loop>& loop) -> std::unique_ptr<Lifecycle> {
     std::string why;
     std::optional<site::Site> site = read(why);
     if (!site) throw std::runtime_error(why);
--- a/src/server/sidecar.cpp
+++ b/src/server/sidecar.cpp
@@ -211,7 +211,8 @@
 
 std::string Sidecar::telemetry() const {
   return write_telemetry(forwarder_.deployment().request_classes, forwarder_.figures(),
-                         {forwarder_.under_way(), forwarder_.listed(), forwarder_.avoided()}) +
+                         {forwarder_.under_way(), forwarder_.listed(), forwarder_.avoided()},
+                         log().dropped_lines()) +
          (fleet_ ? write_telemetry(fleet_->figures()) : "");
 }
 
--- /dev/null
+++ b/tests/integration/log_pipe_test.cpp
@@ -0,0 +1,182 @@
+// A program whose log is a pipe that is full and that nobody reads: it serves, leaves and fails to start as
+// it does with any other log.
+#include "testing/log_pipe.h"
+
+#include <gtest/gtest.h>
+
+#include <fstream>
+#include <string>
+
+#include "testing/answering.h"
+#include "testing/running.h"
+
+namespace puffinvane::test {
+namespace {
+
+constexpr double kPromptAnswerS = 2;
+
+Running::Options logging_options() {
+  Running::Options options;
+  options.admin = here(3) + ":5003";
+  options.environment = {{"PUFFINVANE_LOG", "info"}};
+  return options;
+}
+
+// A sidecar before one endpoint; its output is the pipe.
+class FullLogPipe : public testing::Test {
+ protected:
+  FullLogPipe() {
+    InheritedOutput inherited(log_);
+    sidecar_ = std::make_unique<Running>(entry("a", endpoint_.listener.address), logging_options());
+  }
+  // Each reload logs a line.
+  void reload(int times) {
+    for (int i = 0; i < times; ++i) {
+      sidecar_->reload();
+      sleep_for(0.02);
+    }
+  }
+  int ask_admin(const std::string& path) const {
+    Line line(here(3) + ":5003");
+    line.say("GET " + path + " HTTP/1.1\r\n\r\n");
+    return line.answer_status();
+  }
+
+  Answering endpoint_{2};
+  LogPipe log_;
+  std::unique_ptr<Running> sidecar_;
+};
+
+TEST_F(FullLogPipe, RequestsAndAdminCallsAreAnsweredInTime) {
+  constexpr int kReloads = 4;
+  constexpr int kRequests = 4;
+  log_.fill();
+
+  reload(kReloads);
+
+  for (int i = 0; i < kRequests; ++i) {
+    const double asked_at_s = now();
+    EXPECT_EQ(sidecar_->status_of(get("", std::to_string(i))), 200);
+    EXPECT_LT(now() - asked_at_s, kPromptAnswerS);
+  }
+  EXPECT_EQ(ask_admin("/api/ready"), 200);
+}
+
+TEST_F(FullLogPipe, LinesOfThatTimeAreWrittenOnceThePipeIsRead) {
+  constexpr int kReloads = 4;
+  log_.fill();
+  reload(kReloads);
+  log_.read_all();
+  int lines = 0;
+  const std::string line = "reads its file anew";
+
+  std::string text;
+  for (double until = now() + 5; lines < kReloads && now() < until;) {
+    text += log_.read_until(line, 0.1);
+    lines = 0;
+    for (std::size_t at = text.find(line); at != std::string::npos; at = text.find(line, at + 1)) ++lines;
+  }
+
+  EXPECT_EQ(lines, kReloads) << text;
+}
+
+TEST_F(FullLogPipe, DroppedLinesAreCountedInTelemetry) {
+  Line line(here(3) + ":5003");
+
+  line.say("GET /api/telemetry HTTP/1.1\r\n\r\n");
+
+  std::optional<HttpMessage> answer = line.hear(HttpReader::Side::Answer);
+  ASSERT_TRUE(answer);
+  EXPECT_NE(answer->body.text().find("\nsidecar_log_lines_dropped_total 0\n"), std::string::npos)
+      << answer->body.text();
+}
+
+TEST_F(FullLogPipe, ProcessThatIsToldToEndAnswersAndLeavesInTime) {
+  Line client(sidecar_->listen);
+  client.say(get());
+  ASSERT_EQ(client.answer_status(), 200);
+  log_.fill();
+
+  sidecar_->terminate();
+  client.say(get("", "after"));
+
+  EXPECT_EQ(client.answer_status(), 200);
+  EXPECT_EQ(sidecar_->exit_code(1.7), 0);  // SIGKILL comes 0.7 s after the longest client timeout
+}
+
+TEST(FullLogPipeAtStart, StartThatFailsEndsWithItsExitCode) {
+  LogPipe log;
+  log.fill();
+  Running::Options options = logging_options();
+  options.number = 1;  // it is not waited for
+  options.rules = "{";
+  auto inherited = std::make_unique<InheritedOutput>(log);
+
+  Running sidecar(entry("a", here(2) + ":5002"), options);
+  inherited.reset();
+
+  EXPECT_EQ(sidecar.exit_code(3), 1);
+}
+
+// The server of a site, as a child whose output is the pipe.
+class SiteServer {
+ public:
+  SiteServer(const std::string& listen, const std::string& endpoint, const LogPipe& log)
+      : file_("/tmp/puffinvane-log-pipe-" + std::to_string(getpid()) + ".site") {
+    std::ofstream(file_) << "listener main { address " << listen << " }\n"
+                         << "prefix status { kind read-like; target-latency 500ms; client-timeout 1s }\n"
+                         << "pool one {\n  endpoint a " << endpoint << "\n}\n"
+                         << "route all { path /; to one; as status }\n";
+    InheritedOutput inherited(log);
+    child_ = fork();
+    if (child_ == 0) {
+      prctl(PR_SET_PDEATHSIG, SIGKILL);
+      execl(program.c_str(), program.c_str(), "serve", file_.c_str(), nullptr);
+      _exit(127);
+    }
+  }
+  SiteServer(const SiteServer&) = delete;
+  SiteServer& operator=(const SiteServer&) = delete;
+  ~SiteServer() {
+    kill(child_, SIGKILL);
+    waitpid(child_, nullptr, 0);
+    std::remove(file_.c_str());
+  }
+  void reload() const { kill(child_, SIGHUP); }
+
+ private:
+  std::string file_;
+  pid_t child_ = 0;
+};
+
+TEST(FullLogPipeOfSite, RequestsAreAnsweredInTime) {
+  const std::string listen = here(1) + ":5001";
+  Answering endpoint(2);
+  LogPipe log;
+  SiteServer server(listen, endpoint.listener.address, log);
+  ASSERT_NE(log.read_until("site.serving", 5).find("site.serving"), std::string::npos);
+  log.fill();
+  for (int i = 0; i < 4; ++i) {
+    server.reload();
+    sleep_for(0.05);
+  }
+
+  for (int i = 0; i < 4; ++i) {
+    Line client(listen);
+    const double asked_at_s = now();
+    client.say("GET /hello HTTP/1.1\r\nHost: a.example.org\r\n\r\n");
+    EXPECT_EQ(client.answer_status(), 200);
+    EXPECT_LT(now() - asked_at_s, kPromptAnswerS);
+  }
+}
+
+}  // namespace
+}  // namespace puffinvane::test
+
+int main(int count, char** words) {
+  testing::InitGoogleTest(&count, words);
+  if (count != 2) return 2;
+  puffinvane::test::program = words[1];
+  signal(SIGPIPE, SIG_IGN);
+  return RUN_ALL_TESTS();
+}
