net: deliver a client's last answer though more bytes lie unread

Callers saw: the end of a long answer lost to a reset, when they read slowly and had sent more by then: at the end of a process, and a second after a last answer on a kept connection. Cause: what crosses the end of a connection is left unread on purpose; a close over unread bytes resets the connection and drops what the system still holds for the far end. Change: DownstreamConnection has its socket closed in order where bytes of the answer are undelivered (SIOCOUTQ): unread ones are discarded first. Where all was delivered nothing changes.

--- a/src/net/tcp_connection.cpp
+++ b/src/net/tcp_connection.cpp
@@ -1,9 +1,11 @@
 #include "src/net/tcp_connection.h"
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -250,7 +252,20 @@
   close();
 }
 
+// Only where it has to be: what is left unread, its sender knows for not taken and sends again elsewhere.
+void TcpConnection::discard_unread() {
+  constexpr int kMostReads = 64;
+  int undelivered_bytes = 0;
+  const int descriptor = g_socket_get_fd(socket_.get());
+  if (ioctl(descriptor, SIOCOUTQ, &undelivered_bytes) != 0 || undelivered_bytes == 0) return;
+  BufferPool::Buffer buffer = loop_.pool().lend();
+  for (int i = 0; i < kMostReads; ++i) {
+    if (::recv(descriptor, buffer->bytes.data(), BufferPool::kSize, MSG_DONTWAIT) <= 0) return;
+  }
+}
+
 void TcpConnection::close() {
+  if (socket_ && delivers_after_close_) discard_unread();
   if (Ref<GSocket> released = release()) g_socket_close(released.get(), nullptr);
 }
 
--- a/src/net/tcp_connection.h
+++ b/src/net/tcp_connection.h
@@ -47,6 +47,9 @@
   bool crowded() const;
   // Reads what has come, a buffer at most, without a word to the owner; false: there was nothing.
   bool read_into(BufferChain& into);
+  // What was sent is delivered after a close too, whatever the far end has sent on: a close over unread bytes
+  // resets the connection, and the system drops what the far end has not read yet.
+  void deliver_after_close() { delivers_after_close_ = true; }
   void heed_end() { heeds_end_ = true; }  // also while it is not read from; nothing more is read then
   void read(bool wanted);
   void finish_sending();
@@ -65,6 +68,7 @@
   void pause();
   void break_off();
   void end_once_read();
+  void discard_unread();
   bool receive();
 
   Loop& loop_;
@@ -78,7 +82,7 @@
   static constexpr double kReadOutLook = 0.02;
   int reads_at_once_ = 1;
   bool wants_in_ = false, wants_out_ = false, connecting_ = false, broken_ = false, heeds_end_ = false;
-  bool paused_ = false;
+  bool paused_ = false, delivers_after_close_ = false;
   double pause_ = kFirstPause;
   Alive alive_;
 };
--- a/src/proxy/downstream_connection.cpp
+++ b/src/proxy/downstream_connection.cpp
@@ -69,6 +69,7 @@
       heard_(used_),
       came_(used_ - waited) {
   tcp_.heed_end();  // its leaving counts in every state, also while what it sends ahead is left unread
+  tcp_.deliver_after_close();
   tcp_.adopt(std::move(socket));
 }
 
