policy: put an endpoint on trial where none accepts attempts

Callers saw: while all endpoints hang, refuse or break, a sidecar rejects everything with no attempt for up to 10 s, and so learns late that one is back; the acceptance allows 4 s. Cause: at most half of the endpoints may be ejected at once, but a recovering one does not count and may always be ejected again, so all are ejected in turn, for times that double up to 8 s. Change: where no listed endpoint has accepted attempts for 1 s, the ejection that would end first ends.

--- a/src/policy/outlier_ejection.cpp
+++ b/src/policy/outlier_ejection.cpp
@@ -17,6 +17,8 @@
 // dependency, and ejecting them would overload the rest.
 constexpr double kMostEjectedShare = 0.5;
 constexpr double kMostEjectedShareOfClass = 0.75;
+// With no endpoint that accepts attempts every request would be rejected.
+constexpr double kLongestWithoutRecoverySeconds = 1;
 constexpr double kMinimumFailures = 3;
 constexpr double kErrorRatioMargin = 0.2;
 constexpr double kErrorRatioFactor = 2;  // times the others' error ratio
@@ -72,6 +74,34 @@
   return double(ejected + 1) <= most_share * endpoints_.listed_count();
 }
 
+std::optional<EndpointIndex> OutlierEjection::select_early_recovery(double now) {
+  if (any_accepts_attempts()) {
+    last_accepting_at_ = now;
+  }
+  if (now - last_accepting_at_ < kLongestWithoutRecoverySeconds) {
+    return std::nullopt;
+  }
+  std::optional<EndpointIndex> first;
+  for (EndpointIndex index : endpoints_.tracked()) {
+    const Endpoint& endpoint = endpoints_[index];
+    if (endpoint.health() != Health::Ejected) {
+      continue;
+    }
+    if (!first || endpoint.whole.ejection.ejected_until < endpoints_[*first].whole.ejection.ejected_until) {
+      first = index;
+    }
+  }
+  return first;
+}
+
+// An endpoint that is not tracked is healthy.
+bool OutlierEjection::any_accepts_attempts() const {
+  return endpoints_.count(Health::Healthy) > 0 ||
+         std::ranges::any_of(endpoints_.tracked(), [this](EndpointIndex index) {
+           return accepts_attempts(endpoints_[index].whole);
+         });
+}
+
 bool OutlierEjection::is_unresponsive(const AttemptTarget& target, double now, double awake_since) const {
   int overdue = 0;
   for (const InFlightAttempt& attempt : target.in_flight) {
--- a/src/policy/outlier_ejection.h
+++ b/src/policy/outlier_ejection.h
@@ -37,6 +37,9 @@
 
   // Whether one more of the listed endpoints may be ejected: as a whole, or for one request class.
   bool may_eject(const Endpoint& endpoint, std::optional<std::size_t> class_index) const;
+  // The endpoint whose ejection is to end now, though its time is not over: where no listed endpoint has
+  // accepted attempts for a while, the one whose ejection would end first. To be called at every tick.
+  std::optional<EndpointIndex> select_early_recovery(double now);
   // Whether attempts that were sent after its last response are long past their hedge threshold. Lateness
   // from before `awake_since` doesn't count: this process was stalled then.
   bool is_unresponsive(const AttemptTarget& target, double now, double awake_since) const;
@@ -45,8 +48,11 @@
   bool fails_more_than_others(const Endpoint& endpoint) const;
 
  private:
+  bool any_accepts_attempts() const;
+
   const EndpointTable& endpoints_;
   const LatencyTracker& latencies_;
+  double last_accepting_at_ = 0;  // when a listed endpoint accepted attempts
 };
 
 }  // namespace puffinvane
--- a/src/policy/outlier_ejection_behavior_test.cpp
+++ b/src/policy/outlier_ejection_behavior_test.cpp
@@ -236,5 +236,43 @@
   EXPECT_LE(lost_after_idle_hours, lost_after_traffic + kTolerance);
 }
 
+// The acceptance bound: an instance that rejects all that it gets makes an attempt within this time.
+constexpr double kMostSecondsWithoutAttempt = 4;
+
+// The longest time without an attempt in 40 s during which every attempt ends so, under steady requests.
+double longest_time_without_attempt(const EndpointAnswer& answer, int endpoint_count, double requests_per_s) {
+  FakeHost host{deployment().with_latency_objective(0.5)};
+  host.list_ready_endpoints(endpoint_count);
+  SteadyTraffic traffic(host);
+  traffic.run_for(30, requests_per_s, usual_answer);
+  double last_attempt_s = host.now_s();
+  double failing_until_s = host.now_s() + 40;
+  std::size_t first = host.sent().size();
+  traffic.run_for(40, requests_per_s, [&](const SentAttempt&) { return answer; });
+  double longest_s = 0;
+  for (const SentAttempt& attempt : host.sent_from(first)) {
+    longest_s = std::max(longest_s, attempt.sent_at_s - last_attempt_s);
+    last_attempt_s = attempt.sent_at_s;
+  }
+  return std::max(longest_s, failing_until_s - last_attempt_s);
+}
+
+TEST(OutlierEjection, AttemptsGoOnWhileEveryEndpointFails) {
+  constexpr EndpointAnswer kHangs{1, Outcome::TimedOut};
+  constexpr EndpointAnswer kRefuses{0.01, Outcome::ConnectFailed};
+  constexpr EndpointAnswer kBreaks{0.01, Outcome::Broken};
+
+  for (const EndpointAnswer& answer : {kHangs, kRefuses, kBreaks}) {
+    for (int endpoint_count : {1, 2, 4, 12}) {
+      for (double requests_per_s : {10.0, 30.0, 100.0}) {
+        EXPECT_LT(longest_time_without_attempt(answer, endpoint_count, requests_per_s),
+                  kMostSecondsWithoutAttempt)
+            << "outcome " << static_cast<int>(answer.outcome) << ", " << endpoint_count << " endpoints, "
+            << requests_per_s << " requests a second";
+      }
+    }
+  }
+}
+
 }  // namespace
 }  // namespace puffinvane::test
--- a/src/policy/periodic_work.cpp
+++ b/src/policy/periodic_work.cpp
@@ -102,6 +102,10 @@
   for (EndpointIndex index : maintained) {
     maintain_endpoint(endpoints_[index], facts);
   }
+  if (std::optional<EndpointIndex> recovering = ejection_.select_early_recovery(now_)) {
+    Endpoint& endpoint = endpoints_[*recovering];
+    apply_event(endpoint, endpoint.whole, HealthEvent::EjectionEnded);
+  }
 }
 
 // What a warm endpoint gets in a tick for each unit of weight; where none is warm, one attempt a second for
