policy: accept any instance position at any time

Callers would see: a crash (SIGFPE) of an embedder that tells fewer instances than the ring has parts and sends no list before the next tick. The proxy always sends one in the same call. Cause: Subset divided the new number of instances by the old number of parts, and took the position modulo the result, 0. Evidence: Subset.SendsRequestsBeforeTheNextListWhereFewInstancesAreLeft ends the test program on the version before. Change: the ring is one part as soon as shares are known; a count below 1 counts as 1, an index outside as the nearest inside. Result: the test passes, with counts of 2, 1 and 0.

--- a/include/puffinvane/policy.h
+++ b/include/puffinvane/policy.h
@@ -164,7 +164,8 @@
   virtual void on_timer(double now, std::uint64_t token) = 0;
   // The process ends: the deadline of every pending request is `deadline` at the latest.
   virtual void on_shutdown(double /*now*/, double /*deadline*/) {}
-  // Instances know each other: takes the place of the position in the settings. From then on the weight of a
+  // Instances know each other: takes the place of the position in the settings, at any time. A count below 1
+  // counts as 1, and an index outside of the count as the nearest inside. From then on the weight of a
   // ListEntry is this instance's share of the endpoint.
   virtual void on_instance_position(InstancePosition /*position*/) {}
   // How many listed endpoints get no attempts: ejected, or about to leave.
--- a/src/policy/backup_request_policy.cpp
+++ b/src/policy/backup_request_policy.cpp
@@ -203,8 +203,8 @@
 }
 
 void BackupRequestPolicy::on_instance_position(InstancePosition position) {
-  deployment_.instance_index = position.index;
-  deployment_.instance_count = position.count;
+  deployment_.instance_count = std::max(1, position.count);
+  deployment_.instance_index = std::clamp(position.index, 0, deployment_.instance_count - 1);
   subset_.on_instance_shares_known();
   selection_.on_instance_shares_known();
 }
--- a/src/policy/subset.cpp
+++ b/src/policy/subset.cpp
@@ -20,6 +20,12 @@
 
 }  // namespace
 
+// At once, not with the next list: there may be fewer instances by now than there were parts.
+void Subset::on_instance_shares_known() {
+  weights_are_shares_ = true;
+  part_count_ = 1;
+}
+
 void Subset::update_ring(EndpointTable& endpoints) {
   update_part_count(endpoints.listed_count());
   std::set<EndpointIndex> added = endpoints.take_relisted();
--- a/src/policy/subset.h
+++ b/src/policy/subset.h
@@ -18,7 +18,7 @@
   // Takes over changes of the list.
   void update_ring(EndpointTable& endpoints);
   // From now on listed weights are this instance's shares, so that the ring is not cut into parts.
-  void on_instance_shares_known() { weights_are_shares_ = true; }
+  void on_instance_shares_known();
   // Selects this instance's part of the ring again. `requests_per_s` widens it where responses report load.
   void select_members(const EndpointTable& endpoints, double requests_per_s, double now);
 
@@ -27,7 +27,7 @@
   const std::vector<EndpointIndex>& ring() const { return ring_; }
   // The part of an endpoint's weight that belongs to this instance; 0 outside of the subset.
   double own_weight(EndpointIndex index) const { return slots_.at_or_default(index).own_weight; }
-  // How many instances share each endpoint.
+  // How many instances share each endpoint: one at least, as there are no more parts than instances.
   int sharing_instances() const { return deployment_.instance_count / part_count_; }
 
   void on_weight_changed() { ring_changed_ = true; }
--- a/src/policy/subset_behavior_test.cpp
+++ b/src/policy/subset_behavior_test.cpp
@@ -78,5 +78,20 @@
   EXPECT_GT(used_later.size(), subset.size());
 }
 
+// The ring was cut into more parts than instances are left, and no list has come since.
+TEST(Subset, SendsRequestsBeforeTheNextListWhereFewInstancesAreLeft) {
+  for (InstancePosition position : {InstancePosition{0, 2}, InstancePosition{1, 1}, InstancePosition{0, 0}}) {
+    FakeHost host{deployment().as_instance(0, kInstances)};
+    host.list_ready_endpoints(kEndpoints);
+    std::size_t sent_before = host.sent().size();
+
+    host.move_to_position(position);
+    host.run_for(1);
+    host.receive_many(4);
+
+    EXPECT_EQ(host.sent().size() - sent_before, 4U) << "of " << position.count;
+  }
+}
+
 }  // namespace
 }  // namespace puffinvane::test
--- a/testing/policy/fake_host.h
+++ b/testing/policy/fake_host.h
@@ -109,6 +109,8 @@
     list_endpoints(entries);
   }
 
+  void move_to_position(InstancePosition position) { policy_->on_instance_position(position); }
+
   // ---- requests
   RequestId receive(const RequestBuilder& request = request_of_class("read")) {
     Request received = request.build(++last_request_);
