discovery: do not give up a list on request that is arriving

Callers saw: attempts to endpoints that had left, for longer than 4 s after a new configuration, where a call on request got its turn after nearly 2 s and its list took over 0.2 s. Cause: the limit of 2.2 s covers the wait for the turn and the arrival of the list together. Evidence: DiscoveryWatchTimeouts.ReceivesAListThatArrivesAfterALateTurnInTimeAfterAMove on the version before: no list in 4 s. Change: a list that has begun goes on while its bytes come with no pause over 0.2 s, up to 4 s after the request, and the same on a standing watch.

--- a/src/discovery/call_timeouts.cpp
+++ b/src/discovery/call_timeouts.cpp
@@ -24,6 +24,10 @@
 constexpr double kSilenceSeconds = 2.4;
 constexpr double kOnRequestAnswerSeconds = 2.2;
 
+// On request, a list of which bytes came within this time goes on arriving: a call that got its turn late
+// would else be given up in the middle of its list, and the next one waits for its turn again.
+constexpr double kListPauseSeconds = 0.2;
+
 constexpr double kMaxListSeconds = 4;
 
 }  // namespace
@@ -34,11 +38,12 @@
 double CallTimeouts::response_s(const CallProgress& progress) const {
   bool awaits_full_list = mode_ == DiscoveryMode::Pushed && progress.scope == CallScope::FullList;
   bool awaits_list = awaits_full_list || progress.has_partial_list;
-  return awaits_list ? std::max(first_answer_s(), list_s_) : first_answer_s();
+  double list_s = std::max(list_s_, arriving_list_s(progress));
+  return awaits_list ? std::max(first_answer_s(), list_s) : first_answer_s();
 }
 
 double CallTimeouts::watch_s(const CallProgress& progress) const {
-  if (mode_ == DiscoveryMode::OnRequest) return kSilenceSeconds;
+  if (mode_ == DiscoveryMode::OnRequest) return std::max(kSilenceSeconds, arriving_list_s(progress));
   bool had_full_list = progress.scope == CallScope::FullList || progress.has_full_list;
   double renewal_s = had_full_list ? kFullListRenewalSeconds : kRenewalSeconds;
   return progress.has_partial_list ? std::max(renewal_s, list_s_) : renewal_s;
@@ -50,6 +55,11 @@
 
 void CallTimeouts::on_list_late_for_renewal() { extend_list_timeout(kRenewalSeconds); }
 
+double CallTimeouts::arriving_list_s(const CallProgress& progress) const {
+  if (mode_ == DiscoveryMode::Pushed || !progress.has_partial_list) return 0;
+  return std::min(kMaxListSeconds, progress.last_bytes_after_s + kListPauseSeconds);
+}
+
 double CallTimeouts::first_answer_s() const {
   return mode_ == DiscoveryMode::Pushed ? kPushedAnswerSeconds : kOnRequestAnswerSeconds;
 }
--- a/src/discovery/call_timeouts.h
+++ b/src/discovery/call_timeouts.h
@@ -11,6 +11,7 @@
   CallScope scope = CallScope::Changes;
   bool has_partial_list = false;  // a list has begun to arrive
   bool has_full_list = false;     // a full list has come since the stage began
+  double last_bytes_after_s = 0;  // from the beginning of the stage until the last byte came
 };
 
 // Owned by a DiscoveryWatch, on the event loop's thread. All durations are in seconds.
@@ -33,6 +34,7 @@
 
  private:
   double first_answer_s() const;
+  double arriving_list_s(const CallProgress& progress) const;
   void extend_list_timeout(double min_s);
 
   const DiscoveryMode mode_;
--- a/src/discovery/call_timing_test.cpp
+++ b/src/discovery/call_timing_test.cpp
@@ -56,6 +56,18 @@
   EXPECT_EQ(timeouts.response_s(CallProgress()), 0.8);
 }
 
+TEST(CallTimeouts, GivesAListOnRequestTimeWhileItArrives) {
+  CallTimeouts timeouts(DiscoveryMode::OnRequest);
+  CallProgress arriving = with_partial_list(full_list_call());
+  CallProgress endless = arriving;
+  arriving.last_bytes_after_s = 2.5;
+  endless.last_bytes_after_s = 60;
+
+  EXPECT_EQ(timeouts.response_s(arriving), 2.7);
+  EXPECT_EQ(timeouts.watch_s(arriving), 2.7);
+  EXPECT_EQ(timeouts.response_s(endless), 4);
+}
+
 TEST(CallBackoff, IsConstantInPushedMode) {
   CallBackoff backoff(DiscoveryMode::Pushed, 1);
 
--- a/src/discovery/discovery_watch.cpp
+++ b/src/discovery/discovery_watch.cpp
@@ -1,5 +1,6 @@
 #include "src/discovery/discovery_watch.h"
 
+#include <algorithm>
 #include <limits>
 #include <utility>
 
@@ -273,6 +274,7 @@
   progress.scope = cursor_.call_scope();
   progress.has_partial_list = lines_.has_partial_list();
   progress.has_full_list = cursor_.full_list_at() >= timeout_from_s_;
+  progress.last_bytes_after_s = std::max(0.0, last_bytes_at_s_ - timeout_from_s_);
   return progress;
 }
 
--- a/src/discovery/discovery_watch_timeouts_test.cpp
+++ b/src/discovery/discovery_watch_timeouts_test.cpp
@@ -116,6 +116,37 @@
   EXPECT_LT(owner.received_at_s().back(), silent_since + kMaxChangeDelaySeconds);
 }
 
+// On request, after a move: the call waits for its turn for nearly as long as it may, and its list comes in
+// pieces. Given up amid the list, the next call would have to wait for its turn again.
+TEST(DiscoveryWatchTimeouts, ReceivesAListThatArrivesAfterALateTurnInTimeAfterAMove) {
+  constexpr double kMaxDelayAfterMoveSeconds = 4;
+  constexpr double kTurnSeconds = 1.95;
+  constexpr int kPieces = 5;
+  Listener discovery(kDiscoveryHost);
+  EventLoop events;
+  WatchOwner owner(events.loop(), discovery.address, 3, DiscoveryMode::OnRequest);
+  const double moved_at = now();
+
+  events.run_beside(
+      [&] {
+        Line call = take_call(discovery);
+        call.ended(kTurnSeconds);
+        call.say(kResponseHead);
+        const std::string list = snapshot_line(1);
+        const std::size_t piece_size = list.size() / kPieces + 1;
+        for (std::size_t begin = 0; begin < list.size(); begin += piece_size) {
+          call.say(chunk(list.substr(begin, piece_size)));
+          call.ended(0.12);
+        }
+        call.ended(1);
+        EXPECT_FALSE(discovery.connection_waits(0));
+      },
+      4);
+
+  ASSERT_EQ(owner.received_at_s().size(), 1u);
+  EXPECT_LT(owner.received_at_s().front(), moved_at + kMaxDelayAfterMoveSeconds);
+}
+
 // Pushed mode: a watch that goes on without its lists, a connection that never comes up, a call of which only
 // the head comes, another connection that never comes up, and a silent call.
 TEST(DiscoveryWatchTimeouts, ReceivesAChangeInTimeAfterACallOfWhichOnlyTheHeadCame) {
