net: log an event loop that was held up, with its processor time

Change: loop.stalled with duration_s and cpu_s, for stalls over 1 s. Result: net.LoopStall passes (asleep, busy, short).

--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -9,6 +9,7 @@
 
 #include <array>
 #include <cmath>
+#include <ctime>
 #include <limits>
 #include <stdexcept>
 
@@ -31,6 +32,13 @@
 
 std::int64_t bucket_of(double when) { return std::int64_t(std::floor(when * kBucketsASecond)); }
 
+double thread_cpu_seconds() {
+  constexpr double kSecondsPerNanosecond = 1e-9;
+  timespec used{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &used);
+  return double(used.tv_sec) + double(used.tv_nsec) * kSecondsPerNanosecond;
+}
+
 gboolean dispatch(GSource*, GSourceFunc callback, gpointer data) { return callback(data); }
 
 struct Due {
@@ -117,9 +125,20 @@
 }
 
 void Loop::beat() {
+  cpu_at_last_beat_s_ = thread_cpu_seconds();
   at(now() + kBeat, [this] { beat(); });
 }
 
+// Processor time close to the stall: this program was busy. Close to none: it did not run, or waited in a
+// call.
+void Loop::report_long_stall(double stall_s) {
+  constexpr double kLongStallSeconds = 1;
+  if (stall_s < kLongStallSeconds) return;
+  log_.event(Level::Warning, "loop.stalled")
+      .with("duration_s", stall_s)
+      .with("cpu_s", thread_cpu_seconds() - cpu_at_last_beat_s_);
+}
+
 void Loop::set_alarm() {
   g_source_set_ready_time(alarm_.get(), std::max<gint64>(0, gint64(std::ceil(next_alarm_ * 1e6))));
 }
@@ -135,7 +154,9 @@
   // once: else answers that lie ready are taken for silence, and endpoints that were well ejected.
   put_off_ = !put_off_ && late() > kLate;
   if (put_off_) {
-    stall_ = late(), stall_heeded_until_ = now() + kHeeded;
+    stall_ = late();
+    stall_heeded_until_ = now() + kHeeded;
+    report_long_stall(stall_);
     return g_source_set_ready_time(alarm_.get(), 0);
   }
   // Alarms set by these are left to the next turn, or one that always asks for 'now' would hold the loop.
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -103,6 +103,7 @@
   void alarms_due();
   void beat();
   double late() const { return std::max(0.0, now() - next_alarm_); }
+  void report_long_stall(double stall_s);
   void soon_due();
   void sockets_ready();
   bool tell_epoll(int descriptor, bool known);
@@ -126,6 +127,7 @@
   std::uint64_t turns_ = 0;
   bool put_off_ = false;
   double stall_ = 0, stall_heeded_until_ = 0;
+  double cpu_at_last_beat_s_ = 0;  // processor time that this thread had used by then
   Source alarm_, next_turn_, sockets_;
 };
 
