policy: guard the attempts of a request class that every endpoint fails

Cause: all endpoints can be ejected for one request class too, where no tier is behind them; the early recovery looks at whole endpoints only. It held before: nothing is mended here.

--- a/src/policy/outlier_ejection_behavior_test.cpp
+++ b/src/policy/outlier_ejection_behavior_test.cpp
@@ -274,5 +274,34 @@
   }
 }
 
+// Errors that only requests of one class get, at every endpoint, with no tier behind them.
+TEST(OutlierEjection, AttemptsOfARequestClassGoOnWhileEveryEndpointFailsIt) {
+  constexpr double kFailingS = 40;
+  constexpr double kPauseS = 0.02;
+  for (int endpoint_count : {2, 4, 12}) {
+    FakeHost host{deployment().reporting_load()};
+    host.list_ready_endpoints(endpoint_count);
+    host.serve_requests(60, 0.05);
+    double last_read_s = host.now_s();
+    double longest_s = 0;
+    for (double end_s = host.now_s() + kFailingS; host.now_s() < end_s;) {
+      for (const char* request_class : {"read", "mutating"}) {
+        std::size_t first = host.sent().size();
+        host.receive(request_of_class(request_class));
+        host.run_for(kPauseS);
+        bool is_read = std::string(request_class) == "read";
+        host.end_attempts_from(first, is_read ? Outcome::Failed : Outcome::Delivered);
+        if (is_read && host.sent().size() > first) {
+          longest_s = std::max(longest_s, host.now_s() - last_read_s);
+          last_read_s = host.now_s();
+        }
+      }
+    }
+    longest_s = std::max(longest_s, host.now_s() - last_read_s);
+
+    EXPECT_LT(longest_s, kMostSecondsWithoutAttempt) << endpoint_count << " endpoints";
+  }
+}
+
 }  // namespace
 }  // namespace puffinvane::test
