proxy: answer a slow head in time though it never pauses

Evidence: found by the new test of the 408. Change: whether a request is overdue is asked after each read as well, when nothing lies unread.

--- a/src/proxy/downstream_connection.cpp
+++ b/src/proxy/downstream_connection.cpp
@@ -77,8 +77,7 @@
 
 void DownstreamConnection::look(double now) {
   if (state_ == State::Reading || state_ == State::Uploading) {
-    bool overdue = reader_.started() ? slow(now) : !asked_ && now - used_ > kHalf;
-    if (overdue && quiet()) turn(reader_.started() ? Input::Late : Input::Drop);
+    end_if_overdue(now);
   } else if (state_ == State::Relaying) {
     if (now - used_ > kUnreadPart) turn(Input::Ended);
   } else if (state_ == State::Lingering) {
@@ -88,6 +87,12 @@
   }
 }
 
+// What lies unread is read first: it may be the rest of the request.
+void DownstreamConnection::end_if_overdue(double now) {
+  const bool is_overdue = reader_.started() ? slow(now) : !asked_ && now - used_ > kHalf;
+  if (is_overdue && quiet()) turn(reader_.started() ? Input::Late : Input::Drop);
+}
+
 // By its pace, not by its start alone: a byte now and then would else hold its place for ever.
 bool DownstreamConnection::slow(double now) const {
   if (!reader_.in_body()) return now - used_ > kHalfHead;
@@ -108,6 +113,8 @@
     paused_ = true;
   }
   take_in();
+  // Here too: of a client that sends all the time something lies unread whenever it is looked at.
+  if (state_ == State::Reading || state_ == State::Uploading) end_if_overdue(heard_);
 }
 
 // What is read as soon as it has entered lay at the listener. What lies behind a request in hand came when
--- a/src/proxy/downstream_connection.h
+++ b/src/proxy/downstream_connection.h
@@ -102,6 +102,7 @@
   void hand_over_rest();
   void drained();
   bool slow(double now) const;
+  void end_if_overdue(double now);
   void refuse();
   void refuse_rest();
   void read_on();
--- a/tests/integration/admin_api.cpp
+++ b/tests/integration/admin_api.cpp
@@ -9,6 +9,7 @@
 #include <sstream>
 #include <vector>
 
+#include "testing/answering.h"
 #include "testing/running.h"
 
 using namespace puffinvane;
@@ -170,6 +171,48 @@
   assert(yes && yes->status == 200 && yes->keep_alive && !again.anything(1.5));
 }
 
+// A client whose head comes in pieces, from a thread of its own.
+class SlowClient {
+ public:
+  // The whole head takes that long, unless it is finished earlier. Its first line is sent at once: where all
+  // connections are taken, one that says nothing is closed.
+  SlowClient(const std::string& address, const std::string& id, double head_s)
+      : line_(address), began_s_(now()) {
+    line_.say("GET /read/a HTTP/1.1\r\nX-Correlation-Id: " + id + "\r\n");
+    sending_ = std::jthread([this, head_s](const std::stop_token& finish) { send_rest(finish, head_s); });
+  }
+  // Finishes the head and waits for the answer.
+  int finish() {
+    sending_.request_stop();
+    sending_.join();
+    return status_;
+  }
+  double head_s() const { return head_s_; }                      // once it is finished
+  double answered_after_s() const { return answered_after_s_; }  // from the first byte of the head
+
+ private:
+  void send_rest(const std::stop_token& finish, double head_s) {
+    while (!finish.stop_requested() && now() < began_s_ + head_s && !line_.anything(0.05)) {
+      line_.say("X-Piece: x\r\n");
+    }
+    line_.say("\r\n");
+    head_s_ = now() - began_s_;
+    status_ = line_.answer_status();
+    answered_after_s_ = now() - began_s_;
+  }
+
+  Line line_;
+  const double began_s_;
+  double head_s_ = 0;
+  double answered_after_s_ = 0;
+  int status_ = 0;
+  std::jthread sending_;
+};
+
+// By the platform's terms: a client may take this long for a head, and a bad one is answered within so long.
+constexpr double kLongestHead = 2;
+constexpr double kBadClientAnswered = 3;
+
 // With few descriptors, and more connections than those that say nothing or half a request.
 void crowds_keep_neither_requests_nor_orders_out() {
   Listener endpoint(2);
@@ -217,6 +260,38 @@
               took[took.size() / 2], took[took.size() * 99 / 100], took.back());
 }
 
+void a_head_that_takes_longer_than_it_may_is_answered_408_in_time() {
+  Answering endpoint(2);
+  Running sidecar(entry("a", endpoint.listener.address), with_admin());
+  SlowClient slow(sidecar.listen, "slow", 2 * kBadClientAnswered);  // unless it is answered before
+  sleep_for(kBadClientAnswered);
+  const int status = slow.finish();
+  std::printf("a head that took %.3f s was answered %d after %.3f s\n", slow.head_s(), status,
+              slow.answered_after_s());
+  std::fflush(stdout);
+  assert(status == 408);
+  assert(slow.answered_after_s() > kLongestHead && slow.answered_after_s() < kBadClientAnswered);
+}
+
+// Something of it lies unread at nearly every moment.
+void a_head_that_comes_byte_by_byte_without_a_pause_is_answered_408_in_time() {
+  constexpr double kPause = 0.0002;  // seconds: the head stays under the longest that is read
+  Answering endpoint(2);
+  Running sidecar(entry("a", endpoint.listener.address), with_admin());
+  Line line(sidecar.listen);
+  const double began = now();
+  line.say("GET /read/a HTTP/1.1\r\nX-Correlation-Id: slow\r\nX-Rest: ");
+  while (!line.anything(0) && now() < began + 2 * kBadClientAnswered) {
+    line.say("x");
+    sleep_for(kPause);
+  }
+  const double answered_after = now() - began;
+  const int status = line.answer_status();
+  std::printf("a head without a pause was answered %d after %.3f s\n", status, answered_after);
+  std::fflush(stdout);
+  assert(status == 408 && answered_after > kLongestHead && answered_after < kBadClientAnswered);
+}
+
 // What the platform's bench refuses a sidecar: other listeners, files, Unix sockets, threads.
 struct Opened {
   int listeners = 0, files = 0, local = 0, threads = 0;
@@ -282,5 +357,7 @@
   an_excluded_endpoint_gets_nothing_until_it_is_included();
   a_drained_sidecar_says_no_serves_on_and_parts();
   crowds_keep_neither_requests_nor_orders_out();
+  a_head_that_takes_longer_than_it_may_is_answered_408_in_time();
+  a_head_that_comes_byte_by_byte_without_a_pause_is_answered_408_in_time();
   without_its_keys_it_opens_nothing_but_its_listener_and_starts_no_thread();
 }
