--- a/src/server/run.h
+++ b/src/server/run.h
@@ -15,8 +15,9 @@
 // with.
 int run_sidecar(PolicyMaker make);
 
-// Signals are held back while `prepare` reads what it is told, and heeded by what it makes. Lines that the
-// log's reader does not take are queued, and at the end waited for briefly.
+// Blocks signals while `prepare` reads the settings; the lifecycle that it returns handles them. Log lines
+// that the reader does not take are queued; at the end the process waits for them briefly. Returns the exit
+// code.
 int run_program(ProcessLog& process_log,
                 const std::function<std::unique_ptr<Lifecycle>(std::unique_ptr<Loop>&)>& prepare);
 
--- /dev/null
+++ b/testing/program_main.h
@@ -0,0 +1,20 @@
+// The main function of GoogleTest programs that test a program, whose path is their one argument.
+#pragma once
+
+#include <gtest/gtest.h>
+
+#include <csignal>
+
+#include "testing/running.h"
+
+namespace puffinvane::test {
+
+inline int run_tests_of_program(int count, char** words) {
+  testing::InitGoogleTest(&count, words);
+  if (count != 2) return 2;
+  program = words[1];
+  signal(SIGPIPE, SIG_IGN);
+  return RUN_ALL_TESTS();
+}
+
+}  // namespace puffinvane::test
--- a/tests/integration/log_pipe_test.cpp
+++ b/tests/integration/log_pipe_test.cpp
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "testing/answering.h"
+#include "testing/program_main.h"
 #include "testing/running.h"
 
 namespace puffinvane::test {
@@ -172,10 +173,4 @@
 }  // namespace
 }  // namespace puffinvane::test
 
-int main(int count, char** words) {
-  testing::InitGoogleTest(&count, words);
-  if (count != 2) return 2;
-  puffinvane::test::program = words[1];
-  signal(SIGPIPE, SIG_IGN);
-  return RUN_ALL_TESTS();
-}
+int main(int count, char** words) { return puffinvane::test::run_tests_of_program(count, words); }
--- a/tests/integration/slow_reader_test.cpp
+++ b/tests/integration/slow_reader_test.cpp
@@ -5,6 +5,7 @@
 #include <filesystem>
 #include <string>
 
+#include "testing/program_main.h"
 #include "testing/running.h"
 
 namespace puffinvane::test {
@@ -73,10 +74,4 @@
 }  // namespace
 }  // namespace puffinvane::test
 
-int main(int count, char** words) {
-  testing::InitGoogleTest(&count, words);
-  if (count != 2) return 2;
-  puffinvane::test::program = words[1];
-  signal(SIGPIPE, SIG_IGN);
-  return RUN_ALL_TESTS();
-}
+int main(int count, char** words) { return puffinvane::test::run_tests_of_program(count, words); }
