log: trace calls to discovery, applied lists and each attempt

Cause: the logs of the incident could not tell which list was in force when a request was sent. Change: discovery.call_unanswered and endpoint_list.applied at info; calls, lists, attempts and ends of requests at debug, by request id and list index. No decision changes.

--- a/src/discovery/discovery_events.cpp
+++ b/src/discovery/discovery_events.cpp
@@ -14,6 +14,32 @@
 
 }  // namespace
 
+void log_call_event(Log& log, const LoggedCall& call, std::string_view event, std::string_view state) {
+  log.event(Level::Debug, "discovery.call_event")
+      .with("address", call.address)
+      .with("event", event)
+      .with("state", state)
+      .with("held_index", call.held_index)
+      .with("since_s", call.since_s);
+}
+
+void log_call_unanswered(Log& log, const LoggedCall& call, std::string_view state) {
+  log.event(Level::Info, "discovery.call_unanswered")
+      .with("address", call.address)
+      .with("state", state)
+      .with("held_index", call.held_index)
+      .with("since_s", call.since_s);
+}
+
+void log_list_received(Log& log, const LoggedCall& call, const EndpointList& list) {
+  log.event(Level::Debug, "discovery.list_received")
+      .with("address", call.address)
+      .with("index", list.index)
+      .with("snapshot", list.is_snapshot ? 1 : 0)
+      .with("entries", list.entries.size())
+      .with("since_s", call.since_s);
+}
+
 void log_call_failed(Log& log, std::string_view address, const CallFailed& failure) {
   log.event(Level::Warning, "discovery.call_failed")
       .with("address", address)
--- a/src/discovery/discovery_events.h
+++ b/src/discovery/discovery_events.h
@@ -1,6 +1,7 @@
 // Writes the log events of discovery, which docs/oncall.md lists. DiscoveryWatch decides when to log them.
 #pragma once
 
+#include <cstdint>
 #include <string_view>
 
 #include "src/discovery/list_cursor.h"
@@ -8,6 +9,19 @@
 
 namespace puffinvane {
 
+// What a call to discovery had reached when an event of it was logged.
+struct LoggedCall {
+  std::string_view address;
+  std::int64_t held_index = 0;
+  double since_s = 0;  // since the call was sent or was last answered
+};
+
+// discovery.call_event address=... event=... state=... held_index=... since_s=...   (debug)
+void log_call_event(Log& log, const LoggedCall& call, std::string_view event, std::string_view state);
+// discovery.call_unanswered address=... state=... held_index=... since_s=...   (info)
+void log_call_unanswered(Log& log, const LoggedCall& call, std::string_view state);
+// discovery.list_received address=... index=... snapshot=0|1 entries=... since_s=...   (debug)
+void log_list_received(Log& log, const LoggedCall& call, const EndpointList& list);
 // discovery.call_failed address=... reason=invalid_http|http_status status=...
 void log_call_failed(Log& log, std::string_view address, const CallFailed& failure);
 // discovery.list_rejected address=... reason=... where=...
--- a/src/discovery/discovery_watch.cpp
+++ b/src/discovery/discovery_watch.cpp
@@ -77,7 +77,38 @@
   connection_.close();
 }
 
-void DiscoveryWatch::apply(Event event) { apply_transition(kTransitions, *this, state_, event); }
+void DiscoveryWatch::apply(Event event) {
+  log_call_event(loop_.log(), logged_call(), to_string(event), to_string(state_));
+  apply_transition(kTransitions, *this, state_, event);
+}
+
+LoggedCall DiscoveryWatch::logged_call() const {
+  return {address_, cursor_.held_index(), loop_.now() - timeout_started_at_s_};
+}
+
+std::string_view DiscoveryWatch::to_string(State state) {
+  switch (state) {
+    case State::BackingOff: return "backing_off";
+    case State::Connecting: return "connecting";
+    case State::AwaitingResponse: return "awaiting_response";
+    case State::Watching: return "watching";
+    case State::Closed: return "closed";
+  }
+  return "unknown";
+}
+
+std::string_view DiscoveryWatch::to_string(Event event) {
+  switch (event) {
+    case Event::BackoffElapsed: return "backoff_elapsed";
+    case Event::Connected: return "connected";
+    case Event::ResponseReceived: return "response_received";
+    case Event::TimedOut: return "timed_out";
+    case Event::CallEnded: return "call_ended";
+    case Event::ListRejected: return "list_rejected";
+    case Event::AddressChanged: return "address_changed";
+  }
+  return "unknown";
+}
 
 void DiscoveryWatch::connect() {
   restart_timeout();
@@ -128,6 +159,7 @@
 }
 
 void DiscoveryWatch::back_off_after_unanswered_call() {
+  log_call_unanswered(loop_.log(), logged_call(), to_string(state_));
   cursor_.on_call_unanswered();
   back_off();
 }
@@ -142,6 +174,7 @@
   if (lines_.has_partial_list()) {
     timeouts_.on_list_late_for_response();
   } else {
+    log_call_unanswered(loop_.log(), logged_call(), to_string(state_));
     cursor_.on_call_unanswered();
   }
   // An agent that was unresponsive sends its changes to the calls that are open when it recovers, and then
@@ -219,6 +252,7 @@
   has_received_list_ = true;
   is_fault_logged_ = false;
   list.received_at_s = loop_.now();
+  log_list_received(loop_.log(), logged_call(), list);
   start_times_.on_list(list, ClockOffsets{Loop::unix_offset(), date_offset_s_});
   owner_.on_endpoint_list(list);
   on_response_received();
--- a/src/discovery/discovery_watch.h
+++ b/src/discovery/discovery_watch.h
@@ -13,6 +13,7 @@
 #include "src/discovery/call_backoff.h"
 #include "src/discovery/call_timeouts.h"
 #include "src/discovery/discovery.h"
+#include "src/discovery/discovery_events.h"
 #include "src/discovery/endpoint_start_times.h"
 #include "src/discovery/list_cursor.h"
 #include "src/discovery/list_splitter.h"
@@ -68,7 +69,11 @@
   };
   static const Transition<DiscoveryWatch, State, Event> kTransitions[];
 
+  static std::string_view to_string(State state);
+  static std::string_view to_string(Event event);
+
   void apply(Event event);
+  LoggedCall logged_call() const;
   void connect();
   void send_request();
   void start_watching();
--- a/src/discovery/list_cursor.h
+++ b/src/discovery/list_cursor.h
@@ -51,6 +51,7 @@
   void reset();
 
   bool holds_list() const { return held_index_ > 0; }
+  std::int64_t held_index() const { return held_index_; }
   CallScope call_scope() const { return call_scope_; }
   // Whether the current call has received a non-blank line.
   bool has_received_line() const { return has_received_line_; }
--- /dev/null
+++ b/src/proxy/forwarder_events.cpp
@@ -0,0 +1,61 @@
+#include "src/proxy/forwarder_events.h"
+
+namespace puffinvane {
+
+namespace {
+
+Log::Event& with_attempt(Log::Event& event, const LoggedAttempt& attempt) {
+  return event.with("request", attempt.request_id)
+      .with("number", attempt.number)
+      .with("endpoint", attempt.endpoint);
+}
+
+}  // namespace
+
+void log_list_applied(Log& log, std::int64_t index, const ListChangeCounts& changed, std::size_t listed) {
+  log.event(Level::Info, "endpoint_list.applied")
+      .with("index", index)
+      .with("ready", changed.ready)
+      .with("draining", changed.draining)
+      .with("removed", changed.removed)
+      .with("listed", listed);
+}
+
+void log_attempt_started(Log& log, const LoggedAttempt& attempt, std::int64_t list_index, double list_age_s) {
+  Log::Event event = log.event(Level::Debug, "attempt.started");
+  with_attempt(event, attempt).with("list_index", list_index).with("list_age_s", list_age_s);
+}
+
+void log_attempt_writing(Log& log, const LoggedAttempt& attempt, double started_before_s) {
+  Log::Event event = log.event(Level::Debug, "attempt.writing");
+  with_attempt(event, attempt).with("started_before_s", started_before_s);
+}
+
+void log_attempt_ended(Log& log, const LoggedAttempt& attempt, Outcome outcome, double latency_s) {
+  Log::Event event = log.event(Level::Debug, "attempt.ended");
+  with_attempt(event, attempt).with("outcome", to_string(outcome)).with("latency_s", latency_s);
+}
+
+void log_request_ended(Log& log, std::string_view request_id, int status, std::size_t attempts) {
+  log.event(Level::Debug, "request.ended")
+      .with("request", request_id)
+      .with("status", status)
+      .with("attempts", attempts);
+}
+
+std::string_view to_string(Outcome outcome) {
+  switch (outcome) {
+    case Outcome::Delivered: return "delivered";
+    case Outcome::Failed: return "failed";
+    case Outcome::Refused: return "refused";
+    case Outcome::TimedOut: return "timed_out";
+    case Outcome::ConnectFailed: return "connect_failed";
+    case Outcome::Broken: return "broken";
+    case Outcome::Stale: return "stale";
+    case Outcome::Cancelled: return "cancelled";
+    case Outcome::NotSent: return "not_sent";
+  }
+  return "unknown";
+}
+
+}  // namespace puffinvane
--- a/src/proxy/request_forwarder.cpp
+++ b/src/proxy/request_forwarder.cpp
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "src/http/headers.h"
+#include "src/proxy/forwarder_events.h"
 
 namespace puffinvane {
 
@@ -39,6 +40,22 @@
 // for the time that was told.
 constexpr double kTimeLeftMargin = 0.025;
 constexpr double kDestroyDelay = 0.5;  // seconds, for callbacks put off to the next turn or timer check
+
+std::string_view client_id_of(const PendingRequest& request) {
+  return request.message.header(kRequestIdHeader);
+}
+
+ListChangeCounts count_changes(const std::vector<ListEntry>& entries) {
+  ListChangeCounts counts;
+  for (const ListEntry& entry : entries) {
+    switch (entry.state) {
+      case ListedState::Ready: ++counts.ready; break;
+      case ListedState::Draining: ++counts.draining; break;
+      case ListedState::Removed: ++counts.removed; break;
+    }
+  }
+  return counts;
+}
 }  // namespace
 
 RequestForwarder::RequestForwarder(Loop& loop, ConnectionLimiter& limiter, Deployment deployment,
@@ -108,6 +125,8 @@
   double now = loop_.now();
   double deadline = attempt_deadline > 0 ? std::min(attempt_deadline, request.deadline) : request.deadline;
   request.attempts.push_back({std::string(endpoint), now, deadline});
+  log_attempt_started(loop_.log(), {client_id_of(request), number, endpoint}, list_index_,
+                      now - list_confirmed_at_);
   loop_.at(deadline, alive_.guard([this, id, number] { on_attempt_deadline(id, number); }));
   if (client_may_have_left(id)) return report_attempt_end_soon(id, number, Outcome::NotSent);
   // A body whose first part was sent and released can't be sent again. NotSent blames no endpoint for that.
@@ -281,6 +300,7 @@
   if (!request || request->concluded()) return;
   DownstreamConnection& downstream = *std::exchange(request->downstream, nullptr);
   downstream.open_request.reset();
+  log_request_ended(loop_.log(), client_id_of(*request), status, request->attempts.size());
   counters_.record_outcome(index_of(*request->request_class),
                            status == 503 && !from   ? RequestOutcome::Rejected
                            : status == 502 && !from ? RequestOutcome::Failed
@@ -318,7 +338,11 @@
   write_request(out, request.message, address ? *address : attempt.endpoint, format_remaining_deadline(left),
                 framing);
   // Checked last: this process may have stalled since it read the clock, and the client left meanwhile.
-  if (!request.concluded() && !client_may_have_left(id)) return out;
+  if (!request.concluded() && !client_may_have_left(id)) {
+    log_attempt_writing(loop_.log(), {client_id_of(request), number, attempt.endpoint},
+                        loop_.now() - attempt.started_at);
+    return out;
+  }
   loop_.post(alive_.guard([this, id = id, number = number] { end_unsent_attempt(id, number); }));
   out.clear();
   return out;
@@ -508,8 +532,11 @@
 void RequestForwarder::report_attempt_end(RequestId id, int number, Outcome outcome, HttpMessage* response) {
   PendingRequest* request = requests_.find(id);
   if (!request || request->attempts[std::size_t(number)].reported) return;
-  request->attempts[std::size_t(number)].reported = true;
+  PendingAttempt& attempt = request->attempts[std::size_t(number)];
+  attempt.reported = true;
   double now = loop_.now();
+  log_attempt_ended(loop_.log(), {client_id_of(*request), number, attempt.endpoint}, outcome,
+                    now - attempt.started_at);
   if (outcome == Outcome::Delivered) {
     conclude(id, options_.relay_any_status ? response->status : 200, response, "", "");
   }
@@ -517,8 +544,7 @@
   if (options_.relay_any_status && outcome == Outcome::Failed && response && response->status > 0 &&
       !request->concluded())
     request->error_response = std::move(*response);
-  policy_->on_attempt_ended(now, {id, number, outcome, request->concluded(),
-                                  now - request->attempts[std::size_t(number)].started_at, load});
+  policy_->on_attempt_ended(now, {id, number, outcome, request->concluded(), now - attempt.started_at, load});
   requests_.remove_if_finished(id);
 }
 
@@ -637,6 +663,7 @@
 void RequestForwarder::load_cached_list(const EndpointList& cached) { apply_list(cached, ListScope::Cached); }
 
 void RequestForwarder::on_endpoint_list(const EndpointList& list) {
+  list_confirmed_at_ = loop_.now();
   if (listed_.empty()) return apply_list(list, list.is_snapshot ? ListScope::Full : ListScope::Changes);
   EndpointList changes = changes_in(list);
   list_index_ = list.index;
@@ -819,6 +846,7 @@
     }
   }
   retry_missing_addresses();
+  log_list_applied(loop_.log(), list.index, count_changes(list.entries), listed_.size());
   std::vector<ListEntry> entries = list.entries;
   for (ListEntry& entry : entries) entry = as_notified(std::move(entry));
   policy_->on_endpoint_list(loop_.now(), scope, entries);
--- a/src/proxy/request_forwarder.h
+++ b/src/proxy/request_forwarder.h
@@ -202,6 +202,7 @@
   std::map<std::string, double, std::less<>> shares_;
   std::deque<std::string> recently_removed_;  // endpoints that are no longer listed
   std::int64_t list_index_ = 0;
+  double list_confirmed_at_ = 0;  // when discovery last sent a list; 0: not since the start
   RequestCounters counters_;
   PendingRequests requests_;
   IdleConnections<UpstreamConnection> idle_;
