--- a/testing/soak_endpoint.h
+++ b/testing/soak_endpoint.h
@@ -1,6 +1,7 @@
 // An endpoint for soak tests: it records which requests arrived completely, and can be made to hang.
 #pragma once
 
+#include <algorithm>
 #include <atomic>
 #include <map>
 #include <mutex>
@@ -16,7 +17,8 @@
 // How often each request arrived completely at any endpoint, by its id. Thread-safe.
 class ReceivedRequests {
  public:
-  void record(const std::string& id) {
+  virtual ~ReceivedRequests() = default;
+  virtual void record(const std::string& id) {
     std::lock_guard lock(mutex_);
     ++counts_[id];
   }
@@ -31,6 +33,26 @@
   std::map<std::string, int> counts_;
 };
 
+// Also records when requests arrived.
+class TimedRequests final : public ReceivedRequests {
+ public:
+  void record(const std::string& id) override {
+    ReceivedRequests::record(id);
+    std::lock_guard lock(times_mutex_);
+    arrived_at_s_.push_back(now());
+  }
+  // How many arrived after `begin_s` and before `end_s`, on the monotonic clock.
+  std::size_t count_between(double begin_s, double end_s) const {
+    std::lock_guard lock(times_mutex_);
+    return std::size_t(std::count_if(arrived_at_s_.begin(), arrived_at_s_.end(),
+                                     [&](double at_s) { return at_s > begin_s && at_s < end_s; }));
+  }
+
+ private:
+  mutable std::mutex times_mutex_;
+  std::vector<double> arrived_at_s_;
+};
+
 // Serves each connection on its own thread.
 class SoakEndpoint {
  public:
