tests: expect the event of an applied list in the JSON log of a site

Logging the event is intended. Change: the event is in the expected sequence, once, and its fields are checked too; the comparison stays exact. Result: site_serving failed before the change, passes with it (14 s).

--- a/tests/integration/site_serving.cpp
+++ b/tests/integration/site_serving.cpp
@@ -540,12 +540,13 @@
     nlohmann::json notified = nlohmann::json::parse(line);
     assert(notified["time"].is_number() && notified["level"].is_string());
     events.push_back(notified["event"]);
+    if (events.back() == "endpoint_list.applied") assert(notified["ready"] == 1 && notified["listed"] == 1);
     if (events.back() == "site.reloaded")
       assert(notified["changes"] == 3 && notified["version"].get<std::string>().size() == 16);
   }
   std::erase(events, "pool.report");
-  assert((events == std::vector<std::string>{"listener.opened", "site.serving", "site.reloaded",
-                                             "site.leaving", "site.gone"}));
+  assert((events == std::vector<std::string>{"endpoint_list.applied", "listener.opened", "site.serving",
+                                             "site.reloaded", "site.leaving", "site.gone"}));
 }
 
 // The site starts and opens one more listener although no descriptor is available at first.
