tests: share the main function and the random draws of the soak tests

drain_soak and restart_soak had both twice. The draws of drain_soak have a finer grain now, so its seeds determine other runs than before; restart_soak's are unchanged.

--- a/tests/integration/drain_soak.cpp
+++ b/tests/integration/drain_soak.cpp
@@ -6,20 +6,16 @@
 //
 // Each seed determines one run.
 #include <algorithm>
-#include <atomic>
 #include <cstdio>
 #include <memory>
-#include <mutex>
-#include <optional>
-#include <pcg_random.hpp>
 #include <string>
-#include <thread>
 #include <vector>
 
 #include "testing/agent_stand_in.h"
 #include "testing/sidecar_process.h"
 #include "testing/soak_client.h"
 #include "testing/soak_endpoint.h"
+#include "testing/soak_run.h"
 
 namespace puffinvane::test {
 namespace {
@@ -35,7 +31,6 @@
 constexpr int kEndpoints = 3;
 constexpr int kClients = 16;
 constexpr int kCrowd = 400;
-constexpr std::uint32_t kPermille = 1000;
 
 enum class Before { Steady, AgentSilent, Restarted, Terminating };
 
@@ -50,16 +45,6 @@
   bool has_idle_crowd = false;
 };
 
-class RandomDraw {
- public:
-  explicit RandomDraw(std::uint64_t seed) : random_(seed) {}
-  double uniform(double low, double high) { return low + (high - low) * random_(kPermille) / kPermille; }
-  int below(int bound) { return int(random_(std::uint32_t(bound))); }
-
- private:
-  pcg32 random_;
-};
-
 Plan random_plan(std::uint64_t seed) {
   RandomDraw draw(seed);
   Plan plan;
@@ -201,17 +186,5 @@
 }  // namespace puffinvane::test
 
 int main(int count, char** words) {
-  if (count != 4) {
-    std::fprintf(stderr, "usage: drain_soak PROGRAM FIRST_SEED LAST_SEED\n");
-    return 2;
-  }
-  puffinvane::test::program = words[1];
-  signal(SIGPIPE, SIG_IGN);
-  int failed = 0;
-  const auto last_seed = std::stoull(words[3]);
-  for (auto seed = std::stoull(words[2]); seed <= last_seed; ++seed) {
-    if (!puffinvane::test::run_seed(seed)) ++failed;
-  }
-  std::printf("%d runs failed\n", failed);
-  return failed == 0 ? 0 : 1;
+  return puffinvane::test::run_seeds(count, words, puffinvane::test::run_seed);
 }
--- a/tests/integration/restart_soak.cpp
+++ b/tests/integration/restart_soak.cpp
@@ -10,7 +10,6 @@
 #include <cstdio>
 #include <filesystem>
 #include <memory>
-#include <pcg_random.hpp>
 #include <string>
 #include <thread>
 #include <vector>
@@ -18,6 +17,7 @@
 #include "testing/sidecar_process.h"
 #include "testing/soak_client.h"
 #include "testing/soak_endpoint.h"
+#include "testing/soak_run.h"
 
 namespace puffinvane::test {
 namespace {
@@ -56,19 +56,6 @@
   }
 };
 
-class RandomDraw {
- public:
-  explicit RandomDraw(std::uint64_t seed) : random_(seed) {}
-  double uniform(double low, double high) {
-    return low + (high - low) * double(random_()) / double(pcg32::max());
-  }
-  int below(int bound) { return int(random_(std::uint32_t(bound))); }
-  bool chance(double probability) { return uniform(0, 1) < probability; }
-
- private:
-  pcg32 random_;
-};
-
 Plan random_plan(std::uint64_t seed) {
   constexpr double kTimeouts[] = {0.4, 1, 3, 8};
   RandomDraw draw(seed);
@@ -330,21 +317,10 @@
 }  // namespace puffinvane::test
 
 int main(int count, char** words) {
-  if (count != 4) {
-    std::fprintf(stderr, "usage: restart_soak PROGRAM FIRST_SEED LAST_SEED\n");
-    return 2;
-  }
-  puffinvane::test::program = words[1];
-  signal(SIGPIPE, SIG_IGN);
   const std::string folder = "/tmp/puffinvane-soak-" + std::to_string(getpid());
   std::filesystem::create_directory(folder);
   setenv("TMPDIR", folder.c_str(), 1);  // where a predecessor and its successor find their control socket
-  int failed = 0;
-  const auto last_seed = std::stoull(words[3]);
-  for (auto seed = std::stoull(words[2]); seed <= last_seed; ++seed) {
-    if (!puffinvane::test::run_seed(seed)) ++failed;
-  }
+  const int exit_code = puffinvane::test::run_seeds(count, words, puffinvane::test::run_seed);
   std::filesystem::remove_all(folder);
-  std::printf("%d runs failed\n", failed);
-  return failed == 0 ? 0 : 1;
+  return exit_code;
 }
