discovery: metrics for how current the endpoint list is, tests of the new log events

New: sidecar_list_index, sidecar_discovery_answer_age_milliseconds and sidecar_discovery_calls_unanswered_total; a connection that is not established in time is logged as discovery.call_unanswered too.

--- a/src/admin/telemetry.cpp
+++ b/src/admin/telemetry.cpp
@@ -4,6 +4,8 @@
 
 namespace {
 
+constexpr double kMillisecondsPerSecond = 1000;
+
 void write_header(std::string& text, std::string_view name, std::string_view type, std::string_view help) {
   text.append("# HELP sidecar_").append(name).append(" ").append(help);
   text.append("\n# TYPE sidecar_").append(name).append(" ").append(type).append("\n");
@@ -57,6 +59,13 @@
                current.avoided_endpoints);
   write_metric(text, "log_lines_dropped_total", "counter",
                "Log lines that were dropped because the log's reader did not take them.", dropped_log_lines);
+  write_metric(text, "list_index", "gauge", "Index of the endpoint list in force.",
+               std::uint64_t(current.discovery.list_index));
+  write_metric(text, "discovery_answer_age_milliseconds", "gauge", "Time since discovery last answered.",
+               std::uint64_t(current.discovery.answer_age_s * kMillisecondsPerSecond));
+  write_metric(text, "discovery_calls_unanswered_total", "counter",
+               "Calls to discovery that were not answered or not connected in time.",
+               current.discovery.unanswered_calls);
   return text;
 }
 
--- a/src/admin/telemetry.h
+++ b/src/admin/telemetry.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "puffinvane/policy.h"
+#include "src/discovery/discovery_watch.h"
 #include "src/fleet/fleet.h"
 #include "src/proxy/request_counters.h"
 
@@ -17,6 +18,7 @@
   std::size_t active_requests = 0;
   std::size_t endpoints = 0;          // in the list
   std::size_t avoided_endpoints = 0;  // excluded or ejected
+  DiscoveryStatus discovery;
 };
 
 std::string write_telemetry(const std::vector<RequestClass>& request_classes, const RequestCounters& counters,
--- a/src/discovery/discovery_events_test.cpp
+++ b/src/discovery/discovery_events_test.cpp
@@ -7,6 +7,49 @@
 namespace puffinvane {
 namespace {
 
+constexpr LoggedCall kCall{.address = "127.0.0.1:5000", .held_index = 9, .since_s = 0.25};
+
+TEST(DiscoveryEvents, ContainTheHeldIndexOfAnUnansweredCall) {
+  std::ostringstream output;
+  Log log(output, Level::Info);
+
+  log_call_unanswered(log, kCall, "awaiting_response");
+
+  EXPECT_EQ(output.str(),
+            "info: discovery.call_unanswered address=127.0.0.1:5000 state=awaiting_response held_index=9 "
+            "since_s=0.25\n");
+}
+
+TEST(DiscoveryEvents, ContainTheIndexAndTheLengthOfAReceivedListOnlyForDebugging) {
+  std::ostringstream debug_output;
+  std::ostringstream info_output;
+  Log debug_log(debug_output, Level::Debug);
+  Log info_log(info_output, Level::Info);
+  EndpointList list;
+  list.index = 15;
+  list.is_snapshot = true;
+  list.entries.resize(2);
+
+  log_list_received(debug_log, kCall, list);
+  log_list_received(info_log, kCall, list);
+
+  EXPECT_EQ(debug_output.str(),
+            "debug: discovery.list_received address=127.0.0.1:5000 index=15 snapshot=1 entries=2 "
+            "since_s=0.25\n");
+  EXPECT_EQ(info_output.str(), "");
+}
+
+TEST(DiscoveryEvents, ContainTheEventAndTheStateOfACall) {
+  std::ostringstream output;
+  Log log(output, Level::Debug);
+
+  log_call_event(log, kCall, "timed_out", "watching");
+
+  EXPECT_EQ(output.str(),
+            "debug: discovery.call_event address=127.0.0.1:5000 event=timed_out state=watching held_index=9 "
+            "since_s=0.25\n");
+}
+
 TEST(DiscoveryEvents, ContainTheStatusOfAFailedCall) {
   std::ostringstream output;
   Log log(output, Level::Warning);
--- a/src/discovery/discovery_watch.cpp
+++ b/src/discovery/discovery_watch.cpp
@@ -29,7 +29,7 @@
         {State::AwaitingResponse, Event::AddressChanged, State::Connecting, &DiscoveryWatch::connect},
         {State::Watching, Event::AddressChanged, State::Connecting, &DiscoveryWatch::connect},
         {State::Connecting, Event::Connected, State::AwaitingResponse, &DiscoveryWatch::send_request},
-        {State::Connecting, Event::TimedOut, State::Connecting, &DiscoveryWatch::connect},
+        {State::Connecting, Event::TimedOut, State::Connecting, &DiscoveryWatch::reconnect},
         {State::Connecting, Event::CallEnded, State::BackingOff,
          &DiscoveryWatch::back_off_after_unanswered_call},
         {State::AwaitingResponse, Event::ResponseReceived, State::Watching, &DiscoveryWatch::start_watching},
@@ -55,7 +55,8 @@
       backoff_(options.mode, options.backoff_seed),
       timeouts_(options.mode),
       connection_(loop, *this),
-      response_(HttpReader::Side::Response, loop.pool(), kMaxUnreadBodyBytes) {
+      response_(HttpReader::Side::Response, loop.pool(), kMaxUnreadBodyBytes),
+      answered_at_s_(loop.now()) {
   check_timeout();
 }
 
@@ -77,6 +78,10 @@
   connection_.close();
 }
 
+DiscoveryStatus DiscoveryWatch::status() const {
+  return {cursor_.held_index(), loop_.now() - answered_at_s_, unanswered_calls_};
+}
+
 void DiscoveryWatch::apply(Event event) {
   log_call_event(loop_.log(), logged_call(), to_string(event), to_string(state_));
   apply_transition(kTransitions, *this, state_, event);
@@ -119,6 +124,11 @@
   if (connection_.connect(address_) != TcpConnection::ConnectStart::Begun) apply(Event::CallEnded);
 }
 
+void DiscoveryWatch::reconnect() {
+  record_unanswered_call();
+  connect();
+}
+
 void DiscoveryWatch::send_request() {
   restart_timeout();
   std::int64_t after = cursor_.begin_call(loop_.now());
@@ -129,7 +139,8 @@
 }
 
 void DiscoveryWatch::start_watching() {
-  backoff_.on_call_answered(loop_.now());
+  answered_at_s_ = loop_.now();
+  backoff_.on_call_answered(answered_at_s_);
   // In pushed mode a call for changes is renewed a fixed time after it was sent, not after it was answered.
   if (is_pushed() && asks_for_changes()) return;
   timeouts_.record_response_time(loop_.now() - timeout_started_at_s_);
@@ -158,8 +169,13 @@
   }));
 }
 
-void DiscoveryWatch::back_off_after_unanswered_call() {
+void DiscoveryWatch::record_unanswered_call() {
+  ++unanswered_calls_;
   log_call_unanswered(loop_.log(), logged_call(), to_string(state_));
+}
+
+void DiscoveryWatch::back_off_after_unanswered_call() {
+  record_unanswered_call();
   cursor_.on_call_unanswered();
   back_off();
 }
@@ -174,7 +190,7 @@
   if (lines_.has_partial_list()) {
     timeouts_.on_list_late_for_response();
   } else {
-    log_call_unanswered(loop_.log(), logged_call(), to_string(state_));
+    record_unanswered_call();
     cursor_.on_call_unanswered();
   }
   // An agent that was unresponsive sends its changes to the calls that are open when it recovers, and then
@@ -274,6 +290,7 @@
 }
 
 void DiscoveryWatch::on_response_received() {
+  answered_at_s_ = loop_.now();
   apply(Event::ResponseReceived);
   if (!is_pushed()) restart_timeout();
 }
--- a/src/discovery/discovery_watch.h
+++ b/src/discovery/discovery_watch.h
@@ -22,6 +22,13 @@
 
 namespace puffinvane {
 
+// How current a watch is, for the metrics.
+struct DiscoveryStatus {
+  std::int64_t list_index = 0;         // of the held list; 0: none
+  double answer_age_s = 0;             // since discovery last answered or, before that, since the watch began
+  std::uint64_t unanswered_calls = 0;  // since the start, including connections that were not established
+};
+
 // Keeps the endpoint list up to date. A call that ends, times out or has an invalid response is followed by
 // another one. In pushed mode each call is also replaced by a new one periodically, so that a change is
 // received in time even if a watch is alive but no longer sends lists, or is broken but looks idle. What the
@@ -57,6 +64,7 @@
   // Ends the current call. Nothing is reported after that.
   void close();
   bool has_received_list() const { return has_received_list_; }
+  DiscoveryStatus status() const;
 
  private:
   enum class State { BackingOff, Connecting, AwaitingResponse, Watching, Closed };
@@ -77,11 +85,13 @@
   void apply(Event event);
   LoggedCall logged_call() const;
   void connect();
+  void reconnect();
   void send_request();
   void start_watching();
   void renew_call();
   void back_off();
   void back_off_after_unanswered_call();
+  void record_unanswered_call();
   void back_off_and_resync();
   void back_off_after_timeout();
 
@@ -129,6 +139,8 @@
   double backoff_ends_at_s_ = 0;
   std::optional<double> date_offset_s_;  // Unix time by the Date header minus monotonic time
   bool has_received_list_ = false;
+  double answered_at_s_ = 0;
+  std::uint64_t unanswered_calls_ = 0;
   bool is_fault_logged_ = false;  // since the last valid list
   LifetimeToken alive_;
 };
