discovery: ask again within the drain grace where a renewed call is not answered

What callers saw: requests at endpoints up to 0.8 s after their drain grace (drain_soak, see below). Cause: a lost change was asked for after 0.2 s, but if that call was not answered, it was given up only after 0.8 s, a connection after 0.4 s, and a full list that stopped in the middle after 0.8 s or more. The deadline runs from what the agent has, so one more fault on the way broke it. Change: in pushed mode, calls with short answers and connections are given up after 0.15 s at first, doubling with each consecutive one up to the former values, so that a slow agent is heard; a list that pauses for 0.15 s counts as cut off in an answer too. AgentStandIn leaves calls unanswered, resets them, answers by the head alone, by an older list or by half a list; drain_soak draws one of these in each run.

--- a/src/discovery/call_timeouts.cpp
+++ b/src/discovery/call_timeouts.cpp
@@ -1,6 +1,7 @@
 #include "src/discovery/call_timeouts.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace puffinvane {
 
@@ -8,6 +9,7 @@
 
 // A change must be received within 6 s after discovery has it and can be reached, however the earlier calls
 // failed. The worst cases below combine one fault of each kind. Each timeout is noticed up to 0.05 s late.
+// In pushed mode the timeouts of connections and of short answers begin lower and grow to the values here.
 constexpr double kConnectSeconds = 0.4;
 
 // Pushed mode: a call is replaced by a new one this long after it was sent, or after its full list was
@@ -37,16 +39,25 @@
 // Pushed mode: what the agent has counts as notified although a change that it sent may be lost without a
 // sign. Where the answer is short, a call is therefore renewed well within the grace of a drain.
 constexpr double kCheapRenewalSeconds = 0.2;
+// The change has to be received within the grace also if the renewed call isn't answered or established.
+constexpr double kFirstCheapAnswerSeconds = 0.15;
+constexpr double kFirstPushedConnectSeconds = 0.15;
+constexpr int kMaxDoublings = 3;
 
 }  // namespace
 
-double CallTimeouts::connect_timeout_s() const { return kConnectSeconds; }
+double CallTimeouts::connect_timeout_s() const {
+  if (mode_ == DiscoveryMode::OnRequest) return kConnectSeconds;
+  return retry_timeout_s(kFirstPushedConnectSeconds, kConnectSeconds);
+}
 
 // The response time of a call on request includes the time in discovery's queue, so it doesn't tell how long
 // a list takes. Only the arrival of a list extends such a timeout.
 double CallTimeouts::response_timeout_s(const CallProgress& progress) const {
   bool awaits_full_list = mode_ == DiscoveryMode::Pushed && progress.scope == CallScope::FullList;
   bool awaits_list = awaits_full_list || progress.has_partial_list;
+  bool is_short = mode_ == DiscoveryMode::Pushed && progress.is_answer_cheap && !progress.has_partial_list;
+  if (is_short) return retry_timeout_s(kFirstCheapAnswerSeconds, kPushedAnswerSeconds);
   double list_s = std::max(list_timeout_s_, arriving_list_timeout_s(progress));
   return awaits_list ? std::max(min_response_timeout_s(), list_s) : min_response_timeout_s();
 }
@@ -59,6 +70,10 @@
   return progress.has_partial_list ? std::max(renewal_s, list_timeout_s_) : renewal_s;
 }
 
+void CallTimeouts::on_call_unanswered() { doublings_ = std::min(kMaxDoublings, doublings_ + 1); }
+
+void CallTimeouts::on_call_answered() { doublings_ = 0; }
+
 void CallTimeouts::record_response_time(double duration_s) {
   list_timeout_s_ = std::min(kMaxListSeconds, 2 * duration_s);
 }
@@ -82,6 +97,10 @@
   return mode_ == DiscoveryMode::Pushed ? kPushedAnswerSeconds : kOnRequestAnswerSeconds;
 }
 
+double CallTimeouts::retry_timeout_s(double first_s, double max_s) const {
+  return std::min(max_s, std::ldexp(first_s, doublings_));
+}
+
 void CallTimeouts::extend_list_timeout(double min_s) {
   list_timeout_s_ = std::min(kMaxListSeconds, 2 * std::max(min_s, list_timeout_s_));
 }
--- a/src/discovery/call_timeouts.h
+++ b/src/discovery/call_timeouts.h
@@ -12,6 +12,7 @@
   bool has_partial_list = false;  // a list has been received in part
   bool has_full_list = false;     // a full list was received in this stage
   double last_bytes_after_s = 0;  // from the start of the stage to the last byte received
+  bool is_answer_cheap = false;   // the current call will be answered by few bytes
   bool is_renewal_cheap = false;  // the next call will be answered by few bytes
 };
 
@@ -23,12 +24,16 @@
   // From the start of a connection attempt until the connection is established.
   double connect_timeout_s() const;
   // From sending the request until the first answer: a line of the response or, for a call for changes in
-  // pushed mode, the response head.
+  // pushed mode, the response head. Pushed mode: short if the answer is, but doubles with each consecutive
+  // call that isn't answered in time. So does connect_timeout_s().
   double response_timeout_s(const CallProgress& progress) const;
   // Until the call is replaced by a new one. Pushed mode: from sending the request for a call for changes,
   // from the first list for a call for all endpoints. On-request mode: from the last line received.
   double watch_timeout_s(const CallProgress& progress) const;
 
+  // A connection was not established or a call not answered in time; a call was answered.
+  void on_call_unanswered();
+  void on_call_answered();
   // The first list or blank line of a call was received this long after the request. The next list may take
   // twice as long. Not for calls for changes in pushed mode, whose response head is the answer.
   void record_response_time(double duration_s);
@@ -36,7 +41,7 @@
   // take twice as long.
   void on_list_late_for_response();
   void on_list_late_for_renewal();
-  // Pushed mode, for a list that arrives on a watch: how long it may pause before it counts as cut off. The
+  // Pushed mode, for a list that is being received: how long it may pause before it counts as cut off. The
   // pause doubles with each list that was cut off, so that a slow list is received in the end.
   double partial_list_pause_s() const { return partial_list_pause_s_; }
   void on_list_cut_off();
@@ -44,12 +49,14 @@
 
  private:
   double min_response_timeout_s() const;
+  double retry_timeout_s(double first_s, double max_s) const;
   double arriving_list_timeout_s(const CallProgress& progress) const;
   void extend_list_timeout(double min_s);
 
-  static constexpr double kFirstPartialListPauseSeconds = 0.25;
+  static constexpr double kFirstPartialListPauseSeconds = 0.15;
 
   const DiscoveryMode mode_;
+  int doublings_ = 0;          // of the timeouts for connections and short answers
   double list_timeout_s_ = 0;  // how long a list may take, based on earlier lists
   double partial_list_pause_s_ = kFirstPartialListPauseSeconds;
 };
--- a/src/discovery/call_timing_test.cpp
+++ b/src/discovery/call_timing_test.cpp
@@ -80,6 +80,49 @@
   EXPECT_GT(timeouts.watch_timeout_s(with_partial_list(cheap)), 1);
 }
 
+// Guards against requests to an endpoint after its drain grace where a change is lost and the renewed call
+// is not answered, not connected or answered by half a list.
+TEST(CallTimeouts, RetriesACheapPushedCallOnceWithinTheDrainGrace) {
+  constexpr double kGraceSeconds = 0.5;
+  constexpr double kTimerSeconds = 0.05;
+  CallTimeouts timeouts(DiscoveryMode::Pushed);
+  CallProgress cheap = full_list_call();
+  cheap.is_answer_cheap = true;
+  cheap.is_renewal_cheap = true;
+  const double renewed_s = timeouts.watch_timeout_s(cheap) + kTimerSeconds;
+
+  EXPECT_LT(renewed_s + timeouts.response_timeout_s(cheap) + kTimerSeconds, kGraceSeconds);
+  EXPECT_LT(renewed_s + timeouts.connect_timeout_s() + kTimerSeconds, kGraceSeconds);
+  EXPECT_LT(renewed_s + timeouts.partial_list_pause_s() + kTimerSeconds, kGraceSeconds);
+}
+
+TEST(CallTimeouts, DoublesForUnansweredPushedCallsUpToALimitUntilOneIsAnswered) {
+  CallTimeouts timeouts(DiscoveryMode::Pushed);
+  CallProgress cheap;
+  cheap.is_answer_cheap = true;
+
+  const double first_s = timeouts.response_timeout_s(cheap);
+  timeouts.on_call_unanswered();
+  EXPECT_EQ(timeouts.response_timeout_s(cheap), 2 * first_s);
+  for (int i = 0; i < 5; ++i) timeouts.on_call_unanswered();
+  EXPECT_EQ(timeouts.response_timeout_s(cheap), 0.8);
+  EXPECT_EQ(timeouts.connect_timeout_s(), 0.4);
+  timeouts.on_call_answered();
+  EXPECT_EQ(timeouts.response_timeout_s(cheap), first_s);
+}
+
+TEST(CallTimeouts, AllowsTheFullTimeForLongAnswersAndOnRequest) {
+  CallTimeouts pushed(DiscoveryMode::Pushed);
+  CallTimeouts on_request(DiscoveryMode::OnRequest);
+  CallProgress cheap;
+  cheap.is_answer_cheap = true;
+
+  EXPECT_EQ(pushed.response_timeout_s(full_list_call()), 0.8);
+  EXPECT_EQ(pushed.response_timeout_s(with_partial_list(cheap)), 0.8);
+  EXPECT_EQ(on_request.response_timeout_s(cheap), 2.2);
+  EXPECT_EQ(on_request.connect_timeout_s(), 0.4);
+}
+
 TEST(CallTimeouts, DoublesThePauseOfAListWithEachOneThatWasCutOff) {
   CallTimeouts timeouts(DiscoveryMode::Pushed);
   const double first_s = timeouts.partial_list_pause_s();
--- a/src/discovery/discovery_watch.cpp
+++ b/src/discovery/discovery_watch.cpp
@@ -126,6 +126,7 @@
 
 void DiscoveryWatch::reconnect() {
   record_unanswered_call();
+  timeouts_.on_call_unanswered();
   connect();
 }
 
@@ -141,6 +142,7 @@
 void DiscoveryWatch::start_watching() {
   answered_at_s_ = loop_.now();
   backoff_.on_call_answered(answered_at_s_);
+  timeouts_.on_call_answered();
   // In pushed mode a call for changes is renewed a fixed time after it was sent, not after it was answered.
   if (is_pushed() && asks_for_changes()) return;
   timeouts_.record_response_time(loop_.now() - timeout_started_at_s_);
@@ -192,6 +194,7 @@
   } else {
     record_unanswered_call();
     cursor_.on_call_unanswered();
+    timeouts_.on_call_unanswered();
   }
   // An agent that was unresponsive sends its changes to the calls that are open when it recovers, and then
   // considers them delivered. So the next call must be open by then.
@@ -315,9 +318,9 @@
   loop_.at(loop_.now() + kTimeoutCheckSeconds, alive_.guard([this] { check_timeout(); }));
 }
 
-// The rest of a change that stopped in the middle may never arrive, while the watch looks alive.
+// The rest of a list that stopped in the middle may never arrive, while the call looks alive.
 void DiscoveryWatch::renew_call_if_list_is_cut_off() {
-  bool is_arriving = is_pushed() && state_ == State::Watching && lines_.has_partial_list();
+  bool is_arriving = is_pushed() && is_receiving() && lines_.has_partial_list();
   if (!is_arriving || loop_.now() - last_bytes_at_s_ <= timeouts_.partial_list_pause_s()) return;
   timeouts_.on_list_cut_off();
   lines_ = ListSplitter();
@@ -340,6 +343,7 @@
   progress.scope = cursor_.call_scope();
   progress.has_partial_list = lines_.has_partial_list();
   progress.has_full_list = cursor_.full_list_at() >= timeout_started_at_s_;
+  progress.is_answer_cheap = cursor_.is_call_cheap();
   progress.is_renewal_cheap = cursor_.is_next_call_cheap();
   progress.last_bytes_after_s = std::max(0.0, last_bytes_at_s_ - timeout_started_at_s_);
   return progress;
--- a/src/discovery/list_cursor.cpp
+++ b/src/discovery/list_cursor.cpp
@@ -71,8 +71,14 @@
   full_list_hash_.reset();
 }
 
+bool ListCursor::is_call_cheap() const { return is_answer_cheap(call_scope_); }
+
 bool ListCursor::is_next_call_cheap() const {
-  bool gets_changes = complete_index_ > 0 && !is_answered_by_full_lists_;
+  return is_answer_cheap(complete_index_ > 0 ? CallScope::Changes : CallScope::FullList);
+}
+
+bool ListCursor::is_answer_cheap(CallScope scope) const {
+  bool gets_changes = scope == CallScope::Changes && !is_answered_by_full_lists_;
   return gets_changes || full_list_bytes_ <= kMaxCheapListBytes;
 }
 
--- a/src/discovery/list_cursor.h
+++ b/src/discovery/list_cursor.h
@@ -55,12 +55,15 @@
   CallScope call_scope() const { return call_scope_; }
   // Whether the current call has received a non-blank line.
   bool has_received_line() const { return has_received_line_; }
-  // Whether the next call is expected to be answered by few bytes: by changes, or by a short full list.
+  // Whether the current or the next call is expected to be answered by few bytes: by changes, or by a short
+  // full list.
+  bool is_call_cheap() const;
   bool is_next_call_cheap() const;
   // When the last full list was received.
   double full_list_at() const { return full_list_at_; }
 
  private:
+  bool is_answer_cheap(CallScope scope) const;
   bool is_full_list_due(double now) const;
   bool matches_last_full_list(std::string_view line) const;
   std::optional<ListError> check_sequence(const EndpointList& list);
--- a/src/discovery/list_cursor_test.cpp
+++ b/src/discovery/list_cursor_test.cpp
@@ -183,5 +183,23 @@
   EXPECT_FALSE(cursor.is_next_call_cheap());
 }
 
+TEST(ListCursor, ExpectsAnExpensiveAnswerToACallForALongFullListOnly) {
+  ListCursor cursor(DiscoveryMode::Pushed, 0);
+  std::string long_list = snapshot(4);
+  long_list.insert(long_list.size() - 1, std::string(20'000, ' '));
+
+  cursor.begin_call(kNow);
+  bool is_first_cheap = cursor.is_call_cheap();
+  cursor.on_line(long_list, kNow);
+  cursor.begin_call(kNow);
+  bool is_call_for_changes_cheap = cursor.is_call_cheap();
+  cursor.begin_call(kNow + 60);
+
+  EXPECT_TRUE(is_first_cheap);
+  EXPECT_TRUE(is_call_for_changes_cheap);
+  EXPECT_EQ(cursor.call_scope(), CallScope::FullList);
+  EXPECT_FALSE(cursor.is_call_cheap());
+}
+
 }  // namespace
 }  // namespace puffinvane
--- a/testing/agent_stand_in.h
+++ b/testing/agent_stand_in.h
@@ -2,9 +2,11 @@
 // changes after the index that was asked for, and sends later changes to the calls that are open.
 #pragma once
 
+#include <algorithm>
 #include <atomic>
 #include <list>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <utility>
@@ -19,6 +21,10 @@
   // How a change reaches the calls that are open: whole, not at all, or without its second half. Later calls
   // are answered with it in any case.
   enum class Delivery { Whole, Lost, CutOff };
+  // How a call is answered: as it should be, not at all, by the response head alone, by a reset, with the
+  // list before its last change, or with the first half of the list. A call with a fault receives no later
+  // change either.
+  enum class CallFault { None, Unanswered, HeadOnly, Reset, StaleList, CutOffList };
 
   explicit AgentStandIn(Listener& listener) : listener_(listener), answering_([this] { run(); }) {}
   AgentStandIn(const AgentStandIn&) = delete;
@@ -30,11 +36,13 @@
 
   // While silent, calls are accepted and not answered; they are answered once the agent is no longer silent.
   void set_silent(bool silent) { is_silent_ = silent; }
+  // The next call that is answered has this fault.
+  void fault_next_call(CallFault fault) { next_fault_ = fault; }
   void publish(const std::string& entry, Delivery delivery) {
     std::lock_guard lock(mutex_);
     changes_.push_back(entry);
     if (delivery == Delivery::Lost) return;
-    const std::string text = http_chunk(line_after(index() - 1));
+    const std::string text = http_chunk(line_between(index() - 1, index()));
     const std::size_t size = delivery == Delivery::CutOff ? text.size() / 2 : text.size();
     for (TestConnection& call : open_) call.send_text(text.substr(0, size));
   }
@@ -49,13 +57,13 @@
   };
 
   int index() const { return kFirstIndex + int(changes_.size()); }
-  // The changes after that index, as one line.
-  std::string line_after(int after) const {
+  // The changes after one index up to another, as one line.
+  std::string line_between(int after, int last) const {
     std::string entries;
-    for (int i = std::max(0, after - kFirstIndex); i < int(changes_.size()); ++i) {
+    for (int i = std::max(0, after - kFirstIndex); i < last - kFirstIndex; ++i) {
       entries += (entries.empty() ? "" : ",") + changes_[std::size_t(i)];
     }
-    return R"({"index":)" + std::to_string(index()) + R"(,"snapshot":false,"endpoints":[)" + entries + "]}\n";
+    return R"({"index":)" + std::to_string(last) + R"(,"snapshot":false,"endpoints":[)" + entries + "]}\n";
   }
   void run() {
     while (!is_over_) {
@@ -64,26 +72,46 @@
     }
   }
   void accept_call() {
-    std::pair<TestConnection, HttpMessage> call = listener_.accept_request();
-    const std::string& target = call.second.target;
-    const int after = std::stoi(target.substr(target.find("after=") + 6));
-    waiting_.push_back({std::move(call.first), after});
+    TestConnection call = listener_.accept_connection();
+    const std::optional<HttpMessage> request = call.receive_message(HttpReader::Side::Request);
+    if (!request) return;  // the process was killed meanwhile
+    const int after = std::stoi(request->target.substr(request->target.find("after=") + 6));
+    waiting_.push_back({std::move(call), after});
   }
   void answer_waiting() {
     std::lock_guard lock(mutex_);
-    for (WaitingCall& call : waiting_) {
-      call.connection.send_text("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
-                                http_chunk(line_after(call.after)));
-      open_.push_back(std::move(call.connection));
-    }
+    for (WaitingCall& call : waiting_) answer(call, next_fault_.exchange(CallFault::None));
     waiting_.clear();
   }
+  void answer(WaitingCall& call, CallFault fault) {
+    constexpr const char* kHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const int before_last = std::max(kFirstIndex, index() - 1);
+    const std::string changes = line_between(call.after, index());
+    switch (fault) {
+      case CallFault::None:
+        call.connection.send_text(kHead + http_chunk(changes));
+        open_.push_back(std::move(call.connection));
+        return;
+      case CallFault::Unanswered: break;
+      case CallFault::HeadOnly: call.connection.send_text(kHead); break;
+      case CallFault::Reset: call.connection.reset(); break;
+      case CallFault::StaleList:
+        call.connection.send_text(kHead + http_chunk(line_between(call.after, before_last)));
+        break;
+      case CallFault::CutOffList:
+        call.connection.send_text(kHead + http_chunk(changes.substr(0, changes.size() / 2)));
+        break;
+    }
+    faulty_.push_back(std::move(call.connection));
+  }
 
   Listener& listener_;
   std::mutex mutex_;
   std::vector<std::string> changes_;
   std::list<WaitingCall> waiting_;
   std::list<TestConnection> open_;
+  std::list<TestConnection> faulty_;
+  std::atomic<CallFault> next_fault_ = CallFault::None;
   std::atomic<bool> is_silent_ = false;
   std::atomic<bool> is_over_ = false;
   std::thread answering_;
--- a/tests/integration/drain_soak.cpp
+++ b/tests/integration/drain_soak.cpp
@@ -1,6 +1,7 @@
 // A soak test of drains. An endpoint is listed as draining or removed, goes on serving, and must get no
-// request after the grace, although the discovery agent loses or cuts off the change that it sends, was
-// unresponsive before, or the process is restarted, terminated, stalled or reloaded at that moment.
+// request after the grace, although the discovery agent loses or cuts off the change that it sends, answers
+// the call after it wrongly or not at all, or was unresponsive before, or the process is restarted,
+// terminated, stalled or reloaded at that moment.
 //
 //     drain_soak PROGRAM FIRST_SEED LAST_SEED
 //
@@ -31,12 +32,15 @@
 constexpr int kEndpoints = 3;
 constexpr int kClients = 16;
 constexpr int kCrowd = 400;
+constexpr int kCallFaults = 6;
 
 enum class Before { Steady, AgentSilent, Restarted, Terminating };
 
 struct Plan {
   Before before = Before::Restarted;
   AgentStandIn::Delivery delivery = AgentStandIn::Delivery::Whole;
+  // Of the first call of the restarted process, else of the first call after the change.
+  AgentStandIn::CallFault call_fault = AgentStandIn::CallFault::None;
   bool is_removed = false;    // else it drains
   double change_after_s = 0;  // after the restart, recovery or SIGTERM
   double silent_s = 0;
@@ -57,6 +61,7 @@
   for (int i = draw.below(4); i > 0; --i) plan.reloads_s.push_back(draw.uniform(0, 0.6));
   std::ranges::sort(plan.reloads_s);
   plan.has_idle_crowd = seed % 3 == 0;
+  plan.call_fault = AgentStandIn::CallFault(draw.below(kCallFaults));
   return plan;
 }
 
@@ -79,7 +84,8 @@
     sleep_for(kWarmUpSeconds);
     prepare_change();
     const double changed_at_s = now();
-    std::string status = plan_.is_removed ? "left" : "leaving";
+    const std::string status = plan_.is_removed ? "left" : "leaving";
+    if (plan_.before != Before::Restarted) agent_.fault_next_call(plan_.call_fault);
     agent_.publish(list_entry_json(name(0), endpoints_[0]->address(), status), plan_.delivery);
     stall_and_reload(changed_at_s);
     const bool ends_early = plan_.before == Before::Terminating;
@@ -130,6 +136,7 @@
         break;
       case Before::Restarted:
         kill(sidecar_->child(), SIGKILL);
+        agent_.fault_next_call(plan_.call_fault);
         start_process();
         break;
       case Before::Terminating: sidecar_->terminate(); break;
@@ -166,16 +173,21 @@
   return kNames[int(delivery)];
 }
 
+const char* name_of(AgentStandIn::CallFault fault) {
+  constexpr const char* kNames[] = {"answered", "unanswered", "answered by a head",
+                                    "reset",    "stale",      "cut off"};
+  return kNames[int(fault)];
+}
+
 bool run_seed(std::uint64_t seed) {
   const Plan plan = random_plan(seed);
   Run run(seed, plan);
   const std::size_t late = run.play();
   std::printf(
-      "seed %llu: %s, change %s after %.3f s, %s, silent %.2f s, stall %.2f s, %zu reloads, %s: %zu "
-      "requests, "
-      "%zu after the grace\n",
+      "seed %llu: %s, change %s after %.3f s, call %s, %s, silent %.2f s, stall %.2f s, %zu reloads, %s: "
+      "%zu requests, %zu after the grace\n",
       static_cast<unsigned long long>(seed), name_of(plan.before), name_of(plan.delivery),
-      plan.change_after_s, plan.is_removed ? "removed" : "draining",
+      plan.change_after_s, name_of(plan.call_fault), plan.is_removed ? "removed" : "draining",
       plan.before == Before::AgentSilent ? plan.silent_s : 0, plan.stall_s, plan.reloads_s.size(),
       plan.has_idle_crowd ? "crowd" : "no crowd", run.request_count(), late);
   std::fflush(stdout);
