--- a/src/proxy/request_forwarder.cpp
+++ b/src/proxy/request_forwarder.cpp
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
-#include <set>
-#include <unordered_set>
 #include <utility>
 
 #include "src/http/headers.h"
@@ -13,9 +11,6 @@
 namespace puffinvane {
 
 namespace {
-// Weight of an endpoint that is not in this instance's share: so little that it gets attempts only once its
-// own endpoints have no capacity left.
-constexpr double kWeightOutsideShare = 1e-6;
 // Share of the time after which endpoints close idle connections. They are closed here before that, so that
 // no attempt is sent while the endpoint closes.
 constexpr double kMaxIdleShare = 0.7;
@@ -25,7 +20,6 @@
 constexpr double kReuseDelay = 0.03;
 constexpr double kSpareDelayShare = 0.5;             // of the connect timeout
 constexpr std::size_t kMaxSparesPerEndpoint = 4;     // being established at a time
-constexpr std::size_t kMaxRecentlyRemoved = 4096;    // endpoints remembered although no longer listed
 constexpr std::size_t kBodyPartBytes = 64 * 1024;    // of a body, written at a time
 constexpr std::size_t kMaxUnsentBytes = 256 * 1024;  // of an upload that no connection carries yet
 constexpr double kMaxUploadTime = 1200;  // seconds: longer than any body takes at the lowest accepted rate
@@ -44,18 +38,6 @@
 std::string_view client_id_of(const PendingRequest& request) {
   return request.message.header(kRequestIdHeader);
 }
-
-ListChangeCounts count_changes(const std::vector<ListEntry>& entries) {
-  ListChangeCounts counts;
-  for (const ListEntry& entry : entries) {
-    switch (entry.state) {
-      case ListedState::Ready: ++counts.ready; break;
-      case ListedState::Draining: ++counts.draining; break;
-      case ListedState::Removed: ++counts.removed; break;
-    }
-  }
-  return counts;
-}
 }  // namespace
 
 RequestForwarder::RequestForwarder(Loop& loop, ConnectionLimiter& limiter, Deployment deployment,
@@ -64,6 +46,7 @@
       limiter_(limiter),
       deployment_(std::move(deployment)),
       options_(std::move(options)),
+      directory_(loop.log(), *this),
       counters_(deployment_.request_classes.size()),
       policy_(make(loop.now(), deployment_, seed, *this)) {
   limiter_.add(*this);
@@ -89,11 +72,11 @@
 // Each new connection costs its endpoint a handshake, so a mere change of settings must not close
 // connections. A successor gets only connections to endpoints that it knows at the same address.
 void RequestForwarder::hand_to_successor(std::unique_ptr<UpstreamConnection> idle, double idle_since) {
-  const std::string* address = addresses_.find(idle->endpoint());
+  const std::string* address = directory_.address_of(idle->endpoint());
   for (std::size_t i = 0; i < successors_.size(); ++i) {
     const Successor& successor = successors_[next_successor_++ % successors_.size()];
     if (successor.alive.expired() || successor.forwarder->retired_at_) continue;
-    const std::string* theirs = successor.forwarder->addresses_.find(idle->endpoint());
+    const std::string* theirs = successor.forwarder->directory_.address_of(idle->endpoint());
     if (!address || !theirs || *theirs != *address) continue;
     idle->set_owner(*successor.forwarder);
     std::string endpoint = idle->endpoint();
@@ -125,8 +108,8 @@
   double now = loop_.now();
   double deadline = attempt_deadline > 0 ? std::min(attempt_deadline, request.deadline) : request.deadline;
   request.attempts.push_back({std::string(endpoint), now, deadline});
-  log_attempt_started(loop_.log(), {client_id_of(request), number, endpoint}, list_index_,
-                      now - list_confirmed_at_);
+  log_attempt_started(loop_.log(), {client_id_of(request), number, endpoint}, directory_.index(),
+                      now - directory_.confirmed_at_s());
   loop_.at(deadline, alive_.guard([this, id, number] { on_attempt_deadline(id, number); }));
   if (client_may_have_left(id)) return report_attempt_end_soon(id, number, Outcome::NotSent);
   // A body whose first part was sent and released can't be sent again. NotSent blames no endpoint for that.
@@ -168,7 +151,7 @@
     used->assign_attempt(attempt, is_head);
     return {};
   }
-  if (!addresses_.find(endpoint)) return Outcome::ConnectFailed;
+  if (!directory_.address_of(endpoint)) return Outcome::ConnectFailed;
   // A shortage of descriptors here is not the endpoint's fault.
   if (!limiter_.make_room_for_attempt()) return Outcome::NotSent;
   std::unique_ptr<UpstreamConnection> fresh = open_connection(endpoint);
@@ -184,7 +167,7 @@
 std::unique_ptr<UpstreamConnection> RequestForwarder::open_connection(const std::string& endpoint) {
   auto fresh = std::make_unique<UpstreamConnection>(loop_, *this, endpoint, options_.max_body_bytes,
                                                     options_.stream_bodies);
-  const std::string* address = addresses_.find(endpoint);
+  const std::string* address = directory_.address_of(endpoint);
   bool started = address && fresh->connect(*address, deployment_.connect_timeout_s);
   return started ? std::move(fresh) : nullptr;
 }
@@ -329,7 +312,7 @@
   auto [id, number] = upstream.attempt_id();
   const PendingRequest& request = *requests_.find(id);
   const PendingAttempt& attempt = request.attempts[std::size_t(number)];
-  const std::string* address = addresses_.find(attempt.endpoint);
+  const std::string* address = directory_.address_of(attempt.endpoint);
   BufferChain out(loop_.pool());
   const double left = time_left_to_send(request, attempt);
   std::optional<BodyFraming> framing;
@@ -660,196 +643,30 @@
 
 // ---- the endpoint list
 
-void RequestForwarder::load_cached_list(const EndpointList& cached) { apply_list(cached, ListScope::Cached); }
-
-void RequestForwarder::on_endpoint_list(const EndpointList& list) {
-  list_confirmed_at_ = loop_.now();
-  if (listed_.empty()) return apply_list(list, list.is_snapshot ? ListScope::Full : ListScope::Changes);
-  EndpointList changes = changes_in(list);
-  list_index_ = list.index;
-  if (!changes.entries.empty()) apply_list(changes, ListScope::Changes);
-}
-
-// A start time never goes back. include_endpoint sets it to begin a slow start, which discovery doesn't know
-// of when it lists the endpoint again.
-double RequestForwarder::latest_start(const ListEntry& entry) const {
-  auto known = listed_.find(entry.endpoint);
-  return known == listed_.end() ? entry.online_since_s
-                                : std::max(entry.online_since_s, known->second.online_since_s);
-}
-
-bool RequestForwarder::is_unchanged(const ListEntry& entry, const std::string& address) const {
-  auto known = listed_.find(entry.endpoint);
-  if (known == listed_.end()) return entry.state == ListedState::Removed;
-  return known->second == entry && (address.empty() || known->second.address == address);
-}
-
-// The entries of `list` that change what is known, as lists repeat themselves and the policy works through
-// each entry that it is told.
-EndpointList RequestForwarder::changes_in(const EndpointList& list) const {
-  EndpointList changes;
-  changes.index = list.index;
-  for (std::size_t i = 0; i < list.entries.size(); ++i) {
-    ListEntry entry = list.entries[i];
-    entry.online_since_s = latest_start(entry);
-    if (is_unchanged(entry, list.addresses[i])) continue;
-    changes.entries.push_back(std::move(entry));
-    changes.addresses.push_back(list.addresses[i]);
-  }
-  if (list.is_snapshot) add_missing_as_removed(list, changes);
-  return changes;
-}
-
-// An endpoint that a snapshot leaves out was removed.
-void RequestForwarder::add_missing_as_removed(const EndpointList& snapshot, EndpointList& changes) const {
-  std::unordered_set<std::string_view> present;
-  for (const ListEntry& entry : snapshot.entries) present.insert(entry.endpoint);
-  for (const auto& [name, listed] : listed_) {
-    if (present.contains(name)) continue;
-    changes.entries.push_back(listed);
-    changes.entries.back().state = ListedState::Removed;
-    changes.addresses.emplace_back();
-  }
-}
+void RequestForwarder::load_cached_list(const EndpointList& cached) { directory_.load_cached(cached); }
 
-EndpointList RequestForwarder::endpoint_list() const {
-  EndpointList list;
-  list.index = list_index_;
-  list.is_snapshot = true;
-  for (const auto& [name, listed] : listed_) {
-    list.entries.push_back(listed);
-    list.addresses.push_back(listed.address);
-  }
-  return list;
-}
+void RequestForwarder::on_endpoint_list(const EndpointList& list) { directory_.on_list(list, loop_.now()); }
 
-std::size_t RequestForwarder::active_request_count() const { return requests_.active_count(); }
+void RequestForwarder::on_endpoint_unusable(const std::string& endpoint) { close_connections(endpoint); }
 
-std::size_t RequestForwarder::avoided_endpoint_count() const {
-  auto draining_or_excluded = [this](const auto& one) {
-    return one.second.state != ListedState::Ready || excluded_.contains(one.first);
-  };
-  return policy_->avoided_endpoint_count() +
-         std::size_t(std::count_if(listed_.begin(), listed_.end(), draining_or_excluded));
+void RequestForwarder::on_entries_changed(ListScope scope, std::span<const ListEntry> entries) {
+  policy_->on_endpoint_list(loop_.now(), scope, entries);
 }
 
-bool RequestForwarder::knows_endpoint(std::string_view endpoint) const {
-  return listed_.contains(endpoint) ||
-         std::find(recently_removed_.begin(), recently_removed_.end(), endpoint) != recently_removed_.end();
-}
+std::size_t RequestForwarder::active_request_count() const { return requests_.active_count(); }
 
-void RequestForwarder::exclude_endpoint(std::string_view endpoint) {
-  std::string name(endpoint);
-  excluded_.insert(name);
-  close_connections(name);
-  if (auto found = listed_.find(endpoint); found != listed_.end()) notify_policy(found->second);
+std::size_t RequestForwarder::avoided_endpoint_count() const {
+  return policy_->avoided_endpoint_count() + directory_.unavailable_count();
 }
 
 void RequestForwarder::include_endpoint(std::string_view endpoint, double excluded_at) {
-  excluded_.erase(std::string(endpoint));
-  auto found = listed_.find(endpoint);
-  if (found == listed_.end()) return;
-  // Endpoints are usually excluded to be restarted. If the list reports no start since, one is assumed now:
-  // a slow start (rule 4) costs a warm endpoint a few seconds of little load, but full load would overload
-  // one that has just started.
-  ListEntry& entry = found->second;
-  if (entry.online_since_s < excluded_at) entry.online_since_s = loop_.now();
-  notify_policy(entry);
-}
-
-// The entry as the policy is told of it: with operator overrides and this instance's share applied.
-ListEntry RequestForwarder::as_notified(ListEntry entry) const {
-  if (excluded_.contains(entry.endpoint) && entry.state == ListedState::Ready)
-    entry.state = ListedState::Draining;
-  if (shares_.empty()) return entry;
-  // Endpoints that belong to other instances stay usable, for when all of this instance's own are down.
-  auto share = shares_.find(entry.endpoint);
-  entry.weight = share == shares_.end() ? kWeightOutsideShare : std::max(kWeightOutsideShare, share->second);
-  return entry;
+  directory_.include(endpoint, excluded_at, loop_.now());
 }
 
 void RequestForwarder::set_endpoint_shares(std::map<std::string, double, std::less<>> shares,
                                            int instance_index, int instance_count) {
-  shares_ = std::move(shares);
   policy_->on_instance_position({instance_index, instance_count});
-  std::vector<ListEntry> entries;
-  for (const auto& [name, listed] : listed_) entries.push_back(as_notified(listed));
-  policy_->on_endpoint_list(loop_.now(), ListScope::Changes, entries);
-}
-
-void RequestForwarder::notify_policy(const ListEntry& entry) {
-  ListEntry notified = as_notified(entry);
-  policy_->on_endpoint_list(loop_.now(), ListScope::Changes, {&notified, 1});
-}
-
-void RequestForwarder::update_listed(const ListEntry& entry, const std::string& address) {
-  if (entry.state == ListedState::Removed) return remove_listed(entry.endpoint);
-  auto& listed = listed_[entry.endpoint];
-  static_cast<ListEntry&>(listed) = entry;
-  if (!address.empty()) listed.address = address;
-}
-
-// Gives a Ready endpoint its listed address, unless the present holder has the better claim. For a while two
-// endpoints may be listed at one address, the former one being about to leave or not yet known to be gone.
-// Only one can listen there: the one that is Ready, and among Ready ones the one that started last. Lists
-// repeat themselves, and the address must not change hands each time.
-void RequestForwarder::claim_address(const ListedEndpoint& listed) {
-  if (listed.state != ListedState::Ready || listed.address.empty()) return;
-  if (const std::string* holder = addresses_.endpoint_at(listed.address);
-      holder && *holder != listed.endpoint) {
-    auto found = listed_.find(*holder);
-    bool holder_ready = found != listed_.end() && found->second.state == ListedState::Ready;
-    if (holder_ready && found->second.online_since_s > listed.online_since_s) return;
-  }
-  for (const std::string& stale : addresses_.assign(listed.endpoint, listed.address)) {
-    close_connections(stale);
-    if (listed_.contains(stale)) without_address_.insert(stale);
-  }
-  without_address_.erase(listed.endpoint);
-}
-
-void RequestForwarder::set_address(const ListedEndpoint& listed) {
-  claim_address(listed);
-  if (!addresses_.find(listed.endpoint)) without_address_.insert(listed.endpoint);
-}
-
-// The holder of an address that one of them is listed with may have left just now.
-void RequestForwarder::retry_missing_addresses() {
-  for (const std::string& name : std::set<std::string>(without_address_)) claim_address(listed_.at(name));
-}
-
-void RequestForwarder::remove_listed(const std::string& endpoint) {
-  without_address_.erase(endpoint);
-  if (listed_.erase(endpoint) == 0) return;
-  if (std::find(recently_removed_.begin(), recently_removed_.end(), endpoint) == recently_removed_.end()) {
-    recently_removed_.push_back(endpoint);
-  }
-  if (recently_removed_.size() > kMaxRecentlyRemoved) recently_removed_.pop_front();
-}
-
-void RequestForwarder::apply_list(const EndpointList& list, ListScope scope) {
-  std::set<std::string> present;
-  list_index_ = list.index;
-  for (std::size_t i = 0; i < list.entries.size(); ++i) {
-    const ListEntry& entry = list.entries[i];
-    present.insert(entry.endpoint);
-    update_listed(entry, list.addresses[i]);
-    if (entry.state != ListedState::Ready) close_connections(entry.endpoint);
-    if (entry.state == ListedState::Removed) addresses_.erase(entry.endpoint);
-    else set_address(listed_.at(entry.endpoint));
-  }
-  if (list.is_snapshot) {  // an endpoint that a snapshot leaves out was removed
-    for (const std::string& removed : addresses_.not_listed_in(present)) {
-      close_connections(removed);
-      addresses_.erase(removed);
-      remove_listed(removed);
-    }
-  }
-  retry_missing_addresses();
-  log_list_applied(loop_.log(), list.index, count_changes(list.entries), listed_.size());
-  std::vector<ListEntry> entries = list.entries;
-  for (ListEntry& entry : entries) entry = as_notified(std::move(entry));
-  policy_->on_endpoint_list(loop_.now(), scope, entries);
+  directory_.set_shares(std::move(shares));
 }
 
 }  // namespace puffinvane
--- a/src/proxy/request_forwarder.h
+++ b/src/proxy/request_forwarder.h
@@ -2,12 +2,10 @@
 // what the policy asks for. Of its own it decides only which connections to use, reuse and close.
 #pragma once
 
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <unordered_map>
 
@@ -15,7 +13,7 @@
 #include "src/discovery/discovery_watch.h"
 #include "src/proxy/connection_limiter.h"
 #include "src/proxy/downstream_connection.h"
-#include "src/proxy/endpoint_addresses.h"
+#include "src/proxy/endpoint_directory.h"
 #include "src/proxy/idle_connections.h"
 #include "src/proxy/idle_reuse_history.h"
 #include "src/proxy/pending_requests.h"
@@ -42,6 +40,7 @@
                                public DownstreamConnection::RequestOwner,
                                public UpstreamConnection::Owner,
                                public DiscoveryWatch::Owner,
+                               public EndpointDirectory::Owner,
                                public ConnectionLimiter::ReclaimableConnections {
  public:
   RequestForwarder(Loop& loop, ConnectionLimiter& limiter, Deployment deployment, std::uint64_t seed,
@@ -70,18 +69,19 @@
   }
   const RequestCounters& counters() const { return counters_; }
   std::size_t active_request_count() const;  // requests neither answered nor abandoned by their clients
-  std::size_t listed_endpoint_count() const { return listed_.size(); }
-  EndpointList endpoint_list() const;  // the endpoints listed now, as one snapshot
-  std::int64_t list_index() const { return list_index_; }
+  std::size_t listed_endpoint_count() const { return directory_.size(); }
+  EndpointList endpoint_list() const { return directory_.snapshot(); }  // the endpoints listed now
+  std::int64_t list_index() const { return directory_.index(); }
   // Sets this instance's share of each endpoint, which the policy takes for the endpoint's weight, and its
   // position among all instances.
   void set_endpoint_shares(std::map<std::string, double, std::less<>> shares, int instance_index,
                            int instance_count);
   // Listed endpoints that get no attempts.
   std::size_t avoided_endpoint_count() const;
-  bool knows_endpoint(std::string_view endpoint) const;  // it is listed or was so recently
+  // Whether it is listed or was so recently.
+  bool knows_endpoint(std::string_view endpoint) const { return directory_.knows(endpoint); }
   // Sends the endpoint no more attempts, whatever discovery lists, until include_endpoint is called.
-  void exclude_endpoint(std::string_view endpoint);
+  void exclude_endpoint(std::string_view endpoint) { directory_.exclude(endpoint); }
   // Undoes exclude_endpoint. Unless the endpoint is listed as started since `excluded_at`, it is taken to
   // start now and so gets a slow start.
   void include_endpoint(std::string_view endpoint, double excluded_at);
@@ -100,9 +100,6 @@
   void on_endpoint_list(const EndpointList& list) override;
 
  private:
-  struct ListedEndpoint : ListEntry {
-    std::string address;
-  };
   struct Successor {
     RequestForwarder* forwarder;
     std::weak_ptr<int> alive;
@@ -136,6 +133,10 @@
   void on_spare_connected(UpstreamConnection& upstream) override;
   void on_unused_closed(UpstreamConnection& upstream) override;
 
+  // EndpointDirectory::Owner
+  void on_endpoint_unusable(const std::string& endpoint) override;
+  void on_entries_changed(ListScope scope, std::span<const ListEntry> entries) override;
+
   // ConnectionLimiter::ReclaimableConnections. Spares are reclaimed before idle connections.
   double oldest_idle_since() const override { return spares_.empty() ? idle_.oldest_idle_since() : 0; }
   void close_oldest_idle() override;
@@ -171,20 +172,6 @@
   UpstreamConnection::AttemptId detach_and_close(UpstreamConnection& upstream);
   void close_expired_idle();
 
-  // Endpoints
-  void apply_list(const EndpointList& list, ListScope scope);
-  EndpointList changes_in(const EndpointList& list) const;
-  void add_missing_as_removed(const EndpointList& snapshot, EndpointList& changes) const;
-  double latest_start(const ListEntry& entry) const;
-  bool is_unchanged(const ListEntry& entry, const std::string& address) const;
-  void update_listed(const ListEntry& entry, const std::string& address);
-  void remove_listed(const std::string& endpoint);
-  void claim_address(const ListedEndpoint& listed);
-  void set_address(const ListedEndpoint& listed);
-  void retry_missing_addresses();
-  void notify_policy(const ListEntry& entry);
-  ListEntry as_notified(ListEntry entry) const;
-
   Loop& loop_;
   ConnectionLimiter& limiter_;
   const Deployment deployment_;
@@ -193,16 +180,7 @@
   std::vector<Successor> successors_;
   std::size_t next_successor_ = 0;
   double last_request_at_ = 0;
-  EndpointAddresses addresses_;
-  std::map<std::string, ListedEndpoint, std::less<>> listed_;  // as discovery lists them
-  std::set<std::string> without_address_;  // listed, but with no address or with one that another one holds
-  std::set<std::string, std::less<>> excluded_;  // by operators
-  // This instance's share of each endpoint. Empty: the policy works it out from the deployment's instance
-  // index and count.
-  std::map<std::string, double, std::less<>> shares_;
-  std::deque<std::string> recently_removed_;  // endpoints that are no longer listed
-  std::int64_t list_index_ = 0;
-  double list_confirmed_at_ = 0;  // when discovery last sent a list; 0: not since the start
+  EndpointDirectory directory_;
   RequestCounters counters_;
   PendingRequests requests_;
   IdleConnections<UpstreamConnection> idle_;
