--- a/testing/agent_stand_in.h
+++ b/testing/agent_stand_in.h
@@ -1,9 +1,11 @@
-// A stand-in for the discovery agent of a machine in pushed mode. It answers each call at once with the
-// changes after the index that was asked for, and sends later changes to the calls that are open.
+// A stand-in for the discovery agent of a machine in pushed mode. It answers each call at once, with the
+// changes after the index that was asked for or with the whole list, and sends later changes to the calls
+// that are open.
 #pragma once
 
 #include <algorithm>
 #include <atomic>
+#include <cstddef>
 #include <list>
 #include <mutex>
 #include <optional>
@@ -26,7 +28,15 @@
   // change either.
   enum class CallFault { None, Unanswered, HeadOnly, Reset, StaleList, CutOffList };
 
-  explicit AgentStandIn(Listener& listener) : listener_(listener), answering_([this] { run(); }) {}
+  struct Options {
+    std::vector<std::string> entries;  // of the list in the sidecar's configuration
+    // A call is answered with all entries except those that have changed: a whole list leaves out endpoints
+    // that drain.
+    bool answers_with_whole_lists = false;
+  };
+
+  AgentStandIn(Listener& listener, Options options)
+      : listener_(listener), options_(std::move(options)), answering_([this] { run(); }) {}
   AgentStandIn(const AgentStandIn&) = delete;
   AgentStandIn& operator=(const AgentStandIn&) = delete;
   ~AgentStandIn() {
@@ -38,11 +48,12 @@
   void set_silent(bool silent) { is_silent_ = silent; }
   // The next call that is answered has this fault.
   void fault_next_call(CallFault fault) { next_fault_ = fault; }
-  void publish(const std::string& entry, Delivery delivery) {
+  // The endpoint with that position among the entries drains or is removed.
+  void publish(std::size_t endpoint, const std::string& entry, Delivery delivery) {
     std::lock_guard lock(mutex_);
-    changes_.push_back(entry);
+    changes_.push_back({endpoint, entry});
     if (delivery == Delivery::Lost) return;
-    const std::string text = http_chunk(line_between(index() - 1, index()));
+    const std::string text = http_chunk(changes_between(index() - 1, index()));
     const std::size_t size = delivery == Delivery::CutOff ? text.size() / 2 : text.size();
     for (TestConnection& call : open_) call.send_text(text.substr(0, size));
   }
@@ -51,6 +62,10 @@
   static constexpr int kFirstIndex = 7;  // of the list in the sidecar's configuration
   static constexpr double kPollSeconds = 0.002;
 
+  struct Change {
+    std::size_t endpoint = 0;
+    std::string entry;
+  };
   struct WaitingCall {
     TestConnection connection;
     int after = 0;
@@ -58,12 +73,28 @@
 
   int index() const { return kFirstIndex + int(changes_.size()); }
   // The changes after one index up to another, as one line.
-  std::string line_between(int after, int last) const {
-    std::string entries;
+  std::string changes_between(int after, int last) const {
+    std::vector<std::string> entries;
     for (int i = std::max(0, after - kFirstIndex); i < last - kFirstIndex; ++i) {
-      entries += (entries.empty() ? "" : ",") + changes_[std::size_t(i)];
+      entries.push_back(changes_[std::size_t(i)].entry);
     }
-    return R"({"index":)" + std::to_string(last) + R"(,"snapshot":false,"endpoints":[)" + entries + "]}\n";
+    return list_line(last, false, entries);
+  }
+  // The list as it was at an index, as one line.
+  std::string whole_list_at(int last) const {
+    std::vector<std::string> entries = options_.entries;
+    for (int i = 0; i < last - kFirstIndex; ++i) entries[changes_[std::size_t(i)].endpoint].clear();
+    std::erase(entries, "");
+    return list_line(last, true, entries);
+  }
+  std::string answer_to(int after, int last) const {
+    return options_.answers_with_whole_lists ? whole_list_at(last) : changes_between(after, last);
+  }
+  static std::string list_line(int index, bool is_snapshot, const std::vector<std::string>& entries) {
+    std::string joined;
+    for (const std::string& entry : entries) joined += (joined.empty() ? "" : ",") + entry;
+    return R"({"index":)" + std::to_string(index) + R"(,"snapshot":)" + (is_snapshot ? "true" : "false") +
+           R"(,"endpoints":[)" + joined + "]}\n";
   }
   void run() {
     while (!is_over_) {
@@ -86,28 +117,29 @@
   void answer(WaitingCall& call, CallFault fault) {
     constexpr const char* kHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
     const int before_last = std::max(kFirstIndex, index() - 1);
-    const std::string changes = line_between(call.after, index());
+    const std::string list = answer_to(call.after, index());
     switch (fault) {
       case CallFault::None:
-        call.connection.send_text(kHead + http_chunk(changes));
+        call.connection.send_text(kHead + http_chunk(list));
         open_.push_back(std::move(call.connection));
         return;
       case CallFault::Unanswered: break;
       case CallFault::HeadOnly: call.connection.send_text(kHead); break;
       case CallFault::Reset: call.connection.reset(); break;
       case CallFault::StaleList:
-        call.connection.send_text(kHead + http_chunk(line_between(call.after, before_last)));
+        call.connection.send_text(kHead + http_chunk(answer_to(call.after, before_last)));
         break;
       case CallFault::CutOffList:
-        call.connection.send_text(kHead + http_chunk(changes.substr(0, changes.size() / 2)));
+        call.connection.send_text(kHead + http_chunk(list.substr(0, list.size() / 2)));
         break;
     }
     faulty_.push_back(std::move(call.connection));
   }
 
   Listener& listener_;
+  const Options options_;
   std::mutex mutex_;
-  std::vector<std::string> changes_;
+  std::vector<Change> changes_;
   std::list<WaitingCall> waiting_;
   std::list<TestConnection> open_;
   std::list<TestConnection> faulty_;
--- a/tests/integration/drain_soak.cpp
+++ b/tests/integration/drain_soak.cpp
@@ -47,6 +47,7 @@
   double stall_s = 0;
   std::vector<double> reloads_s;  // times of SIGHUP after the change
   bool has_idle_crowd = false;
+  bool has_whole_lists = false;
 };
 
 Plan random_plan(std::uint64_t seed) {
@@ -62,19 +63,24 @@
   std::ranges::sort(plan.reloads_s);
   plan.has_idle_crowd = seed % 3 == 0;
   plan.call_fault = AgentStandIn::CallFault(draw.below(kCallFaults));
+  plan.has_whole_lists = draw.below(3) == 0;
   return plan;
 }
 
 class Run {
  public:
-  Run(std::uint64_t seed, Plan plan) : seed_(seed), plan_(std::move(plan)), agent_(discovery_) {
+  Run(std::uint64_t seed, Plan plan) : seed_(seed), plan_(std::move(plan)) {
+    std::vector<std::string> entries;
     for (int i = 0; i < kEndpoints; ++i) {
       constexpr int kFirstEndpointHost = 20;
       constexpr double kResponseSeconds = 0.004;
       endpoints_.push_back(std::make_unique<SoakEndpoint>(kFirstEndpointHost + i, received_[std::size_t(i)],
                                                           kResponseSeconds));
-      known_ += (i > 0 ? "," : "") + list_entry_json(name(i), endpoints_.back()->address());
+      entries.push_back(list_entry_json(name(i), endpoints_.back()->address()));
+      known_ += (i > 0 ? "," : "") + entries.back();
     }
+    agent_ = std::make_unique<AgentStandIn>(discovery_,
+                                            AgentStandIn::Options{std::move(entries), plan_.has_whole_lists});
   }
 
   // Returns how many requests reached the endpoint after the grace.
@@ -85,8 +91,8 @@
     prepare_change();
     const double changed_at_s = now();
     const std::string status = plan_.is_removed ? "left" : "leaving";
-    if (plan_.before != Before::Restarted) agent_.fault_next_call(plan_.call_fault);
-    agent_.publish(list_entry_json(name(0), endpoints_[0]->address(), status), plan_.delivery);
+    if (plan_.before != Before::Restarted) agent_->fault_next_call(plan_.call_fault);
+    agent_->publish(0, list_entry_json(name(0), endpoints_[0]->address(), status), plan_.delivery);
     stall_and_reload(changed_at_s);
     const bool ends_early = plan_.before == Before::Terminating;
     sleep_until(changed_at_s +
@@ -130,13 +136,13 @@
     switch (plan_.before) {
       case Before::Steady: return;
       case Before::AgentSilent:
-        agent_.set_silent(true);
+        agent_->set_silent(true);
         sleep_for(plan_.silent_s);
-        agent_.set_silent(false);
+        agent_->set_silent(false);
         break;
       case Before::Restarted:
         kill(sidecar_->child(), SIGKILL);
-        agent_.fault_next_call(plan_.call_fault);
+        agent_->fault_next_call(plan_.call_fault);
         start_process();
         break;
       case Before::Terminating: sidecar_->terminate(); break;
@@ -154,7 +160,7 @@
   const std::uint64_t seed_;
   const Plan plan_;
   Listener discovery_{9, 512};
-  AgentStandIn agent_;
+  std::unique_ptr<AgentStandIn> agent_;
   TimedRequests received_[kEndpoints];
   std::vector<std::unique_ptr<SoakEndpoint>> endpoints_;
   std::string known_;
@@ -184,12 +190,13 @@
   Run run(seed, plan);
   const std::size_t late = run.play();
   std::printf(
-      "seed %llu: %s, change %s after %.3f s, call %s, %s, silent %.2f s, stall %.2f s, %zu reloads, %s: "
+      "seed %llu: %s, change %s after %.3f s, call %s%s, %s, silent %.2f s, stall %.2f s, %zu reloads, %s: "
       "%zu requests, %zu after the grace\n",
       static_cast<unsigned long long>(seed), name_of(plan.before), name_of(plan.delivery),
-      plan.change_after_s, name_of(plan.call_fault), plan.is_removed ? "removed" : "draining",
-      plan.before == Before::AgentSilent ? plan.silent_s : 0, plan.stall_s, plan.reloads_s.size(),
-      plan.has_idle_crowd ? "crowd" : "no crowd", run.request_count(), late);
+      plan.change_after_s, name_of(plan.call_fault), plan.has_whole_lists ? " with whole lists" : "",
+      plan.is_removed ? "removed" : "draining", plan.before == Before::AgentSilent ? plan.silent_s : 0,
+      plan.stall_s, plan.reloads_s.size(), plan.has_idle_crowd ? "crowd" : "no crowd", run.request_count(),
+      late);
   std::fflush(stdout);
   return late == 0;
 }
