--- a/src/admin/telemetry.cpp
+++ b/src/admin/telemetry.cpp
@@ -60,7 +60,7 @@
   write_metric(text, "log_lines_dropped_total", "counter",
                "Log lines that were dropped because the log's reader did not take them.", dropped_log_lines);
   write_metric(text, "list_index", "gauge", "Index of the endpoint list in force.",
-               std::uint64_t(current.discovery.list_index));
+               std::uint64_t(current.list_index));
   write_metric(text, "discovery_answer_age_milliseconds", "gauge", "Time since discovery last answered.",
                std::uint64_t(current.discovery.answer_age_s * kMillisecondsPerSecond));
   write_metric(text, "discovery_calls_unanswered_total", "counter",
--- a/src/admin/telemetry.h
+++ b/src/admin/telemetry.h
@@ -18,6 +18,7 @@
   std::size_t active_requests = 0;
   std::size_t endpoints = 0;          // in the list
   std::size_t avoided_endpoints = 0;  // excluded or ejected
+  std::int64_t list_index = 0;        // of the list in force; 0: none
   DiscoveryStatus discovery;
 };
 
--- a/src/admin/telemetry_test.cpp
+++ b/src/admin/telemetry_test.cpp
@@ -12,7 +12,8 @@
 TEST(Telemetry, ContainsTheIndexOfTheListAndHowLongAgoDiscoveryAnswered) {
   RequestCounters counters(0);
   CurrentCounts current;
-  current.discovery = {.list_index = 15, .answer_age_s = 0.25, .unanswered_calls = 3};
+  current.list_index = 15;
+  current.discovery = {.answer_age_s = 0.25, .unanswered_calls = 3};
 
   const std::string text = write_telemetry({}, counters, current, 0);
 
--- a/src/discovery/discovery_watch.cpp
+++ b/src/discovery/discovery_watch.cpp
@@ -78,9 +78,7 @@
   connection_.close();
 }
 
-DiscoveryStatus DiscoveryWatch::status() const {
-  return {cursor_.held_index(), loop_.now() - answered_at_s_, unanswered_calls_};
-}
+DiscoveryStatus DiscoveryWatch::status() const { return {loop_.now() - answered_at_s_, unanswered_calls_}; }
 
 void DiscoveryWatch::apply(Event event) {
   log_call_event(loop_.log(), logged_call(), to_string(event), to_string(state_));
--- a/src/discovery/discovery_watch.h
+++ b/src/discovery/discovery_watch.h
@@ -24,7 +24,6 @@
 
 // How current a watch is, for the metrics.
 struct DiscoveryStatus {
-  std::int64_t list_index = 0;         // of the held list; 0: none
   double answer_age_s = 0;             // since discovery last answered or, before that, since the watch began
   std::uint64_t unanswered_calls = 0;  // since the start, including connections that were not established
 };
--- a/src/server/sidecar.cpp
+++ b/src/server/sidecar.cpp
@@ -234,7 +234,7 @@
 std::string Sidecar::metrics() const {
   return write_telemetry(forwarder_.deployment().request_classes, forwarder_.counters(),
                          {forwarder_.active_request_count(), forwarder_.listed_endpoint_count(),
-                          forwarder_.avoided_endpoint_count(), watch_.status()},
+                          forwarder_.avoided_endpoint_count(), forwarder_.list_index(), watch_.status()},
                          log().dropped_lines()) +
          (fleet_ ? write_telemetry(fleet_->metrics()) : "");
 }
--- a/tests/integration/admin_api.cpp
+++ b/tests/integration/admin_api.cpp
@@ -94,6 +94,21 @@
   assert(admin_call_status("GET", "/api/ready") == 200 && now() - started_at < 0.9);
 }
 
+// A rejected list makes the watch ask for all endpoints again, and does not put the list in force out of use.
+void telemetry_shows_the_list_in_force_after_a_rejected_one() {
+  Listener discovery(9);
+  SidecarProcess::Options options = with_admin();
+  options.discovery = &discovery;
+  SidecarProcess sidecar(list_entry_json("a", "127.0.0.1:1"), options);
+  constexpr int kCalls = 4;  // the first ones may have been given up while the process started
+  for (int i = 0; i < kCalls; ++i) {
+    TestConnection call = discovery.accept_request().first;
+    call.send_text("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + http_chunk("{]\n"));
+    assert(call.ends_within(1));
+  }
+  assert(telemetry_shows("sidecar_list_index 7"));
+}
+
 void excluded_endpoint_gets_no_requests_until_included() {
   Listener first(2), second(4);
   SidecarProcess::Options options = with_admin();
@@ -371,6 +386,7 @@
   assert(count == 2);
   program = words[1];
   telemetry_agrees_with_what_peers_observed();
+  telemetry_shows_the_list_in_force_after_a_rejected_one();
   invalid_calls_get_the_matching_error_status();
   incomplete_admin_requests_do_not_block_others();
   excluded_endpoint_gets_no_requests_until_included();
