log: the index a call asks after, the entries of applied lists

Change: discovery.call_sent with the index and the scope, and endpoint_list.entry for each changed entry, both at debug. Result: unit tests of the events pass.

--- a/src/discovery/discovery_events.cpp
+++ b/src/discovery/discovery_events.cpp
@@ -12,6 +12,14 @@
   return "unknown";
 }
 
+std::string_view to_string(CallScope scope) {
+  switch (scope) {
+    case CallScope::FullList: return "full_list";
+    case CallScope::Changes: return "changes";
+  }
+  return "unknown";
+}
+
 }  // namespace
 
 void log_call_event(Log& log, const LoggedCall& call, std::string_view event, std::string_view state) {
@@ -31,6 +39,14 @@
       .with("since_s", call.since_s);
 }
 
+void log_call_sent(Log& log, const LoggedCall& call, CallScope scope, std::int64_t after) {
+  log.event(Level::Debug, "discovery.call_sent")
+      .with("address", call.address)
+      .with("after", after)
+      .with("scope", to_string(scope))
+      .with("held_index", call.held_index);
+}
+
 void log_list_received(Log& log, const LoggedCall& call, const EndpointList& list) {
   log.event(Level::Debug, "discovery.list_received")
       .with("address", call.address)
--- a/src/discovery/discovery_watch.cpp
+++ b/src/discovery/discovery_watch.cpp
@@ -131,6 +131,7 @@
 void DiscoveryWatch::send_request() {
   restart_timeout();
   std::int64_t after = cursor_.begin_call(loop_.now());
+  log_call_sent(loop_.log(), logged_call(), cursor_.call_scope(), after);
   BufferChain request(loop_.pool());
   request.add("GET /v1/servers?watch=1&after=" + std::to_string(after) + " HTTP/1.1\r\nHost: " + address_ +
               "\r\n\r\n");
--- a/src/proxy/endpoint_directory.cpp
+++ b/src/proxy/endpoint_directory.cpp
@@ -197,6 +197,7 @@
   for (std::size_t i = 0; i < list.entries.size(); ++i) {
     const ListEntry& entry = list.entries[i];
     present.insert(entry.endpoint);
+    log_entry_applied(log_, list.index, entry);
     update_listed(entry, list.addresses[i]);
     if (entry.state != ListedState::Ready) owner_.on_endpoint_unusable(entry.endpoint);
     if (entry.state == ListedState::Removed) addresses_.erase(entry.endpoint);
--- a/src/proxy/forwarder_events.cpp
+++ b/src/proxy/forwarder_events.cpp
@@ -10,6 +10,15 @@
       .with("endpoint", attempt.endpoint);
 }
 
+std::string_view to_string(ListedState state) {
+  switch (state) {
+    case ListedState::Ready: return "active";
+    case ListedState::Draining: return "leaving";
+    case ListedState::Removed: return "left";
+  }
+  return "unknown";
+}
+
 }  // namespace
 
 void log_list_applied(Log& log, std::int64_t index, const ListChangeCounts& changed, std::size_t listed) {
@@ -21,6 +30,13 @@
       .with("listed", listed);
 }
 
+void log_entry_applied(Log& log, std::int64_t index, const ListEntry& entry) {
+  log.event(Level::Debug, "endpoint_list.entry")
+      .with("index", index)
+      .with("endpoint", entry.endpoint)
+      .with("status", to_string(entry.state));
+}
+
 void log_attempt_started(Log& log, const LoggedAttempt& attempt, std::int64_t list_index, double list_age_s) {
   Log::Event event = log.event(Level::Debug, "attempt.started");
   with_attempt(event, attempt).with("list_index", list_index).with("list_age_s", list_age_s);
--- a/src/proxy/forwarder_events.h
+++ b/src/proxy/forwarder_events.h
@@ -29,6 +29,10 @@
 // The first three counts are of the changed entries; listed is the number of listed endpoints afterwards.
 void log_list_applied(Log& log, std::int64_t index, const ListChangeCounts& changed, std::size_t listed);
 
+// endpoint_list.entry index=... endpoint=... status=active|leaving|left   (debug)
+// A changed entry of the list with that index.
+void log_entry_applied(Log& log, std::int64_t index, const ListEntry& entry);
+
 // The events below are about single requests and are logged at debug.
 // attempt.started request=... number=... endpoint=... list_index=... list_age_s=...
 // list_age_s: since discovery last confirmed the list in force.
--- a/src/proxy/forwarder_events_test.cpp
+++ b/src/proxy/forwarder_events_test.cpp
@@ -19,6 +19,18 @@
   EXPECT_EQ(output.str(), "info: endpoint_list.applied index=15 ready=3 draining=2 removed=1 listed=12\n");
 }
 
+TEST(ForwarderEvents, ContainTheStatusOfAChangedEntry) {
+  std::ostringstream output;
+  Log log(output, Level::Debug);
+  ListEntry entry;
+  entry.endpoint = "a";
+  entry.state = ListedState::Removed;
+
+  log_entry_applied(log, 15, entry);
+
+  EXPECT_EQ(output.str(), "debug: endpoint_list.entry index=15 endpoint=a status=left\n");
+}
+
 TEST(ForwarderEvents, ContainTheListThatAnAttemptWasStartedBy) {
   std::ostringstream output;
   Log log(output, Level::Debug);
