--- a/testing/agent_stand_in.h
+++ b/testing/agent_stand_in.h
@@ -1,11 +1,11 @@
-// A stand-in for the discovery agent of a machine in pushed mode. It answers each call at once, with the
-// changes after the index that was asked for or with the whole list, and sends later changes to the calls
-// that are open.
+// A stand-in for the discovery agent of a machine in pushed mode. It answers each call at once and sends
+// later changes to the watches that are open.
 #pragma once
 
 #include <algorithm>
 #include <atomic>
 #include <cstddef>
+#include <deque>
 #include <list>
 #include <mutex>
 #include <optional>
@@ -14,29 +14,34 @@
 #include <utility>
 #include <vector>
 
+#include "testing/endpoint_history.h"
 #include "testing/sidecar_process.h"
 
 namespace puffinvane::test {
 
 class AgentStandIn {
  public:
-  // How a change reaches the calls that are open: whole, not at all, or without its second half. Later calls
-  // are answered with it in any case.
+  // How a change reaches the watches that are open: whole, not at all, or without its second half. Later
+  // calls are answered with it in any case.
   enum class Delivery { Whole, Lost, CutOff };
   // How a call is answered: as it should be, not at all, by the response head alone, by a reset, with the
   // list before its last change, or with the first half of the list. A call with a fault receives no later
   // change either.
   enum class CallFault { None, Unanswered, HeadOnly, Reset, StaleList, CutOffList };
+  // What a watch begins with: the changes after the index that was asked for, or the whole list. A call that
+  // is no watch is answered with the whole list in either case.
+  enum class WatchAnswer { Changes, WholeList };
 
   struct Options {
-    std::vector<std::string> entries;  // of the list in the sidecar's configuration
-    // A call is answered with all entries except those that have changed: a whole list leaves out endpoints
-    // that drain.
-    bool answers_with_whole_lists = false;
+    std::vector<StatedEndpoint> endpoints;
+    WatchAnswer watch_answer = WatchAnswer::Changes;
   };
 
   AgentStandIn(Listener& listener, Options options)
-      : listener_(listener), options_(std::move(options)), answering_([this] { run(); }) {}
+      : listener_(listener),
+        watch_answer_(options.watch_answer),
+        history_(std::move(options.endpoints)),
+        answering_([this] { run(); }) {}
   AgentStandIn(const AgentStandIn&) = delete;
   AgentStandIn& operator=(const AgentStandIn&) = delete;
   ~AgentStandIn() {
@@ -44,58 +49,38 @@
     answering_.join();
   }
 
+  // The entries of the first list, for the configuration of the sidecar.
+  std::string first_entries() const {
+    std::lock_guard lock(mutex_);
+    return history_.first_entries();
+  }
   // While silent, calls are accepted and not answered; they are answered once the agent is no longer silent.
   void set_silent(bool silent) { is_silent_ = silent; }
-  // The next call that is answered has this fault.
-  void fault_next_call(CallFault fault) { next_fault_ = fault; }
-  // The endpoint with that position among the entries drains or is removed.
-  void publish(std::size_t endpoint, const std::string& entry, Delivery delivery) {
+  // The next calls that are answered have these faults, one each.
+  void fault_next_calls(const std::vector<CallFault>& faults) {
+    std::lock_guard lock(mutex_);
+    next_faults_.assign(faults.begin(), faults.end());
+  }
+  // The endpoint with that position among the options' has that status from now on.
+  void publish(std::size_t endpoint, EndpointStatus status, Delivery delivery) {
     std::lock_guard lock(mutex_);
-    changes_.push_back({endpoint, entry});
+    const int before = history_.index();
+    history_.change(endpoint, status);
     if (delivery == Delivery::Lost) return;
-    const std::string text = http_chunk(changes_between(index() - 1, index()));
+    const std::string text = http_chunk(history_.changes_between(before, history_.index()));
     const std::size_t size = delivery == Delivery::CutOff ? text.size() / 2 : text.size();
-    for (TestConnection& call : open_) call.send_text(text.substr(0, size));
+    for (TestConnection& watch : watches_) watch.send_text(text.substr(0, size));
   }
 
  private:
-  static constexpr int kFirstIndex = 7;  // of the list in the sidecar's configuration
   static constexpr double kPollSeconds = 0.002;
+  static constexpr const char* kLastChunk = "0\r\n\r\n";
 
-  struct Change {
-    std::size_t endpoint = 0;
-    std::string entry;
-  };
-  struct WaitingCall {
+  struct Call {
     TestConnection connection;
-    int after = 0;
+    std::optional<int> watched_after;  // not set: the call asks for the whole list and is no watch
   };
 
-  int index() const { return kFirstIndex + int(changes_.size()); }
-  // The changes after one index up to another, as one line.
-  std::string changes_between(int after, int last) const {
-    std::vector<std::string> entries;
-    for (int i = std::max(0, after - kFirstIndex); i < last - kFirstIndex; ++i) {
-      entries.push_back(changes_[std::size_t(i)].entry);
-    }
-    return list_line(last, false, entries);
-  }
-  // The list as it was at an index, as one line.
-  std::string whole_list_at(int last) const {
-    std::vector<std::string> entries = options_.entries;
-    for (int i = 0; i < last - kFirstIndex; ++i) entries[changes_[std::size_t(i)].endpoint].clear();
-    std::erase(entries, "");
-    return list_line(last, true, entries);
-  }
-  std::string answer_to(int after, int last) const {
-    return options_.answers_with_whole_lists ? whole_list_at(last) : changes_between(after, last);
-  }
-  static std::string list_line(int index, bool is_snapshot, const std::vector<std::string>& entries) {
-    std::string joined;
-    for (const std::string& entry : entries) joined += (joined.empty() ? "" : ",") + entry;
-    return R"({"index":)" + std::to_string(index) + R"(,"snapshot":)" + (is_snapshot ? "true" : "false") +
-           R"(,"endpoints":[)" + joined + "]}\n";
-  }
   void run() {
     while (!is_over_) {
       if (listener_.has_connection_within(kPollSeconds)) accept_call();
@@ -103,47 +88,57 @@
     }
   }
   void accept_call() {
-    TestConnection call = listener_.accept_connection();
-    const std::optional<HttpMessage> request = call.receive_message(HttpReader::Side::Request);
+    Call call{listener_.accept_connection(), {}};
+    const std::optional<HttpMessage> request = call.connection.receive_message(HttpReader::Side::Request);
     if (!request) return;  // the process was killed meanwhile
-    const int after = std::stoi(request->target.substr(request->target.find("after=") + 6));
-    waiting_.push_back({std::move(call), after});
+    const std::size_t after = request->target.find("after=");
+    if (after != std::string::npos) call.watched_after = std::stoi(request->target.substr(after + 6));
+    waiting_.push_back(std::move(call));
   }
   void answer_waiting() {
     std::lock_guard lock(mutex_);
-    for (WaitingCall& call : waiting_) answer(call, next_fault_.exchange(CallFault::None));
+    for (Call& call : waiting_) answer(call, take_fault());
     waiting_.clear();
   }
-  void answer(WaitingCall& call, CallFault fault) {
+  CallFault take_fault() {
+    if (next_faults_.empty()) return CallFault::None;
+    const CallFault fault = next_faults_.front();
+    next_faults_.pop_front();
+    return fault;
+  }
+  std::string list_for(const Call& call, int index) const {
+    const bool is_whole = !call.watched_after || watch_answer_ == WatchAnswer::WholeList;
+    return is_whole ? history_.whole_list_at(index) : history_.changes_between(*call.watched_after, index);
+  }
+  void answer(Call& call, CallFault fault) {
     constexpr const char* kHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-    const int before_last = std::max(kFirstIndex, index() - 1);
-    const std::string list = answer_to(call.after, index());
+    const std::string list = list_for(call, history_.index());
     switch (fault) {
       case CallFault::None:
-        call.connection.send_text(kHead + http_chunk(list));
-        open_.push_back(std::move(call.connection));
+        call.connection.send_text(kHead + http_chunk(list) + (call.watched_after ? "" : kLastChunk));
+        (call.watched_after ? watches_ : ended_).push_back(std::move(call.connection));
         return;
       case CallFault::Unanswered: break;
       case CallFault::HeadOnly: call.connection.send_text(kHead); break;
       case CallFault::Reset: call.connection.reset(); break;
       case CallFault::StaleList:
-        call.connection.send_text(kHead + http_chunk(answer_to(call.after, before_last)));
+        call.connection.send_text(kHead + http_chunk(list_for(call, history_.index_before_last_change())));
         break;
       case CallFault::CutOffList:
         call.connection.send_text(kHead + http_chunk(list.substr(0, list.size() / 2)));
         break;
     }
-    faulty_.push_back(std::move(call.connection));
+    ended_.push_back(std::move(call.connection));
   }
 
   Listener& listener_;
-  const Options options_;
-  std::mutex mutex_;
-  std::vector<Change> changes_;
-  std::list<WaitingCall> waiting_;
-  std::list<TestConnection> open_;
-  std::list<TestConnection> faulty_;
-  std::atomic<CallFault> next_fault_ = CallFault::None;
+  const WatchAnswer watch_answer_;
+  mutable std::mutex mutex_;
+  EndpointHistory history_;
+  std::list<Call> waiting_;
+  std::list<TestConnection> watches_;
+  std::list<TestConnection> ended_;  // calls that receive nothing more, kept open
+  std::deque<CallFault> next_faults_;
   std::atomic<bool> is_silent_ = false;
   std::atomic<bool> is_over_ = false;
   std::thread answering_;
--- a/testing/soak_endpoint.h
+++ b/testing/soak_endpoint.h
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <iterator>
 #include <map>
 #include <mutex>
 #include <string>
@@ -33,7 +34,7 @@
   std::map<std::string, int> counts_;
 };
 
-// Also records when requests arrived.
+// Also records when requests arrived, on the monotonic clock.
 class TimedRequests final : public ReceivedRequests {
  public:
   void record(const std::string& id) override {
@@ -41,11 +42,16 @@
     std::lock_guard lock(times_mutex_);
     arrived_at_s_.push_back(now());
   }
-  // How many arrived after `begin_s` and before `end_s`, on the monotonic clock.
-  std::size_t count_between(double begin_s, double end_s) const {
+  // When the requests after `begin_s` and before `end_s` arrived.
+  std::vector<double> times_between(double begin_s, double end_s) const {
     std::lock_guard lock(times_mutex_);
-    return std::size_t(std::count_if(arrived_at_s_.begin(), arrived_at_s_.end(),
-                                     [&](double at_s) { return at_s > begin_s && at_s < end_s; }));
+    std::vector<double> times;
+    std::ranges::copy_if(arrived_at_s_, std::back_inserter(times),
+                         [&](double at_s) { return at_s > begin_s && at_s < end_s; });
+    return times;
+  }
+  std::size_t count_between(double begin_s, double end_s) const {
+    return times_between(begin_s, end_s).size();
   }
 
  private:
--- a/tests/integration/drain_soak.cpp
+++ b/tests/integration/drain_soak.cpp
@@ -70,17 +70,17 @@
 class Run {
  public:
   Run(std::uint64_t seed, Plan plan) : seed_(seed), plan_(std::move(plan)) {
-    std::vector<std::string> entries;
+    AgentStandIn::Options agent;
+    if (plan_.has_whole_lists) agent.watch_answer = AgentStandIn::WatchAnswer::WholeList;
     for (int i = 0; i < kEndpoints; ++i) {
       constexpr int kFirstEndpointHost = 20;
       constexpr double kResponseSeconds = 0.004;
       endpoints_.push_back(std::make_unique<SoakEndpoint>(kFirstEndpointHost + i, received_[std::size_t(i)],
                                                           kResponseSeconds));
-      entries.push_back(list_entry_json(name(i), endpoints_.back()->address()));
-      known_ += (i > 0 ? "," : "") + entries.back();
+      agent.endpoints.push_back({.name = name(i), .address = endpoints_.back()->address()});
     }
-    agent_ = std::make_unique<AgentStandIn>(discovery_,
-                                            AgentStandIn::Options{std::move(entries), plan_.has_whole_lists});
+    agent_ = std::make_unique<AgentStandIn>(discovery_, std::move(agent));
+    known_ = agent_->first_entries();
   }
 
   // Returns how many requests reached the endpoint after the grace.
@@ -90,9 +90,9 @@
     sleep_for(kWarmUpSeconds);
     prepare_change();
     const double changed_at_s = now();
-    const std::string status = plan_.is_removed ? "left" : "leaving";
-    if (plan_.before != Before::Restarted) agent_->fault_next_call(plan_.call_fault);
-    agent_->publish(0, list_entry_json(name(0), endpoints_[0]->address(), status), plan_.delivery);
+    const EndpointStatus status = plan_.is_removed ? EndpointStatus::Left : EndpointStatus::Leaving;
+    if (plan_.before != Before::Restarted) agent_->fault_next_calls({plan_.call_fault});
+    agent_->publish(0, status, plan_.delivery);
     stall_and_reload(changed_at_s);
     const bool ends_early = plan_.before == Before::Terminating;
     sleep_until(changed_at_s +
@@ -142,7 +142,7 @@
         break;
       case Before::Restarted:
         kill(sidecar_->child(), SIGKILL);
-        agent_->fault_next_call(plan_.call_fault);
+        agent_->fault_next_calls({plan_.call_fault});
         start_process();
         break;
       case Before::Terminating: sidecar_->terminate(); break;
