discovery: ask for the whole list where a call for all tells changes only

Cause: after an unanswered call the watch asked for all endpoints by a watch after index 0. The agent answers that with what differs from its first list, and the cursor took it for a full list. An endpoint that joined and left differs in nothing, isn't named, and stayed ready; the index was complete, so no later call asked again, however often.

--- a/src/discovery/discovery_events.cpp
+++ b/src/discovery/discovery_events.cpp
@@ -39,10 +39,10 @@
       .with("since_s", call.since_s);
 }
 
-void log_call_sent(Log& log, const LoggedCall& call, CallScope scope, std::int64_t after) {
+void log_call_sent(Log& log, const LoggedCall& call, CallScope scope, std::string_view target) {
   log.event(Level::Debug, "discovery.call_sent")
       .with("address", call.address)
-      .with("after", after)
+      .with("target", target)
       .with("scope", to_string(scope))
       .with("held_index", call.held_index);
 }
--- a/src/discovery/discovery_events.h
+++ b/src/discovery/discovery_events.h
@@ -20,9 +20,9 @@
 void log_call_event(Log& log, const LoggedCall& call, std::string_view event, std::string_view state);
 // discovery.call_unanswered address=... state=... held_index=... since_s=...   (info)
 void log_call_unanswered(Log& log, const LoggedCall& call, std::string_view state);
-// discovery.call_sent address=... after=... scope=full_list|changes held_index=...   (debug)
-// after: the index that changes are requested from; 0 for a call for all endpoints.
-void log_call_sent(Log& log, const LoggedCall& call, CallScope scope, std::int64_t after);
+// discovery.call_sent address=... target=... scope=full_list|changes held_index=...   (debug)
+// target: of the HTTP request, e.g. "/v1/servers?watch=1&after=9".
+void log_call_sent(Log& log, const LoggedCall& call, CallScope scope, std::string_view target);
 // discovery.list_received address=... index=... snapshot=0|1 entries=... since_s=...   (debug)
 void log_list_received(Log& log, const LoggedCall& call, const EndpointList& list);
 // discovery.call_failed address=... reason=invalid_http|http_status status=...
--- a/src/discovery/discovery_events_test.cpp
+++ b/src/discovery/discovery_events_test.cpp
@@ -39,16 +39,18 @@
   EXPECT_EQ(info_output.str(), "");
 }
 
-TEST(DiscoveryEvents, ContainTheIndexThatACallAsksAfter) {
+TEST(DiscoveryEvents, ContainTheTargetAndTheScopeOfACall) {
   std::ostringstream output;
   Log log(output, Level::Debug);
 
-  log_call_sent(log, kCall, CallScope::FullList, 0);
-  log_call_sent(log, kCall, CallScope::Changes, 9);
+  log_call_sent(log, kCall, CallScope::FullList, "/v1/servers");
+  log_call_sent(log, kCall, CallScope::Changes, "/v1/servers?watch=1&after=9");
 
-  EXPECT_EQ(output.str(),
-            "debug: discovery.call_sent address=127.0.0.1:5000 after=0 scope=full_list held_index=9\n"
-            "debug: discovery.call_sent address=127.0.0.1:5000 after=9 scope=changes held_index=9\n");
+  EXPECT_EQ(
+      output.str(),
+      "debug: discovery.call_sent address=127.0.0.1:5000 target=/v1/servers scope=full_list held_index=9\n"
+      "debug: discovery.call_sent address=127.0.0.1:5000 target=\"/v1/servers?watch=1&after=9\" "
+      "scope=changes held_index=9\n");
 }
 
 TEST(DiscoveryEvents, ContainTheEventAndTheStateOfACall) {
--- a/src/discovery/discovery_watch.cpp
+++ b/src/discovery/discovery_watch.cpp
@@ -40,6 +40,7 @@
         {State::AwaitingResponse, Event::ListRejected, State::BackingOff,
          &DiscoveryWatch::back_off_and_resync},
         {State::Watching, Event::TimedOut, State::Connecting, &DiscoveryWatch::renew_call},
+        {State::Watching, Event::NextCallDue, State::Connecting, &DiscoveryWatch::connect},
         {State::Watching, Event::CallEnded, State::BackingOff, &DiscoveryWatch::back_off},
         {State::Watching, Event::ListRejected, State::BackingOff, &DiscoveryWatch::back_off_and_resync},
 };
@@ -108,6 +109,7 @@
     case Event::TimedOut: return "timed_out";
     case Event::CallEnded: return "call_ended";
     case Event::ListRejected: return "list_rejected";
+    case Event::NextCallDue: return "next_call_due";
     case Event::AddressChanged: return "address_changed";
   }
   return "unknown";
@@ -131,10 +133,11 @@
 void DiscoveryWatch::send_request() {
   restart_timeout();
   std::int64_t after = cursor_.begin_call(loop_.now());
-  log_call_sent(loop_.log(), logged_call(), cursor_.call_scope(), after);
+  std::string target = "/v1/servers";
+  if (cursor_.is_watch()) target += "?watch=1&after=" + std::to_string(after);
+  log_call_sent(loop_.log(), logged_call(), cursor_.call_scope(), target);
   BufferChain request(loop_.pool());
-  request.add("GET /v1/servers?watch=1&after=" + std::to_string(after) + " HTTP/1.1\r\nHost: " + address_ +
-              "\r\n\r\n");
+  request.add("GET " + target + " HTTP/1.1\r\nHost: " + address_ + "\r\n\r\n");
   connection_.send(std::move(request));
 }
 
@@ -237,17 +240,39 @@
 void DiscoveryWatch::dispatch_lines() {
   while (is_receiving()) {
     std::optional<std::string> line = lines_.take_line();
-    if (!line) return;
-    if (is_blank(*line)) {
-      on_blank_line();
-    } else {
-      on_call_outcome(cursor_.on_line(*line, loop_.now()));
-    }
+    if (!line) break;
+    dispatch_line(*line);
+  }
+  if (response_.is_complete()) dispatch_unterminated_line();
+}
+
+void DiscoveryWatch::dispatch_line(const std::string& line) {
+  if (is_blank(line)) {
+    on_blank_line();
+  } else {
+    on_call_outcome(cursor_.on_line(line, loop_.now()));
   }
 }
 
+// The last line of a response that has ended may lack its line feed.
+void DiscoveryWatch::dispatch_unterminated_line() {
+  if (!is_receiving()) return;
+  std::string line = lines_.take_rest();
+  if (!is_blank(line)) dispatch_line(line);
+}
+
+// A whole list without a declared length ends with its connection.
+void DiscoveryWatch::on_ended(TcpConnection::End end) {
+  if (end == TcpConnection::End::Closed && is_receiving() && !cursor_.is_watch()) {
+    response_.end_of_input();
+    if (response_.is_complete()) return on_received("");
+  }
+  apply(Event::CallEnded);
+}
+
 void DiscoveryWatch::on_bytes_processed() {
   if (lines_.exceeds_size_limit()) return on_call_outcome(ListError{ListFault::TooLong, ""});
+  if (cursor_.is_next_call_due()) return apply(Event::NextCallDue);
   if (response_.is_complete()) return apply(Event::CallEnded);
   if (lines_.ends_inside_list()) reject_list_if_cut_off();
 }
@@ -267,7 +292,7 @@
 }
 
 void DiscoveryWatch::on_list(EndpointList& list) {
-  has_received_list_ = true;
+  if (!cursor_.lacks_whole_list()) has_received_list_ = true;
   is_fault_logged_ = false;
   list.received_at_s = loop_.now();
   log_list_received(loop_.log(), logged_call(), list);
--- a/src/discovery/discovery_watch.h
+++ b/src/discovery/discovery_watch.h
@@ -45,8 +45,9 @@
   };
 
   struct Options {
-    std::string address;          // "127.0.0.1:5000"
-    std::int64_t held_index = 0;  // of a list from an earlier run or the predecessor; 0: none
+    std::string address;  // "127.0.0.1:5000"
+    // Of a list from an earlier run or the predecessor.
+    std::optional<std::int64_t> held_index = std::nullopt;
     DiscoveryMode mode = DiscoveryMode::Pushed;
     std::uint64_t backoff_seed = 0;
   };
@@ -62,6 +63,7 @@
   void change_address(const std::string& address);
   // Ends the current call. Nothing is reported after that.
   void close();
+  // A list that tells all endpoints, or the first list that they differ from.
   bool has_received_list() const { return has_received_list_; }
   DiscoveryStatus status() const;
 
@@ -74,6 +76,7 @@
     TimedOut,
     CallEnded,
     ListRejected,
+    NextCallDue,
     AddressChanged
   };
   static const Transition<DiscoveryWatch, State, Event> kTransitions[];
@@ -96,7 +99,7 @@
 
   void on_connected() override { apply(Event::Connected); }
   void on_received(std::string_view bytes) override;
-  void on_ended(TcpConnection::End) override { apply(Event::CallEnded); }
+  void on_ended(TcpConnection::End end) override;
   void on_response_body();
   void on_call_outcome(CallOutcome outcome);
   void on_list(EndpointList& list);
@@ -109,6 +112,8 @@
 
   std::optional<CallFailed> response_failure() const;
   void dispatch_lines();
+  void dispatch_line(const std::string& line);
+  void dispatch_unterminated_line();
   void record_date();
   void reject_list_if_cut_off();
   void check_timeout();
--- a/src/discovery/discovery_watch_test.cpp
+++ b/src/discovery/discovery_watch_test.cpp
@@ -52,6 +52,34 @@
   EXPECT_EQ(list_count, 4u);
 }
 
+// Answers the call for the whole list, whose body has no line feed at its end.
+void answer_whole_list_call(Listener& discovery, const std::string& length_header) {
+  auto [call, request] = discovery.accept_request();
+  std::string list = snapshot_line(7);
+  list.pop_back();
+  call.send_and_close("HTTP/1.1 200 OK\r\n" + length_header + "\r\n" + list);
+  EXPECT_EQ(request.target, "/v1/servers");
+}
+
+class DiscoveryWatchWholeList : public testing::TestWithParam<bool> {};
+INSTANTIATE_TEST_SUITE_P(WithAndWithoutALength, DiscoveryWatchWholeList, testing::Bool());
+
+// Changes after index 0 don't name an endpoint that joined and left.
+TEST_P(DiscoveryWatchWholeList, IsRequestedIfACallForAllEndpointsIsAnsweredWithChanges) {
+  const bool has_length = GetParam();
+  const std::string length_header =
+      has_length ? "Content-Length: " + std::to_string(snapshot_line(7).size() - 1) + "\r\n" : "";
+
+  std::size_t list_count = count_lists([&](Listener& discovery) {
+    EXPECT_TRUE(answer_call(discovery, "0", http_chunk(change_line(6))).ends_within(0.1));
+    answer_whole_list_call(discovery, length_header);
+    EXPECT_TRUE(discovery.has_connection_within(0.1));
+    answer_call(discovery, "7", "");
+  });
+
+  EXPECT_EQ(list_count, 2u);
+}
+
 // Some discovery services answer each call with the full list.
 TEST(DiscoveryWatch, ReportsTheSameFullListAgainOnlyAfterAChange) {
   std::size_t list_count = count_lists([](Listener& discovery) {
--- a/src/discovery/list_cursor.cpp
+++ b/src/discovery/list_cursor.cpp
@@ -19,13 +19,17 @@
 }  // namespace
 
 std::int64_t ListCursor::begin_call(double now) {
+  // While calls for the whole list fail, every other call is a watch, so that changes are still received.
+  bool is_watch_due = !is_watch() && !has_received_line_ && complete_index_;
+  bool asks_for_all = is_full_list_due(now) && !is_watch_due;
   has_received_line_ = false;
-  if (is_full_list_due(now)) {
+  if (asks_for_all) {
     call_scope_ = CallScope::FullList;
+    call_form_ = next_list_form_;
     return 0;
   }
   call_scope_ = CallScope::Changes;
-  return mode_ == DiscoveryMode::Pushed ? complete_index_ : held_index_;
+  return mode_ == DiscoveryMode::Pushed ? complete_index_.value_or(0) : held_index();
 }
 
 CallOutcome ListCursor::on_line(std::string_view line, double now) {
@@ -45,13 +49,12 @@
 
   if (is_changes_answer) is_answered_by_full_lists_ = list.is_snapshot;
 
-  // Some discovery services answer a call for all endpoints with all changes since an initial list that every
-  // instance has, and don't mark that as a snapshot.
-  bool is_full = list.is_snapshot || (is_first_line && call_scope_ == CallScope::FullList);
-  if (is_full) {
+  bool answers_call_for_all = is_first_line && call_scope_ == CallScope::FullList;
+  if (is_full_list(list, answers_call_for_all)) {
     record_full_list(line, now);
-  } else if (!list.entries.empty()) {
-    full_list_hash_.reset();
+  } else {
+    if (answers_call_for_all) request_whole_list();
+    if (!list.entries.empty()) full_list_hash_.reset();
   }
   // The first line of a call has all changes after the index that was asked for. Later lines are applied, but
   // may be incomplete: in pushed mode the next call asks for their changes again.
@@ -61,20 +64,21 @@
 }
 
 void ListCursor::on_source_changed() {
-  complete_index_ = 0;
+  is_source_new_ = true;
+  complete_index_.reset();
   full_list_hash_.reset();
 }
 
 void ListCursor::reset() {
-  held_index_ = 0;
-  complete_index_ = 0;
+  held_index_.reset();
+  complete_index_.reset();
   full_list_hash_.reset();
 }
 
 bool ListCursor::is_call_cheap() const { return is_answer_cheap(call_scope_); }
 
 bool ListCursor::is_next_call_cheap() const {
-  return is_answer_cheap(complete_index_ > 0 ? CallScope::Changes : CallScope::FullList);
+  return is_answer_cheap(complete_index_ ? CallScope::Changes : CallScope::FullList);
 }
 
 bool ListCursor::is_answer_cheap(CallScope scope) const {
@@ -83,8 +87,9 @@
 }
 
 bool ListCursor::is_full_list_due(double now) const {
-  if (mode_ == DiscoveryMode::OnRequest) return held_index_ == 0;
-  if (complete_index_ == 0) return true;
+  if (lacks_whole_list_) return true;
+  if (mode_ == DiscoveryMode::OnRequest) return !holds_list();
+  if (!complete_index_) return true;
   auto bytes = double(full_list_bytes_);
   double interval_s = has_unanswered_call_
                           ? bytes / kUnansweredReconcileBytesPerSecond
@@ -92,6 +97,17 @@
   return now >= full_list_at_ + interval_s;
 }
 
+// Changes after index 0 tell all endpoints only to a process that holds the list with that index.
+bool ListCursor::is_full_list(const EndpointList& list, bool answers_call_for_all) const {
+  bool holds_first_list = held_index_ == 0 && !is_source_new_;
+  return list.is_snapshot || (answers_call_for_all && holds_first_list);
+}
+
+void ListCursor::request_whole_list() {
+  lacks_whole_list_ = true;
+  next_list_form_ = FullListForm::WholeList;
+}
+
 // Comparing hashes avoids parsing if discovery answers every call with the full list.
 bool ListCursor::matches_last_full_list(std::string_view line) const {
   if (mode_ == DiscoveryMode::OnRequest || !full_list_hash_) return false;
@@ -103,7 +119,7 @@
 // endpoints exist. An empty snapshot is accepted only if it is the second one in a row.
 std::optional<ListError> ListCursor::check_sequence(const EndpointList& list) {
   if (!list.is_snapshot) {
-    if (list.index < held_index_) return ListError{ListFault::IndexWentBack, ""};
+    if (list.index < held_index()) return ListError{ListFault::IndexWentBack, ""};
     return std::nullopt;
   }
   bool was_empty = was_last_snapshot_empty_;
@@ -117,6 +133,8 @@
   full_list_bytes_ = text.size();
   full_list_hash_ = XXH3_64bits(text.data(), text.size());
   has_unanswered_call_ = false;
+  lacks_whole_list_ = false;
+  is_source_new_ = false;
 }
 
 }  // namespace puffinvane
--- a/src/discovery/list_cursor.h
+++ b/src/discovery/list_cursor.h
@@ -17,6 +17,12 @@
 // What a call asks for: all endpoints, or only those that changed after an index.
 enum class CallScope { FullList, Changes };
 
+// How all endpoints are asked for. WatchFromStart: by a watch after index 0, which some discovery services
+// answer with the whole list. Others answer it with what differs from their first list; that doesn't name an
+// endpoint that joined and left. WholeList: by a call that is no watch, which is answered with the whole list
+// (protocol: "Discovery").
+enum class FullListForm { WatchFromStart, WholeList };
+
 // Discovery has sent again the full list that this process already holds.
 struct ListUnchanged {};
 
@@ -33,10 +39,11 @@
 // Owned by a DiscoveryWatch, on the event loop's thread. Times are monotonic, in seconds.
 class ListCursor {
  public:
-  // held_index: the index of a list kept from an earlier run or from the predecessor; 0: there is none.
-  ListCursor(DiscoveryMode mode, std::int64_t held_index) : mode_(mode), held_index_(held_index) {}
+  // held_index: the index of a list kept from an earlier run or from the predecessor, if there is one.
+  ListCursor(DiscoveryMode mode, std::optional<std::int64_t> held_index)
+      : mode_(mode), held_index_(held_index) {}
 
-  // Decides what the next call asks for and returns the index to ask after; 0 asks for all endpoints.
+  // Decides what the next call asks for and returns the index to ask after, 0 if it asks for all endpoints.
   std::int64_t begin_call(double now);
   // Interprets a non-blank line. A returned list counts as held from then on; after a ListError the list held
   // before remains.
@@ -50,9 +57,20 @@
   // The held list may be wrong: the next call asks for all endpoints.
   void reset();
 
-  bool holds_list() const { return held_index_ > 0; }
-  std::int64_t held_index() const { return held_index_; }
+  bool holds_list() const { return held_index_.has_value(); }
+  std::int64_t held_index() const { return held_index_.value_or(0); }  // 0 if no list is held
   CallScope call_scope() const { return call_scope_; }
+  // Whether the current call is a watch: later changes follow its first list.
+  bool is_watch() const {
+    return call_scope_ == CallScope::Changes || call_form_ == FullListForm::WatchFromStart;
+  }
+  // Endpoints may be held that are gone: the last call for all endpoints was answered with changes.
+  bool lacks_whole_list() const { return lacks_whole_list_; }
+  // The current call has told all that it was made for: it asked for the whole list and was answered, or it
+  // asked for all endpoints and was answered with changes that may leave some out.
+  bool is_next_call_due() const {
+    return has_received_line_ && call_scope_ == CallScope::FullList && (!is_watch() || lacks_whole_list_);
+  }
   // Whether the current call has received a non-blank line.
   bool has_received_line() const { return has_received_line_; }
   // Whether the current or the next call is expected to be answered by few bytes: by changes, or by a short
@@ -65,22 +83,28 @@
  private:
   bool is_answer_cheap(CallScope scope) const;
   bool is_full_list_due(double now) const;
+  bool is_full_list(const EndpointList& list, bool answers_call_for_all) const;
+  void request_whole_list();
   bool matches_last_full_list(std::string_view line) const;
   std::optional<ListError> check_sequence(const EndpointList& list);
   void record_full_list(std::string_view text, double now);
 
   const DiscoveryMode mode_;
   ListParser parser_;
-  std::int64_t held_index_;
+  std::optional<std::int64_t> held_index_;
   // The index of the last first line of a call or snapshot. Those are complete: all changes up to this index
-  // have been received. 0: no list yet.
-  std::int64_t complete_index_ = 0;
+  // have been received.
+  std::optional<std::int64_t> complete_index_;
   // The last full list: when it was received, its length, and its hash, which is unset once a change has been
   // received after it.
   double full_list_at_ = 0;
   std::size_t full_list_bytes_ = 0;
   std::optional<XXH64_hash_t> full_list_hash_;
   CallScope call_scope_ = CallScope::Changes;
+  FullListForm call_form_ = FullListForm::WatchFromStart;       // of the last call for all endpoints
+  FullListForm next_list_form_ = FullListForm::WatchFromStart;  // of the next call for all endpoints
+  bool lacks_whole_list_ = false;
+  bool is_source_new_ = false;  // no full list has been received since on_source_changed()
   bool has_received_line_ = false;
   bool is_answered_by_full_lists_ = false;  // the last call for changes was answered by a full list
   bool has_unanswered_call_ = false;        // since the last full list
--- a/src/discovery/list_cursor_test.cpp
+++ b/src/discovery/list_cursor_test.cpp
@@ -57,6 +57,85 @@
   EXPECT_EQ(after, 5);
 }
 
+TEST(ListCursor, AsksForTheWholeListAfterChangesFromAnIndexThatItDoesNotHold) {
+  ListCursor cursor(DiscoveryMode::Pushed, 7);
+  cursor.begin_call(kNow);
+  cursor.on_line(change(9), kNow);
+  const bool is_next_call_due = cursor.is_next_call_due();
+
+  cursor.begin_call(kNow);
+
+  EXPECT_TRUE(is_next_call_due);
+  EXPECT_EQ(cursor.call_scope(), CallScope::FullList);
+  EXPECT_FALSE(cursor.is_watch());
+}
+
+TEST(ListCursor, AsksForChangesAfterTheIndexOfTheWholeList) {
+  ListCursor cursor(DiscoveryMode::Pushed, 7);
+  cursor.begin_call(kNow);
+  cursor.on_line(change(9), kNow);
+  cursor.begin_call(kNow);
+  cursor.on_line(snapshot(10), kNow);
+  const bool is_next_call_due = cursor.is_next_call_due();
+
+  std::int64_t after = cursor.begin_call(kNow);
+
+  EXPECT_TRUE(is_next_call_due);
+  EXPECT_EQ(after, 10);
+  EXPECT_TRUE(cursor.is_watch());
+  EXPECT_FALSE(cursor.lacks_whole_list());
+}
+
+TEST(ListCursor, AsksForTheWholeListOnRequestAfterChangesFromAnIndexThatItDoesNotHold) {
+  ListCursor cursor(DiscoveryMode::OnRequest, 7);
+  cursor.reset();
+  cursor.begin_call(kNow);
+  cursor.on_line(change(9), kNow);
+
+  cursor.begin_call(kNow);
+
+  EXPECT_EQ(cursor.call_scope(), CallScope::FullList);
+  EXPECT_FALSE(cursor.is_watch());
+}
+
+TEST(ListCursor, TakesChangesFromTheFirstListForAllIfItHoldsThatList) {
+  ListCursor cursor(DiscoveryMode::Pushed, 0);
+  cursor.begin_call(kNow);
+  cursor.on_line(change(0), kNow);
+
+  std::int64_t after = cursor.begin_call(kNow);
+
+  EXPECT_EQ(after, 0);
+  EXPECT_EQ(cursor.call_scope(), CallScope::Changes);
+  EXPECT_FALSE(cursor.lacks_whole_list());
+}
+
+TEST(ListCursor, DoesNotTakeChangesFromTheFirstListOfAnotherSourceForAll) {
+  ListCursor cursor(DiscoveryMode::Pushed, 0);
+  cursor.on_source_changed();
+  cursor.begin_call(kNow);
+
+  cursor.on_line(change(0), kNow);
+
+  EXPECT_TRUE(cursor.lacks_whole_list());
+}
+
+TEST(ListCursor, AsksForChangesInTurnWhileCallsForTheWholeListFail) {
+  ListCursor cursor(DiscoveryMode::Pushed, 7);
+  cursor.begin_call(kNow);
+  cursor.on_line(change(9), kNow);
+  cursor.begin_call(kNow);  // for the whole list, unanswered
+
+  std::int64_t after = cursor.begin_call(kNow);
+  const CallScope second_scope = cursor.call_scope();
+  cursor.begin_call(kNow);
+
+  EXPECT_EQ(after, 9);
+  EXPECT_EQ(second_scope, CallScope::Changes);
+  EXPECT_EQ(cursor.call_scope(), CallScope::FullList);
+  EXPECT_FALSE(cursor.is_watch());
+}
+
 TEST(ListCursor, AsksForTheFullListAgainAfterThirtySeconds) {
   ListCursor cursor = cursor_at(4);
 
--- a/src/discovery/list_splitter.cpp
+++ b/src/discovery/list_splitter.cpp
@@ -1,5 +1,7 @@
 #include "src/discovery/list_splitter.h"
 
+#include <utility>
+
 namespace puffinvane {
 
 std::optional<std::string> ListSplitter::take_line() {
@@ -23,6 +25,12 @@
   return std::nullopt;
 }
 
+std::string ListSplitter::take_rest() {
+  std::string rest = std::move(buffer_);
+  *this = ListSplitter();
+  return rest;
+}
+
 void ListSplitter::scan(char byte) {
   if (is_escaped_) {
     is_escaped_ = false;
--- a/src/discovery/list_splitter.h
+++ b/src/discovery/list_splitter.h
@@ -19,6 +19,8 @@
   void append(std::string_view bytes) { buffer_ += bytes; }
   // Removes and returns the next complete line without its line feed; nullopt if no line is complete.
   std::optional<std::string> take_line();
+  // Removes and returns what is left after the last line feed, once the response has ended.
+  std::string take_rest();
   bool exceeds_size_limit() const { return buffer_.size() > kMaxListBytes; }
   // The start of a list has been scanned, but not yet its end.
   bool has_partial_list() const { return depth_ > 0; }
--- a/src/discovery/list_splitter_test.cpp
+++ b/src/discovery/list_splitter_test.cpp
@@ -65,6 +65,17 @@
   EXPECT_EQ(splitter.take_line(), "}");
 }
 
+TEST(ListSplitter, GivesWhatFollowsTheLastLineFeedAsTheRest) {
+  ListSplitter splitter;
+  splitter.append("a\n{\nb}");
+  splitter.take_line();
+  splitter.take_line();
+
+  EXPECT_EQ(splitter.take_rest(), "{\nb}");
+  EXPECT_FALSE(splitter.has_partial_list());
+  EXPECT_EQ(splitter.take_rest(), "");
+}
+
 TEST(ListSplitter, ReportsALineOverTheSizeLimit) {
   ListSplitter splitter;
 
--- a/src/server/sidecar.cpp
+++ b/src/server/sidecar.cpp
@@ -25,6 +25,11 @@
 // Buffers may use the memory limit divided by this; the rest is for the policy, GLib and the heap.
 constexpr std::size_t kBufferMemoryDivisor = 2;
 
+std::optional<std::int64_t> index_if_listed(const EndpointList& known) {
+  if (known.entries.empty()) return std::nullopt;
+  return known.index;
+}
+
 // Wraps the policies that `make` creates in a shadow policy, if there are settings for one.
 PolicyFactory with_shadow_policy(const std::optional<Deployment>& shadow, Differences& differences,
                                  PolicyFactory make) {
@@ -48,7 +53,7 @@
       listener_(loop, downstream_),
       watch_(loop, forwarder_, starts_,
              DiscoveryWatch::Options{.address = config_.discovery,
-                                     .held_index = config_.known.index,
+                                     .held_index = index_if_listed(config_.known),
                                      .mode = config_.discovery_mode,
                                      .backoff_seed = config_.seed}),
       overrides_(*this),
