proxy: take the last of several entries of an endpoint in a list

What callers would see: requests at an endpoint that joined and left within one list, or none at one that left and joined again. Cause: EndpointDirectory compared each entry with what was known before the list and dropped those that were equal, so of two entries of an endpoint the last one was lost where it restored the earlier state. Change: only the last entry of each endpoint is compared.

--- a/src/proxy/endpoint_directory.cpp
+++ b/src/proxy/endpoint_directory.cpp
@@ -27,6 +27,18 @@
   return counts;
 }
 
+// The positions of the entries that no later entry of the same endpoint replaces, in order: a list may tell
+// each change in turn.
+std::vector<std::size_t> last_entries(const EndpointList& list) {
+  std::vector<std::size_t> positions;
+  std::unordered_set<std::string_view> seen;
+  for (std::size_t i = list.entries.size(); i > 0; --i) {
+    if (seen.insert(list.entries[i - 1].endpoint).second) positions.push_back(i - 1);
+  }
+  std::ranges::reverse(positions);
+  return positions;
+}
+
 }  // namespace
 
 void EndpointDirectory::load_cached(const EndpointList& cached) { apply(cached, ListScope::Cached); }
@@ -58,7 +70,7 @@
 EndpointList EndpointDirectory::changes_in(const EndpointList& list) const {
   EndpointList changes;
   changes.index = list.index;
-  for (std::size_t i = 0; i < list.entries.size(); ++i) {
+  for (std::size_t i : last_entries(list)) {
     ListEntry entry = list.entries[i];
     entry.online_since_s = latest_start(entry);
     if (is_unchanged(entry, list.addresses[i])) continue;
--- a/src/proxy/endpoint_directory_test.cpp
+++ b/src/proxy/endpoint_directory_test.cpp
@@ -99,6 +99,17 @@
   EXPECT_THAT(notified_, ElementsAre("a removed"));
 }
 
+// A list may tell each change in turn rather than the outcome.
+TEST_F(EndpointDirectoryTest, TakesTheLastOfSeveralEntriesOfAnEndpoint) {
+  directory_.on_list(changes(9, {entry("c"), entry("c", ListedState::Removed)}), kNow);
+  directory_.on_list(changes(11, {entry("a", ListedState::Removed), entry("a")}), kNow);
+
+  EXPECT_EQ(directory_.address_of("c"), nullptr);
+  EXPECT_NE(directory_.address_of("a"), nullptr);
+  EXPECT_THAT(notified_, IsEmpty());
+  EXPECT_EQ(directory_.size(), 2u);
+}
+
 TEST_F(EndpointDirectoryTest, KeepsTheIndexAndTheTimeOfAListThatRepeatsItself) {
   directory_.on_list(snapshot(9, {entry("a"), entry("b")}), kNow);
 
