discovery: accept an older list only the third time in a row

What callers would see: requests after the grace at an endpoint that has left, until the next current list. A full list with a lower index was accepted at once, in case discovery has lost its data; one late or stale answer listed again what had left. AcceptsAFullListWhoseIndexWentBackOnlyTheThirdTimeInARow failed before: the first one was accepted. Change: in pushed mode a list older than the newest one of this source is rejected, and all endpoints are asked for again, until three in a row were older. On request a full list stays accepted at once. Two tests used an older list to show that a repeated list is reported after a change; they now use one of the same index. The test of the former rule is replaced by one that counts.

--- a/src/discovery/discovery_watch_test.cpp
+++ b/src/discovery/discovery_watch_test.cpp
@@ -44,6 +44,7 @@
     EXPECT_TRUE(take_call(discovery).ends_within());
     EXPECT_TRUE(answer_call(discovery, "0", http_chunk(snapshot_line(5))).ends_within());
     EXPECT_TRUE(answer_call(discovery, "5", http_chunk(change_line(3))).ends_within(1));
+    EXPECT_TRUE(answer_call(discovery, "0", http_chunk(snapshot_line(3))).ends_within(1));
     EXPECT_TRUE(answer_call(discovery, "0", http_chunk(snapshot_line(3))).ends_within());
     EXPECT_TRUE(answer_call(discovery, "3", http_chunk("{]\n")).ends_within(1));
     answer_call(discovery, "0", http_chunk(snapshot_line(3)));
@@ -85,7 +86,7 @@
   std::size_t list_count = count_lists([](Listener& discovery) {
     EXPECT_TRUE(answer_call(discovery, "0", http_chunk(snapshot_line(4))).ends_within());
     TestConnection watch = answer_call(discovery, "4", http_chunk(snapshot_line(4)));
-    watch.send_text(http_chunk(change_line(5)));
+    watch.send_text(http_chunk(change_line(4)));
     EXPECT_TRUE(watch.ends_within());
     answer_call(discovery, "4", http_chunk(snapshot_line(4)));  // reverts the change
   });
--- a/src/discovery/list_cursor.cpp
+++ b/src/discovery/list_cursor.cpp
@@ -16,6 +16,10 @@
 
 constexpr std::size_t kMaxCheapListBytes = std::size_t{16} * 1024;
 
+// Pushed mode: so many lists in a row that are older than the held one show that discovery has lost its data.
+// Fewer may come from a call that was answered late.
+constexpr int kOlderListsUntilAccepted = 3;
+
 }  // namespace
 
 std::int64_t ListCursor::begin_call(double now) {
@@ -40,6 +44,7 @@
     if (is_changes_answer) is_answered_by_full_lists_ = true;
     record_full_list(line, now);
     complete_index_ = held_index_;
+    older_lists_in_a_row_ = 0;
     return ListUnchanged();
   }
   ListResult result = parser_.parse(line);
@@ -60,11 +65,13 @@
   // may be incomplete: in pushed mode the next call asks for their changes again.
   if (list.is_snapshot || is_first_line) complete_index_ = list.index;
   held_index_ = list.index;
+  newest_index_ = list.index;
   return CallOutcome(std::move(list));
 }
 
 void ListCursor::on_source_changed() {
   is_source_new_ = true;
+  newest_index_.reset();
   complete_index_.reset();
   full_list_hash_.reset();
 }
@@ -115,19 +122,32 @@
   return XXH3_64bits(line.data(), line.size()) == *full_list_hash_;
 }
 
-// A lower index or an empty snapshot may mean that discovery has lost its data and doesn't know which
-// endpoints exist. An empty snapshot is accepted only if it is the second one in a row.
+// An empty snapshot may mean that discovery has lost its data and doesn't know which endpoints exist. It is
+// accepted only if it is the second one in a row.
 std::optional<ListError> ListCursor::check_sequence(const EndpointList& list) {
-  if (!list.is_snapshot) {
-    if (list.index < held_index()) return ListError{ListFault::IndexWentBack, ""};
-    return std::nullopt;
-  }
+  if (std::optional<ListError> error = check_index(list)) return error;
+  if (!list.is_snapshot) return std::nullopt;
   bool was_empty = was_last_snapshot_empty_;
   was_last_snapshot_empty_ = list.entries.empty();
   if (was_last_snapshot_empty_ && !was_empty) return ListError{ListFault::EmptySnapshot, ""};
   return std::nullopt;
 }
 
+// An older list would list endpoints again that have left since.
+std::optional<ListError> ListCursor::check_index(const EndpointList& list) {
+  bool is_older = list.index < newest_index_.value_or(list.index);
+  // Changes apply to the list that is held, whichever source it is from.
+  if (!list.is_snapshot) is_older |= list.index < held_index();
+  older_lists_in_a_row_ = is_older ? older_lists_in_a_row_ + 1 : 0;
+  if (!is_older) return std::nullopt;
+  // On request a further full list is expensive.
+  bool is_accepted = mode_ == DiscoveryMode::OnRequest ? list.is_snapshot || !holds_list()
+                                                       : older_lists_in_a_row_ >= kOlderListsUntilAccepted;
+  if (!is_accepted) return ListError{ListFault::IndexWentBack, ""};
+  older_lists_in_a_row_ = 0;
+  return std::nullopt;
+}
+
 void ListCursor::record_full_list(std::string_view text, double now) {
   full_list_at_ = now;
   full_list_bytes_ = text.size();
--- a/src/discovery/list_cursor.h
+++ b/src/discovery/list_cursor.h
@@ -41,7 +41,7 @@
  public:
   // held_index: the index of a list kept from an earlier run or from the predecessor, if there is one.
   ListCursor(DiscoveryMode mode, std::optional<std::int64_t> held_index)
-      : mode_(mode), held_index_(held_index) {}
+      : mode_(mode), held_index_(held_index), newest_index_(held_index) {}
 
   // Decides what the next call asks for and returns the index to ask after, 0 if it asks for all endpoints.
   std::int64_t begin_call(double now);
@@ -87,11 +87,15 @@
   void request_whole_list();
   bool matches_last_full_list(std::string_view line) const;
   std::optional<ListError> check_sequence(const EndpointList& list);
+  std::optional<ListError> check_index(const EndpointList& list);
   void record_full_list(std::string_view text, double now);
 
   const DiscoveryMode mode_;
   ListParser parser_;
   std::optional<std::int64_t> held_index_;
+  // The highest index accepted from this source, and how many lists in a row were older than that.
+  std::optional<std::int64_t> newest_index_;
+  int older_lists_in_a_row_ = 0;
   // The index of the last first line of a call or snapshot. Those are complete: all changes up to this index
   // have been received.
   std::optional<std::int64_t> complete_index_;
--- a/src/discovery/list_cursor_test.cpp
+++ b/src/discovery/list_cursor_test.cpp
@@ -176,7 +176,7 @@
 TEST(ListCursor, ReportsTheFullListAgainAfterAChange) {
   ListCursor cursor = cursor_at(4);
   cursor.begin_call(kNow);
-  cursor.on_line(change(5), kNow);
+  cursor.on_line(change(4), kNow);
 
   CallOutcome outcome = cursor.on_line(snapshot(4), kNow);
 
@@ -192,13 +192,48 @@
   EXPECT_EQ(fault_of(outcome), ListFault::IndexWentBack);
 }
 
-TEST(ListCursor, AcceptsAFullListWhoseIndexWentBack) {
+// Guards against requests to an endpoint that has left, after an older list.
+TEST(ListCursor, AcceptsAFullListWhoseIndexWentBackOnlyTheThirdTimeInARow) {
+  ListCursor cursor = cursor_at(4);
+  cursor.begin_call(kNow);
+
+  CallOutcome first = cursor.on_line(snapshot(3), kNow);
+  cursor.reset();
+  CallOutcome second = cursor.on_line(snapshot(3), kNow);
+  cursor.reset();
+  CallOutcome third = cursor.on_line(snapshot(3), kNow);
+  CallOutcome fourth = cursor.on_line(change(4), kNow);
+
+  EXPECT_EQ(fault_of(first), ListFault::IndexWentBack);
+  EXPECT_EQ(fault_of(second), ListFault::IndexWentBack);
+  EXPECT_EQ(std::get<EndpointList>(third).index, 3);
+  EXPECT_TRUE(std::holds_alternative<EndpointList>(fourth));
+}
+
+TEST(ListCursor, CountsOlderListsAnewAfterACurrentOne) {
   ListCursor cursor = cursor_at(4);
   cursor.begin_call(kNow);
+  cursor.on_line(snapshot(3), kNow);
+  cursor.on_line(snapshot(3), kNow);
 
+  cursor.on_line(snapshot(5), kNow);
   CallOutcome outcome = cursor.on_line(snapshot(3), kNow);
 
-  EXPECT_EQ(std::get<EndpointList>(outcome).index, 3);
+  EXPECT_EQ(fault_of(outcome), ListFault::IndexWentBack);
+}
+
+TEST(ListCursor, AcceptsAFullListWhoseIndexWentBackAtOnceOnRequestOrFromAnotherSource) {
+  ListCursor on_request = cursor_at(4, DiscoveryMode::OnRequest);
+  ListCursor moved = cursor_at(4);
+  moved.on_source_changed();
+  on_request.begin_call(kNow);
+  moved.begin_call(kNow);
+
+  CallOutcome on_request_outcome = on_request.on_line(snapshot(3), kNow);
+  CallOutcome moved_outcome = moved.on_line(snapshot(3), kNow);
+
+  EXPECT_EQ(std::get<EndpointList>(on_request_outcome).index, 3);
+  EXPECT_EQ(std::get<EndpointList>(moved_outcome).index, 3);
 }
 
 TEST(ListCursor, AcceptsAnEmptySnapshotOnlyTheSecondTimeInARow) {
