tests: half of drain_soak's runs have an agent that tells what differs

Change: the three ways in which a watch begins were drawn alike, so that few runs had an agent like the platform's, an endpoint that joined later and an unanswered call together. Half of the runs have such an agent now.

--- a/tests/integration/drain_soak_plan.h
+++ b/tests/integration/drain_soak_plan.h
@@ -2,6 +2,8 @@
 #pragma once
 
 #include <algorithm>
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <cstdio>
 #include <string>
@@ -31,11 +33,15 @@
   bool has_idle_crowd = false;
 };
 
+// Half of the runs have the agents that the platform has.
+constexpr std::array kWatchAnswers = {AgentStandIn::WatchAnswer::Changes, AgentStandIn::WatchAnswer::Changes,
+                                      AgentStandIn::WatchAnswer::WholeList,
+                                      AgentStandIn::WatchAnswer::EachChange};
+
 inline DrainSoakPlan random_drain_plan(std::uint64_t seed) {
   constexpr int kSituations = 5;
   constexpr int kDeliveries = 3;
   constexpr int kCallFaults = 7;
-  constexpr int kWatchAnswers = 3;
   constexpr int kMaxCallFaults = 3;
   constexpr double kMaxStallSeconds = 0.15;
   RandomDraw draw(seed);
@@ -53,7 +59,7 @@
   for (int i = 1 + draw.below(kMaxCallFaults); i > 0; --i) {
     plan.call_faults.push_back(AgentStandIn::CallFault(draw.below(kCallFaults)));
   }
-  plan.watch_answer = AgentStandIn::WatchAnswer(draw.below(kWatchAnswers));
+  plan.watch_answer = kWatchAnswers[std::size_t(draw.below(int(kWatchAnswers.size())))];
   return plan;
 }
 
