discovery: follow an agent that is slow or answers with long lists

What callers would see: requests after the grace where the agent takes some 0.15 s to answer, or answers every call with a whole list of over 16 KiB, as at some 110 endpoints. Cause: the first timeouts were the same for every agent, and a whole list of over 16 KiB counted as expensive, so that it was asked for every 1.6 to 2 s. Change: a call may take twice the time of the last answer, 0.3 s at most; lists of up to 64 KiB count as short. drain_soak draws agents that answer after up to 0.15 s, and whole lists of 40 KB.

--- a/src/discovery/call_timeouts.cpp
+++ b/src/discovery/call_timeouts.cpp
@@ -48,6 +48,8 @@
 constexpr int kFaultsWithinGrace = 3;
 // From then on each timeout is twice as long as the one before, for an agent that is slow.
 constexpr int kMaxDoublings = 3;
+// A call may take twice the time of the last answer, up to this.
+constexpr double kMaxExpectedAnswerSeconds = 0.3;
 
 }  // namespace
 
@@ -62,7 +64,10 @@
   bool awaits_full_list = mode_ == DiscoveryMode::Pushed && progress.scope == CallScope::FullList;
   bool awaits_list = awaits_full_list || progress.has_partial_list;
   bool is_short = mode_ == DiscoveryMode::Pushed && progress.is_answer_cheap && !progress.has_partial_list;
-  if (is_short) return retry_timeout_s(kFirstCheapAnswerSeconds, kPushedAnswerSeconds);
+  if (is_short) {
+    double first_s = std::clamp(2 * last_answer_s_, kFirstCheapAnswerSeconds, kMaxExpectedAnswerSeconds);
+    return retry_timeout_s(first_s, kPushedAnswerSeconds);
+  }
   double list_s = std::max(list_timeout_s_, arriving_list_timeout_s(progress));
   return awaits_list ? std::max(min_response_timeout_s(), list_s) : min_response_timeout_s();
 }
@@ -77,7 +82,10 @@
 
 void CallTimeouts::on_call_unanswered() { ++unanswered_in_a_row_; }
 
-void CallTimeouts::on_call_answered() { unanswered_in_a_row_ = 0; }
+void CallTimeouts::on_call_answered(double after_s) {
+  unanswered_in_a_row_ = 0;
+  last_answer_s_ = after_s;
+}
 
 void CallTimeouts::record_response_time(double duration_s) {
   list_timeout_s_ = std::min(kMaxListSeconds, 2 * duration_s);
--- a/src/discovery/call_timeouts.h
+++ b/src/discovery/call_timeouts.h
@@ -24,16 +24,18 @@
   // From the start of a connection attempt until the connection is established.
   double connect_timeout_s() const;
   // From sending the request until the first answer: a line of the response or, for a call for changes in
-  // pushed mode, the response head. Pushed mode: short if the answer is, but doubles with each consecutive
-  // call that isn't answered in time, from the third on. So does connect_timeout_s().
+  // pushed mode, the response head. Pushed mode: short if the answer is, but at least twice the time of the
+  // last answer, and doubles with each consecutive call that isn't answered in time, from the third on. So
+  // does connect_timeout_s().
   double response_timeout_s(const CallProgress& progress) const;
   // Until the call is replaced by a new one. Pushed mode: from sending the request for a call for changes,
   // from the first list for a call for all endpoints. On-request mode: from the last line received.
   double watch_timeout_s(const CallProgress& progress) const;
 
-  // A connection was not established or a call not answered in time; a call was answered.
+  // A connection was not established or a call not answered in time; a call was answered that long after it
+  // was sent.
   void on_call_unanswered();
-  void on_call_answered();
+  void on_call_answered(double after_s);
   // The first list or blank line of a call was received this long after the request. The next list may take
   // twice as long. Not for calls for changes in pushed mode, whose response head is the answer.
   void record_response_time(double duration_s);
@@ -59,6 +61,7 @@
   const DiscoveryMode mode_;
   int unanswered_in_a_row_ = 0;
   int cut_off_in_a_row_ = 0;
+  double last_answer_s_ = 0;
   double list_timeout_s_ = 0;  // how long a list may take, based on earlier lists
 };
 
--- a/src/discovery/discovery_watch.cpp
+++ b/src/discovery/discovery_watch.cpp
@@ -145,7 +145,7 @@
 void DiscoveryWatch::start_watching() {
   answered_at_s_ = loop_.now();
   backoff_.on_call_answered(answered_at_s_);
-  timeouts_.on_call_answered();
+  timeouts_.on_call_answered(answered_at_s_ - timeout_started_at_s_);
   // In pushed mode a call for changes is renewed a fixed time after it was sent, not after it was answered.
   if (is_pushed() && asks_for_changes()) return;
   timeouts_.record_response_time(loop_.now() - timeout_started_at_s_);
--- a/src/discovery/list_cursor.cpp
+++ b/src/discovery/list_cursor.cpp
@@ -14,7 +14,8 @@
 constexpr double kReconcileBytesPerSecond = 10e3;
 constexpr double kUnansweredReconcileBytesPerSecond = 20e3;
 
-constexpr std::size_t kMaxCheapListBytes = std::size_t{16} * 1024;
+// Some 400 endpoints. Lists that repeat themselves are only hashed.
+constexpr std::size_t kMaxCheapListBytes = std::size_t{64} * 1024;
 
 // Pushed mode: so many lists in a row that are older than the held one show that discovery has lost its data.
 // Fewer may come from a call that was answered late.
--- a/testing/endpoint_history.h
+++ b/testing/endpoint_history.h
@@ -25,7 +25,9 @@
  public:
   static constexpr int kFirstIndex = 7;  // of the first list
 
-  explicit EndpointHistory(std::vector<StatedEndpoint> endpoints) : endpoints_(std::move(endpoints)) {
+  // padding_bytes: of a field that makes each list longer, as further endpoints would.
+  explicit EndpointHistory(std::vector<StatedEndpoint> endpoints, std::size_t padding_bytes = 0)
+      : endpoints_(std::move(endpoints)), padding_(padding_bytes, 'x') {
     std::vector<EndpointStatus> first;
     for (const StatedEndpoint& endpoint : endpoints_) {
       first.push_back(endpoint.is_in_first_list ? EndpointStatus::Active : EndpointStatus::Absent);
@@ -81,9 +83,10 @@
     for (const std::string& entry : entries) text += (text.empty() ? "" : ",") + entry;
     return text;
   }
-  static std::string line(int index, bool is_snapshot, const std::vector<std::string>& entries) {
+  std::string line(int index, bool is_snapshot, const std::vector<std::string>& entries) const {
     return R"({"index":)" + std::to_string(index) + R"(,"snapshot":)" + (is_snapshot ? "true" : "false") +
-           R"(,"endpoints":[)" + joined(entries) + "]}\n";
+           R"(,"padding":")" + (is_snapshot ? padding_ : "") + R"(","endpoints":[)" + joined(entries) +
+           "]}\n";
   }
   // The statuses at an index; those of the first list for an earlier one.
   const std::vector<EndpointStatus>& version(int index) const {
@@ -102,6 +105,7 @@
   }
 
   const std::vector<StatedEndpoint> endpoints_;
+  const std::string padding_;  // of whole lists
   std::vector<std::vector<EndpointStatus>> versions_;
 };
 
--- a/tests/integration/drain_soak.cpp
+++ b/tests/integration/drain_soak.cpp
@@ -33,6 +33,7 @@
 constexpr std::size_t kOfFirstList = 0;
 constexpr std::size_t kJoinedLater = 3;
 constexpr int kClients = 16;
+constexpr std::size_t kLongListBytes = 40000;
 constexpr int kCrowd = 400;
 
 class Run {
@@ -41,6 +42,8 @@
       : seed_(seed), plan_(std::move(plan)), changed_(plan_.joined_later ? kJoinedLater : kOfFirstList) {
     AgentStandIn::Options agent;
     agent.watch_answer = plan_.watch_answer;
+    agent.answer_delay_s = plan_.answer_delay_s;
+    if (plan_.has_long_lists) agent.padding_bytes = kLongListBytes;
     for (int i = 0; i < kEndpoints; ++i) {
       constexpr int kFirstEndpointHost = 20;
       constexpr double kResponseSeconds = 0.004;
