discovery: no calls without a pause where the whole list isn't whole

What an operator would see: a sidecar that uses a whole core and calls its agent without a pause, if the agent answers GET /v1/servers with changes. Cause: such an answer left the whole list due, and a call for it is followed by the next one at once.

--- a/src/discovery/list_cursor.cpp
+++ b/src/discovery/list_cursor.cpp
@@ -24,8 +24,10 @@
 }  // namespace
 
 std::int64_t ListCursor::begin_call(double now) {
-  // While calls for the whole list fail, every other call is a watch, so that changes are still received.
-  bool is_watch_due = !is_watch() && !has_received_line_ && complete_index_;
+  // While calls for the whole list bring none, every other call is a watch, so that changes are still
+  // received.
+  bool has_call_failed = !has_received_line_ || lacks_whole_list_;
+  bool is_watch_due = !is_watch() && has_call_failed && complete_index_;
   bool asks_for_all = is_full_list_due(now) && !is_watch_due;
   has_received_line_ = false;
   if (asks_for_all) {
--- a/src/discovery/list_cursor_test.cpp
+++ b/src/discovery/list_cursor_test.cpp
@@ -136,6 +136,21 @@
   EXPECT_FALSE(cursor.is_watch());
 }
 
+TEST(ListCursor, AsksForChangesInTurnWhileCallsForTheWholeListAreAnsweredWithChanges) {
+  ListCursor cursor(DiscoveryMode::Pushed, 7);
+  cursor.begin_call(kNow);
+  cursor.on_line(change(9), kNow);
+  cursor.begin_call(kNow);  // for the whole list
+  cursor.on_line(change(10), kNow);
+
+  std::int64_t after = cursor.begin_call(kNow);
+  cursor.on_line(change(10), kNow);
+
+  EXPECT_EQ(after, 10);
+  EXPECT_EQ(cursor.call_scope(), CallScope::Changes);
+  EXPECT_FALSE(cursor.is_next_call_due());
+}
+
 TEST(ListCursor, AsksForTheFullListAgainAfterThirtySeconds) {
   ListCursor cursor = cursor_at(4);
 
