--- a/testing/agent_stand_in.h
+++ b/testing/agent_stand_in.h
@@ -39,11 +39,11 @@
     double answer_delay_s = 0;
   };
 
-  AgentStandIn(Listener& listener, Options options)
+  AgentStandIn(Listener& listener, const Options& options)
       : listener_(listener),
         watch_answer_(options.watch_answer),
         answer_delay_s_(options.answer_delay_s),
-        history_(std::move(options.endpoints), options.padding_bytes),
+        history_(options.endpoints, options.padding_bytes),
         answering_([this] { run(); }) {}
   AgentStandIn(const AgentStandIn&) = delete;
   AgentStandIn& operator=(const AgentStandIn&) = delete;
--- a/tests/integration/drain_soak.cpp
+++ b/tests/integration/drain_soak.cpp
@@ -53,7 +53,7 @@
                                  .address = endpoints_.back()->address(),
                                  .is_in_first_list = std::size_t(i) != kJoinedLater});
     }
-    agent_ = std::make_unique<AgentStandIn>(discovery_, std::move(agent));
+    agent_ = std::make_unique<AgentStandIn>(discovery_, agent);
   }
 
   // Returns how many requests reached the endpoint after the grace.
--- a/tests/integration/removed_while_isolated_test.cpp
+++ b/tests/integration/removed_while_isolated_test.cpp
@@ -40,7 +40,7 @@
       agent.endpoints.push_back(
           {.name = names[i], .address = endpoints_[i]->address(), .is_in_first_list = i != kJoinedLater});
     }
-    agent_ = std::make_unique<AgentStandIn>(discovery_, std::move(agent));
+    agent_ = std::make_unique<AgentStandIn>(discovery_, agent);
     SidecarProcess::Options options;
     options.discovery = &discovery_;
     sidecar_ = std::make_unique<SidecarProcess>(agent_->entries(), options);
