discovery: call rarely in an outage, wait 0.15 s for the first answer

What callers and operators would see: up to 10 calls a second to an agent that refuses, 7.5 allowed; and requests by the cached list at the start where the first answer takes over 0.1 s. The pushed backoff was 0.1 s however long the outage; the first call was given up after 0.1 s before anything was known of the agent.

--- a/src/discovery/call_backoff.cpp
+++ b/src/discovery/call_backoff.cpp
@@ -7,8 +7,11 @@
 
 namespace {
 
-// As short as the timeouts of CallTimeouts: several calls in a row may end within the grace of a drain.
-constexpr double kPushedDelaySeconds = 0.1;
+// Pushed mode: the first delays are as short as the timeouts of CallTimeouts, as several calls in a row may
+// end within the grace of a drain. During an outage calls are rarer.
+constexpr double kFirstPushedDelaySeconds = 0.1;
+constexpr double kPushedDelaySeconds = 0.15;
+constexpr int kFirstPushedDelays = 3;
 
 // On request: one discovery service answers the calls of all instances one by one, and even refusing a call
 // costs it work. If all watches are reset at once and the instances retry with short delays, it never gets
@@ -26,9 +29,13 @@
 }  // namespace
 
 double CallBackoff::next_delay_s(double now) {
-  if (answered_at_ && now - *answered_at_ > kMinWatchSeconds) failures_ = 0;
+  double min_watch_s = mode_ == DiscoveryMode::Pushed ? 0 : kMinWatchSeconds;
+  if (answered_at_ && now - *answered_at_ > min_watch_s) failures_ = 0;
   answered_at_.reset();
-  if (mode_ == DiscoveryMode::Pushed) return kPushedDelaySeconds;
+  if (mode_ == DiscoveryMode::Pushed) {
+    failures_ = std::min(failures_ + 1, kFirstPushedDelays + 1);
+    return failures_ > kFirstPushedDelays ? kPushedDelaySeconds : kFirstPushedDelaySeconds;
+  }
   double doubled_s = std::ldexp(kFirstDelaySeconds, std::min(failures_, kMaxDoublings));
   ++failures_;
   double uniform = std::ldexp(double(random_()), -32);  // in [0, 1)
--- a/src/discovery/call_backoff.h
+++ b/src/discovery/call_backoff.h
@@ -18,8 +18,9 @@
 
   // Discovery has begun to answer the current call.
   void on_call_answered(double now) { answered_at_ = now; }
-  // Seconds to wait before the next call, given that a call has ended at `now`. Constant in pushed mode; in
-  // on-request mode the delay doubles with each consecutive failed call, up to a limit, and is jittered.
+  // Seconds to wait before the next call, given that a call has ended at `now`. In pushed mode it is
+  // short for the first calls that fail in a row and constant from then on; in on-request mode the delay
+  // doubles with each consecutive failed call, up to a limit, and is jittered.
   double next_delay_s(double now);
 
  private:
--- a/src/discovery/call_timeouts.h
+++ b/src/discovery/call_timeouts.h
@@ -56,13 +56,16 @@
   double arriving_list_timeout_s(const CallProgress& progress) const;
   void extend_list_timeout(double min_s);
 
+  // Assumed of an agent that hasn't answered yet.
+  static constexpr double kInitialAnswerSeconds = 0.075;
+
   static double doubled_after_grace(double first_s, double max_s, int faults_in_a_row);
 
   const DiscoveryMode mode_;
   int unanswered_in_a_row_ = 0;
   int cut_off_in_a_row_ = 0;
-  double last_answer_s_ = 0;
-  double list_timeout_s_ = 0;  // how long a list may take, based on earlier lists
+  double last_answer_s_ = kInitialAnswerSeconds;  // how long it took
+  double list_timeout_s_ = 0;                     // how long a list may take, based on earlier lists
 };
 
 }  // namespace puffinvane
--- a/src/discovery/call_timing_test.cpp
+++ b/src/discovery/call_timing_test.cpp
@@ -87,6 +87,7 @@
 TEST(CallTimeouts, RetriesACheapPushedCallThreeTimesWithinTheDrainGrace) {
   constexpr double kGraceSeconds = 0.5;
   CallTimeouts timeouts(DiscoveryMode::Pushed);
+  timeouts.on_call_answered(0);
   CallProgress cheap = full_list_call();
   cheap.is_answer_cheap = true;
   cheap.is_renewal_cheap = true;
@@ -107,6 +108,7 @@
   CallTimeouts timeouts(DiscoveryMode::Pushed);
   CallProgress cheap;
   cheap.is_answer_cheap = true;
+  timeouts.on_call_answered(0);
 
   const double first_s = timeouts.response_timeout_s(cheap);
   for (int i = 0; i < 3; ++i) timeouts.on_call_unanswered();
@@ -118,6 +120,15 @@
   EXPECT_EQ(timeouts.response_timeout_s(cheap), first_s);
 }
 
+// Guards against requests by the cached list while the first answer of an agent arrives.
+TEST(CallTimeouts, AllowsTheFirstPushedAnswerMoreThanATenthOfASecond) {
+  CallTimeouts timeouts(DiscoveryMode::Pushed);
+  CallProgress cheap;
+  cheap.is_answer_cheap = true;
+
+  EXPECT_EQ(timeouts.response_timeout_s(cheap), 0.15);
+}
+
 TEST(CallTimeouts, AllowsAShortPushedAnswerTwiceTheTimeOfTheLastOneUpToALimit) {
   CallTimeouts timeouts(DiscoveryMode::Pushed);
   CallProgress cheap;
@@ -156,10 +167,13 @@
   EXPECT_EQ(timeouts.partial_list_pause_s(), first_s);
 }
 
-TEST(CallBackoff, IsConstantInPushedMode) {
+TEST(CallBackoff, IsShorterForTheFirstThreeCallsInPushedMode) {
   CallBackoff backoff(DiscoveryMode::Pushed, 1);
 
-  for (int i = 0; i < 5; ++i) EXPECT_EQ(backoff.next_delay_s(i), 0.1);
+  for (int i = 0; i < 3; ++i) EXPECT_EQ(backoff.next_delay_s(i), 0.1);
+  for (int i = 3; i < 8; ++i) EXPECT_EQ(backoff.next_delay_s(i), 0.15);
+  backoff.on_call_answered(8);
+  EXPECT_EQ(backoff.next_delay_s(8.1), 0.1);
 }
 
 TEST(CallBackoff, DoublesUpToALimitOnRequest) {
