Review case 1: a streamed upload to an endpoint that hangs is never answered

Uploads longer than the buffered part get a deadline of 1,200 s until their last byte is read, and reading pauses while the endpoint reads nothing. Two of four endpoints are stopped; the uploads that meet them get no answer.

--- /dev/null
+++ b/review/common/run_case.sh
@@ -0,0 +1,16 @@
+# Sourced by each run.sh. Starts the case's program in a temporary folder and passes its exit code on:
+# 1 the rule was broken, 0 it held, 2 the case could not run. TROUBLE=0: without the disruption.
+folder=$(cd "$(dirname "$0")" && pwd)
+root=$(cd "$folder/../.." && pwd)
+number=$(basename "$folder")
+program="$root/review/out/case-$number"
+run=$(sed -n 's/^run *= *"\(.*\)".*$/\1/p' "$root/deploy/balancer.toml" | head -n 1)
+if [ ! -x "$program" ] || [ -z "$run" ]; then
+  echo "could not run: build review/build.sh first" >&2
+  exit 2
+fi
+temporary=$(mktemp -d) || exit 2
+trap 'rm -rf "$temporary"' EXIT
+timeout -k 2 115 "$program" "$root" "$run" "$temporary" "$folder/record.txt"
+code=$?
+case $code in 0|1) exit $code ;; *) exit 2 ;; esac
