--- a/review/1/case.cpp
+++ b/review/1/case.cc
@@ -1,5 +1,5 @@
 // Uploads of some MB while half of the endpoints hang: does each request that was taken get its final answer?
-#include "stand_ins.h"
+#include "stand_ins.hpp"
 
 using namespace review;
 
--- a/review/2/case.cpp
+++ b/review/2/case.cc
@@ -1,5 +1,5 @@
 // Long answers that an endpoint writes slowly, in pieces: does the sidecar pass on what the endpoint still gives?
-#include "stand_ins.h"
+#include "stand_ins.hpp"
 
 using namespace review;
 
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 set -eu
 cd "$(dirname "$0")"
 mkdir -p out
-for source in [0-9]/case.cpp; do
+for source in [0-9]/case.cc; do
   [ -e "$source" ] || continue
   g++ -std=c++20 -O1 -Wall -Wextra -pthread -I common -o "out/case-${source%%/*}" "$source"
 done
