--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -1,4 +1,4 @@
-// Uploads of some MB while half of the endpoints hang: does each request that was taken get its final answer?
+// Uploads of some MB while one of nine endpoints hangs: does each request that was taken get its final answer?
 #include "stand_ins.hpp"
 
 using namespace review;
@@ -7,18 +7,20 @@
 
 constexpr double kDeadline = 3.0;  // seconds: X-Time-Left, and the client timeout of the request class
 constexpr double kSlack = 0.5;     // STANDING: "Up to half a second after its time it only earns nothing"
+constexpr double kHang = 7;        // seconds; leuven-main: "answer none for 5.7 to 24 s"
 constexpr double kLook = 8;        // seconds for which a client looks for its answer
-constexpr double kWork = 0.2;      // seconds that an endpoint works on an upload
-constexpr int kEndpoints = 4;
-constexpr int kHanging = 2;  // STANDING, roll+brink: "a quarter to a half of the endpoints hang"
-constexpr int kUploads = 4;
+constexpr double kWork = 0.3;      // seconds that an endpoint works on an upload
+constexpr int kEndpoints = 9;
+constexpr int kHanging = 1;  // leuven-main: "Up to 12% of the nodes take visits and answer none"
+constexpr int kUploads = 9;  // at a time: one for each endpoint
 
-// The bodies are longer than an eighth of half the memory, which the sidecar buffers before it forwards.
+// The bodies are a little longer than what the sidecar buffers before it forwards (an eighth of half its memory) and
+// what it holds of the rest, so that all of a body fits into the sidecar's process and its machine's socket.
 struct Round {
   int memory_mb;           // LATER: "32 to 192 MB by language and day"
   std::size_t body_bytes;  // DAYS: "Answers and bodies of up to 32 MB occur"
 };
-constexpr Round kRounds[] = {{64, 4300 << 10}, {64, 4400 << 10}, {192, 14000 << 10}};
+constexpr Round kRounds[] = {{64, 4210 << 10}, {64, 4225 << 10}, {192, 12405 << 10}};
 constexpr int kRoundCount = int(std::size(kRounds));
 
 struct Upload {
@@ -87,6 +89,7 @@
   if (client.send_all(request, look_until)) one.written_at = now();
   for (double until = now() + 1; client.unaccepted() > 0 && now() < until;) sleep_for(0.005);
   one.is_accepted = one.written_at >= 0 && client.unaccepted() == 0;
+  if (one.is_accepted) one.written_at = now();
   record.line("client: %s is %s", one.id.c_str(),
               one.is_accepted        ? "written, and accepted whole by the sidecar's machine"
               : one.written_at >= 0 ? "written"
@@ -111,7 +114,7 @@
       processes[std::size_t(round)].push_back(start_endpoint("s-" + std::to_string(i), arguments.record));
   }
 
-  int taken = 0, lost = 0, lost_though_accepted = 0;
+  int taken = 0, lost = 0;
   bool is_running = true;
   for (int round = 0; round < kRoundCount && is_running; ++round) {
     const Round& sizes = kRounds[round];
@@ -133,6 +136,7 @@
       kill(endpoints[std::size_t(i)].pid, SIGSTOP);
       record.line("s-%d hangs (SIGSTOP)", i);
     }
+    double hangs_since = now();
     std::vector<Upload> uploads(kUploads);
     std::vector<std::thread> clients;
     for (int i = 0; i < kUploads; ++i) {
@@ -140,16 +144,21 @@
       one.id = "u" + std::to_string(round) + "-" + std::to_string(i);
       one.bytes = sizes.body_bytes;
       clients.emplace_back(upload, std::ref(one), sidecar.port, std::ref(record));
-      sleep_for(0.01);
+      sleep_for(0.02);
+    }
+    if (arguments.trouble) {
+      sleep_until(hangs_since + kHang);
+      for (int i = 0; i < kHanging; ++i) kill(endpoints[std::size_t(i)].pid, SIGCONT);
+      record.line("the endpoint goes on");
     }
     for (std::thread& client : clients) client.join();
     for (const Upload& one : uploads) {
-      if (one.written_at < 0) continue;  // never taken: its last byte was not written
+      // Not taken: its last byte was not written, or still lies on the client's machine.
+      if (!one.is_accepted) continue;
       ++taken;
       double waited = (one.answered_at < 0 ? now() : one.answered_at) - one.written_at;
-      bool kept = one.answer.rfind("HTTP/", 0) == 0 && waited <= kDeadline + kSlack;
+      bool kept = one.answer.rfind("HTTP/", 0) == 0 && waited <= kDeadline + kSlack + kSocketSlack;
       lost += !kept;
-      lost_though_accepted += !kept && one.is_accepted;
       record.line("%s: answer: %s, %.2f s after its last byte: %s", one.id.c_str(), one.answer.c_str(), waited,
                   kept ? "kept" : "LOST");
     }
@@ -163,8 +172,7 @@
       waitpid(endpoint.pid, nullptr, 0);
     }
   }
-  record.line("taken %d, lost %d, of these accepted whole by the sidecar's machine %d; sidecar %s", taken, lost,
-              lost_though_accepted, is_running ? "ran" : "has ended");
+  record.line("taken %d, lost %d; sidecar %s", taken, lost, is_running ? "ran" : "has ended");
   if (taken == 0) finish(kCouldNotRun);
   finish(lost > 0 ? kBroken : kHeld);
 }
--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -10,6 +10,7 @@
 constexpr std::size_t kPiece = 32 * 1000;       // then so much
 constexpr double kPause = 0.5;                  // every so many seconds: 64 kB a second
 constexpr double kWork = 0.15;                  // seconds that an endpoint works before it answers
+constexpr double kDeadline = 1.0;                // seconds: X-Time-Left
 constexpr int kEndpoints = 3;
 constexpr int kRequests = 4;
 
@@ -133,9 +134,9 @@
   std::lock_guard lock(written_mutex);
   for (const Fetch& one : fetches) {
     bool begun = one.status == 200;
-    bool in_time = begun && one.first_byte_s <= 1.0;
+    bool in_time = begun && one.first_byte_s <= kDeadline;
     bool whole = in_time && one.end == "whole" && !one.is_foreign;
-    bool cut = begun && !whole && endpoint_saw.count(one.id) > 0;  // the endpoint was still giving
+    bool cut = in_time && !whole && endpoint_saw.count(one.id) > 0;  // the endpoint was still giving
     served += whole;
     lost += cut || one.is_foreign;
     record.line("%s: %s", one.id.c_str(),
