proxy: answer a streamed upload in time while its endpoint takes nothing

Cause: the time of a streamed request started when this process read its last byte, and it reads no more of a body than it can pass on. Evidence: ss beside the case showed 28,437 bytes unread in the client's connection and 3,841,024 unsent towards the endpoint in each of 13 looks over 6.6 s; no timer was set.

Change: every 50 ms it is checked whether the rest of the body lies unread in the socket (FIONREAD against the declared length; for chunks, whether the unread bytes end with an empty line). The client's time runs from the last check that found it incomplete. At the deadline the attempts end as timed out, also where the policy may not cancel them. The same cause where an upload waits for an endpoint, and where an endpoint takes the rest late and the time started anew.

--- a/src/net/tcp_connection.cpp
+++ b/src/net/tcp_connection.cpp
@@ -7,11 +7,15 @@
 #include <sys/epoll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
+#include <sys/uio.h>
 
 #include <algorithm>
+#include <array>
 #include <cerrno>
 #include <charconv>
+#include <span>
 #include <utility>
+#include <vector>
 
 #include "src/net/system_calls.h"
 
@@ -26,6 +30,21 @@
   return getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &error, &size) == 0 ? error : 0;
 }
 
+// Copies the last bytes of `unread` bytes of input into `tail` and leaves the input unread. Returns how many
+// bytes it looked at, or -1. The system copies all bytes before them too, each part over the one before.
+ssize_t peek_tail(int descriptor, std::size_t unread, std::span<char> tail) {
+  static std::array<char, 64 * 1024> overwritten;
+  std::vector<iovec> parts;
+  for (std::size_t left = unread - tail.size(); left > 0; left -= parts.back().iov_len) {
+    parts.push_back({overwritten.data(), std::min(left, overwritten.size())});
+  }
+  parts.push_back({tail.data(), tail.size()});
+  msghdr message{};
+  message.msg_iov = parts.data();
+  message.msg_iovlen = parts.size();
+  return retry_on_eintr([&] { return recvmsg(descriptor, &message, MSG_PEEK | MSG_DONTWAIT); });
+}
+
 }  // namespace
 
 Ref<GSocketAddress> parse_address(std::string_view address) {
@@ -132,6 +151,24 @@
   return count == ssize_t(sizeof next);
 }
 
+std::size_t TcpConnection::unread_bytes() const {
+  int count = 0;
+  if (!socket_ || ioctl(g_socket_get_fd(socket_.get()), FIONREAD, &count) != 0) return 0;
+  return std::size_t(std::max(0, count));
+}
+
+bool TcpConnection::unread_input_ends_with_empty_line() const {
+  constexpr std::size_t kTailBytes = 4;
+  const std::size_t unread = unread_bytes();
+  if (unread == 0) return false;
+  std::array<char, kTailBytes> tail{};
+  const std::size_t tail_size = std::min(unread, tail.size());
+  const ssize_t count = peek_tail(g_socket_get_fd(socket_.get()), unread, {tail.data(), tail_size});
+  if (count != ssize_t(unread)) return true;
+  const std::string_view end(tail.data(), tail_size);
+  return end.ends_with("\n\r\n") || end.ends_with("\n\n") || end == "\r\n" || end == "\n";
+}
+
 bool TcpConnection::read_into(BufferChain& into) {
   BufferPool::Buffer buffer = loop_.pool().acquire();
   ssize_t count = recv(g_socket_get_fd(socket_.get()), buffer->bytes.data(), BufferPool::kSize, MSG_DONTWAIT);
--- a/src/proxy/downstream_connection.cpp
+++ b/src/proxy/downstream_connection.cpp
@@ -102,6 +102,7 @@
 
 void DownstreamConnection::check_timeouts(double now) {
   if (state_ == State::ReadingRequest || state_ == State::Uploading) {
+    check_body_arrival(now);
     enforce_request_timeout(now);
   } else if (state_ == State::StreamingResponse) {
     if (now - last_progress_ > kStreamStallTimeout) apply(Input::Ended);
@@ -157,6 +158,30 @@
   if (!is_newly_accepted && !is_behind_request) arrived_at_ = loop_.now() - loop_.stall_duration();
 }
 
+// Whether the last byte of the body may be here, though it is unread. Without a declared length only the end
+// of the unread input tells: a message in chunks ends with an empty line.
+bool DownstreamConnection::body_may_have_arrived() const {
+  if (const std::optional<std::size_t> length = reader_.content_length())
+    return reader_.body_bytes_received() + unread_.size() + tcp_.unread_bytes() >= *length;
+  return tcp_.unread_input_ends_with_empty_line();
+}
+
+// The client's timeout runs from the arrival of the last byte, which this side may leave unread for long: it
+// reads no more of a body than it can pass on.
+void DownstreamConnection::check_body_arrival(double now) {
+  if (!reader_.in_body()) return;
+  std::optional<double> arrived_after;
+  if (body_may_have_arrived()) {
+    arrived_after = body_incomplete_at_;
+  } else {
+    body_incomplete_at_ = now;
+  }
+  if (arrived_after == body_arrived_after_) return;
+  body_arrived_after_ = arrived_after;
+  if (state_ == State::Uploading && open_request)
+    open_request->owner->on_body_arrival(open_request->id, arrived_after);
+}
+
 bool DownstreamConnection::check_client_closed() {
   if (state_ == State::AwaitingResponse) read_ahead();
   return tcp_.has_ended();
@@ -172,6 +197,10 @@
 
 void DownstreamConnection::parse_input() {
   while ((state_ == State::ReadingRequest || state_ == State::Uploading) && !unread_.empty()) {
+    if (!reader_.in_body()) {
+      body_incomplete_at_ = arrived_at_;
+      body_arrived_after_.reset();
+    }
     unread_.drop(reader_.feed(unread_.front()));
     if (reader_.fault() != HttpReader::Fault::None) return apply(Input::ParseError);
     if (reader_.is_complete()) return apply(Input::RequestComplete);
--- a/src/proxy/downstream_connection.h
+++ b/src/proxy/downstream_connection.h
@@ -33,6 +33,10 @@
     virtual void on_client_disconnected(std::uint32_t request) = 0;
     // The next part of a streamed request body; `whole`: it is the last part.
     virtual void on_body_part(std::uint32_t request, BufferChain bytes, bool whole) = 0;
+    // What is known of the arrival of a streamed body's last byte has changed. `arrived_after`: all of the
+    // body may have arrived, a part of it unread, but not before that time. Empty: a part of it has not
+    // arrived.
+    virtual void on_body_arrival(std::uint32_t request, std::optional<double> arrived_after) = 0;
     // All bytes of the streamed response so far have been written to the socket.
     virtual void on_response_drained(std::uint32_t request) = 0;
   };
@@ -64,8 +68,12 @@
   bool is_uploading() const { return state_ == State::Uploading; }
   std::optional<std::size_t> content_length() const { return reader_.content_length(); }
   void pause_reading(bool on);
-  // Seconds since reading was paused, 0 if it is not. The last byte may have arrived that long ago.
-  double reading_paused_for() const { return tcp_.is_reading() ? 0 : loop_.now() - paused_since_; }
+  // See RequestOwner::on_body_arrival.
+  std::optional<double> body_arrived_after() const { return body_arrived_after_; }
+  // The earliest time at which the last byte of the request may have arrived, once it is read.
+  double last_byte_arrived_at() const {
+    return body_arrived_after_ ? std::min(*body_arrived_after_, arrived_at_) : arrived_at_;
+  }
 
   void close() { apply(Input::Ended); }
   // Only between requests: shuts down the write side and closes shortly after. A request that arrives
@@ -91,7 +99,7 @@
   }
   // Seconds, at most, that the dispatched request was queued at the listener or behind an earlier request
   // after its last byte had arrived.
-  double queueing_time() const { return std::max(0.0, loop_.now() - arrived_at_); }
+  double queueing_time() const { return std::max(0.0, loop_.now() - last_byte_arrived_at()); }
   // The last response is written; the connection only waits for the client to close.
   bool is_lingering() const { return state_ == State::Lingering; }
   bool awaits_first_request() const { return state_ == State::ReadingRequest && !has_sent_request_; }
@@ -159,6 +167,8 @@
   void on_ended(TcpConnection::End) override { apply(Input::Ended); }
   void parse_input();
   void update_arrival_time();
+  bool body_may_have_arrived() const;
+  void check_body_arrival(double now);
   void read_ahead();
 
   Loop& loop_;
@@ -182,6 +192,9 @@
   double last_received_;
   double paused_since_ = 0;
   double arrived_at_;  // the earliest time at which the last byte read may have arrived
+  // When a part of the body in hand had certainly not arrived yet, as last checked.
+  double body_incomplete_at_ = 0;
+  std::optional<double> body_arrived_after_;  // see RequestOwner::on_body_arrival
   LifetimeToken alive_;
 };
 
--- a/src/proxy/request_forwarder.cpp
+++ b/src/proxy/request_forwarder.cpp
@@ -299,12 +299,11 @@
 // The remaining time that the endpoint is told.
 double RequestForwarder::time_left_to_send(const PendingRequest& request,
                                            const PendingAttempt& attempt) const {
-  // The time of an upload counts from its last byte, which may have arrived already and be unread because
-  // reading is paused.
-  const bool complete = !request.streams_body || !request.body_incomplete;
-  const double paused_s = request.downstream ? request.downstream->reading_paused_for() : 0;
-  const double left = complete ? std::min(attempt.deadline, request.deadline) - loop_.now()
-                               : request.remaining_time_s - paused_s;
+  // The time of an upload counts from its last byte, which may have arrived already and be unread.
+  const bool has_arrived = !request.streams_body || !request.body_incomplete ||
+                           (request.downstream && request.downstream->body_arrived_after());
+  const double left =
+      has_arrived ? std::min(attempt.deadline, request.deadline) - loop_.now() : request.remaining_time_s;
   return std::max(left - kTimeLeftMargin, left / 2);
 }
 
@@ -358,11 +357,7 @@
   PendingRequest& request = *requests_.find(id);
   request.message.body.add(bytes);
   request.body_incomplete = !whole;
-  if (whole) {
-    const double arrived_at = loop_.now() - loop_.stall_duration();
-    request.deadline = std::min(arrived_at + request.remaining_time_s, shutdown_deadline_.value_or(kNever));
-    loop_.at(request.deadline - kDeadlineMargin, alive_.guard([this, id] { on_upload_deadline(id); }));
-  }
+  if (whole && request.downstream) set_upload_deadline(id, request.downstream->last_byte_arrived_at());
   bool has_connection = false;
   for (PendingAttempt& attempt : request.attempts) {
     if (attempt.upstream) {
@@ -376,12 +371,28 @@
     request.downstream->pause_reading(true);
 }
 
-// The policy was told kMaxUploadTime as the request's remaining time, as the client's own time only started
+void RequestForwarder::on_body_arrival(RequestId id, std::optional<double> arrived_after) {
+  if (arrived_after) return set_upload_deadline(id, *arrived_after);
+  requests_.find(id)->deadline = loop_.now() + kMaxUploadTime;
+}
+
+// The policy was told kMaxUploadTime as the request's remaining time, as the client's own time only starts
 // with the last byte of the body. So the deadline is kept here.
+void RequestForwarder::set_upload_deadline(RequestId id, double arrived_at) {
+  PendingRequest& request = *requests_.find(id);
+  request.deadline = std::min(arrived_at + request.remaining_time_s, shutdown_deadline_.value_or(kNever));
+  loop_.at(request.deadline - kDeadlineMargin, alive_.guard([this, id] { on_upload_deadline(id); }));
+}
+
 void RequestForwarder::on_upload_deadline(RequestId id) {
   PendingRequest* request = requests_.find(id);
   if (!request || request->concluded()) return;
+  // The last byte turned out not to have arrived when this timer was set.
+  if (loop_.now() < request->deadline - kDeadlineMargin) return;
+  const int attempt_count = int(request->attempts.size());
   conclude(id, 502, nullptr, "", "errored: it may or may not have run\n");
+  // Where the policy may not cancel attempts, they would be out until the time that it was told.
+  for (int number = 0; number < attempt_count; ++number) on_attempt_deadline(id, number);
   policy_->on_request_cancelled(loop_.now(), id);
 }
 
@@ -580,6 +591,8 @@
   }
   RequestId id = requests_.add(std::move(request));
   downstream.open_request = {this, id};
+  if (downstream.is_uploading() && downstream.body_arrived_after())
+    set_upload_deadline(id, *downstream.body_arrived_after());
   policy_->on_request(now, {id, request_class.name, tenant, remaining_time_s, facts.key, facts.work});
 }
 
--- a/src/proxy/request_forwarder.h
+++ b/src/proxy/request_forwarder.h
@@ -117,6 +117,7 @@
   // DownstreamConnection::RequestOwner
   void on_client_disconnected(RequestId id) override;
   void on_body_part(RequestId id, BufferChain bytes, bool whole) override;
+  void on_body_arrival(RequestId id, std::optional<double> arrived_after) override;
   void on_response_drained(RequestId id) override;
 
   // UpstreamConnection::Owner
@@ -148,6 +149,7 @@
                 std::string_view text);
   void check_relay(RequestId id);
   DownstreamConnection* end_relay(RequestId id, RequestOutcome outcome);
+  void set_upload_deadline(RequestId id, double arrived_at);
   void on_upload_deadline(RequestId id);
 
   // Attempts. Both report functions tell the policy, the second one on the next turn of the loop.
--- a/testing/peers.h
+++ b/testing/peers.h
@@ -5,15 +5,18 @@
 #undef NDEBUG
 #include <arpa/inet.h>
 #include <fcntl.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/ioctl.h>
 #include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cassert>
 #include <cerrno>
 #include <chrono>
@@ -85,6 +88,30 @@
     }
     return true;
   }
+  // Returns whether the kernel has accepted all of the text within that time.
+  bool send_within(const std::string& text, double within) {
+    std::size_t sent = 0;
+    pollfd polled{descriptor_, POLLOUT, 0};
+    for (const double until = now() + within; sent < text.size() && now() < until;) {
+      ssize_t count = send(descriptor_, text.data() + sent, text.size() - sent, MSG_NOSIGNAL | MSG_DONTWAIT);
+      if (count < 0 && errno != EAGAIN && errno != EINTR) return false;
+      if (count > 0) sent += std::size_t(count);
+      else poll(&polled, 1, 10);
+    }
+    return sent == text.size();
+  }
+  // Some of the bytes that have arrived, none if that takes over three seconds. Empty: the connection is
+  // over.
+  std::optional<std::string> receive_some(std::size_t at_most) {
+    std::string bytes(at_most, '\0');
+    ssize_t count = -1;
+    do {
+      count = recv(descriptor_, bytes.data(), bytes.size(), 0);
+    } while (count < 0 && errno == EINTR);
+    if (count == 0 || (count < 0 && errno != EAGAIN)) return {};
+    bytes.resize(std::size_t(std::max<ssize_t>(0, count)));
+    return bytes;
+  }
   // Sends as much as the kernel accepts without blocking, and returns the number of bytes.
   std::size_t send_what_fits(const std::string& text) {
     std::size_t sent = 0;
@@ -92,6 +119,14 @@
       count = send(descriptor_, text.data() + sent, text.size() - sent, MSG_NOSIGNAL | MSG_DONTWAIT);
     return sent;
   }
+  // Whether the peer's machine acknowledges all bytes sent so far.
+  bool is_delivered_within(double within) const {
+    int undelivered_bytes = 1;
+    for (double until = now() + within; now() < until; sleep_for(0.001)) {
+      if (ioctl(descriptor_, SIOCOUTQ, &undelivered_bytes) == 0 && undelivered_bytes == 0) return true;
+    }
+    return false;
+  }
   // Sends the text and closes, so that both arrive in one packet.
   void send_and_close(const std::string& text) {
     int yes = 1;
--- /dev/null
+++ b/tests/integration/streamed_upload_test.cpp
@@ -0,0 +1,163 @@
+// Uploads that are streamed because they are too long to be buffered. The time of such a request runs from
+// the arrival of its last byte, which the sidecar may leave unread for as long as the endpoint takes nothing.
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <thread>
+
+#include "testing/program_main.h"
+#include "testing/sidecar_process.h"
+
+namespace puffinvane::test {
+namespace {
+
+// The platform's terms: an answer that is later than this after its time counts as never given, and each time
+// limit is 50 ms longer on sockets.
+constexpr double kLostAfterSeconds = 0.55;
+constexpr double kClientTimeoutSeconds = 1.0;
+constexpr std::size_t kMegabyte = 1u << 20;
+// With the memory limit of 192 MB, 12 MB are buffered before a body is streamed. Of what follows the sidecar
+// reads 16 to 100 kB while the endpoint takes nothing, as the moment has it; the rest stays in the receive
+// buffer of its socket.
+constexpr std::size_t kTakenWholeBytes = 12 * kMegabyte + 100 * 1024;
+// More than the sidecar and all socket buffers take while the endpoint reads nothing.
+constexpr std::size_t kNeverTakenWholeBytes = 28 * kMegabyte;
+constexpr std::size_t kChunkBytes = 60'000;
+constexpr std::size_t kMoreBytes[] = {0, 15'000, 30'000};  // lengths tried where the moment counts
+
+enum class Framing { Length, Chunks };
+
+std::string upload(std::size_t body_bytes, Framing framing, const std::string& more_headers = "") {
+  static int last_id = 0;
+  std::string request =
+      "POST /write HTTP/1.1\r\nHost: origin.svc\r\nX-Correlation-Id: " + std::to_string(++last_id) + "\r\n" +
+      more_headers;
+  if (framing == Framing::Length) {
+    request += "Content-Length: " + std::to_string(body_bytes) + "\r\n\r\n";
+    return request.append(body_bytes, 'u');
+  }
+  request += "Transfer-Encoding: chunked\r\n\r\n";
+  for (std::size_t sent = 0; sent < body_bytes; sent += kChunkBytes)
+    request += http_chunk(std::string(std::min(kChunkBytes, body_bytes - sent), 'u'));
+  return request + "0\r\n\r\n";
+}
+
+// A sidecar with one endpoint that the test plays, and a client.
+class UploadSession {
+ protected:
+  void start(const SidecarProcess::Options& options = {}, const std::string& endpoints = "") {
+    sidecar_ = std::make_unique<SidecarProcess>(
+        endpoints.empty() ? list_entry_json("a", endpoint_.address) : endpoints, options);
+    client_ = std::make_unique<TestConnection>(sidecar_->listen);
+  }
+  // Sends a request of which the sidecar's machine accepts the last byte, and returns when it had done so.
+  double send_whole(const std::string& request) {
+    EXPECT_TRUE(client_->send_text(request));
+    EXPECT_TRUE(client_->is_delivered_within(1));
+    return now();
+  }
+
+  struct Answer {
+    int status = 0;      // 0: none
+    double after_s = 0;  // since the sidecar's machine had accepted the last byte
+  };
+  // Sends a request on a connection of its own. Empty: its last byte was not accepted, so no answer is owed.
+  std::optional<Answer> answer_if_taken(const std::string& request) const {
+    TestConnection client(sidecar_->listen);
+    if (!client.send_within(request, 1) || !client.is_delivered_within(0.5)) return {};
+    const double sent_at = now();
+    const int status = client.response_status();
+    return Answer{status, now() - sent_at};
+  }
+
+  Listener endpoint_{2};
+  std::unique_ptr<SidecarProcess> sidecar_;
+  std::unique_ptr<TestConnection> client_;
+};
+
+class StreamedUpload : public testing::TestWithParam<Framing>, protected UploadSession {};
+
+// Guards against: no answer before a hung endpoint goes on, as the last byte stays unread and no timer is
+// set.
+TEST_P(StreamedUpload, IsAnsweredInTimeWhileItsEndpointTakesNothing) {
+  start();
+  int taken = 0;
+  for (const std::size_t more_bytes : kMoreBytes) {
+    const auto answer = answer_if_taken(upload(kTakenWholeBytes + more_bytes, GetParam()));
+    if (!answer) continue;
+    ++taken;
+
+    EXPECT_EQ(answer->status, 502);
+    EXPECT_LT(answer->after_s, kClientTimeoutSeconds + kLostAfterSeconds);
+    EXPECT_GT(answer->after_s, kClientTimeoutSeconds - 0.15);
+  }
+  EXPECT_GT(taken, 0);
+}
+
+// Guards against: the time starts anew when the last byte is read, some time after it arrived.
+TEST_P(StreamedUpload, IsAnsweredInTimeWhenItsEndpointTakesTheRestLate) {
+  start();
+
+  const double sent_at = send_whole(upload(kTakenWholeBytes, GetParam()));
+  sleep_for(0.8 * kClientTimeoutSeconds);
+  TestConnection attempt = endpoint_.accept_connection();
+  std::thread reads([&] { attempt.receive_message(HttpReader::Side::Request, 2 * kTakenWholeBytes); });
+  const int status = client_->response_status();
+  const double answered_after_s = now() - sent_at;
+  client_->disconnect();
+  reads.join();
+
+  EXPECT_EQ(status, 502);
+  EXPECT_LT(answered_after_s, kClientTimeoutSeconds + kLostAfterSeconds);
+}
+
+// Guards against: no answer in time while no endpoint can be chosen, as reading pauses there too.
+TEST_P(StreamedUpload, IsAnsweredInTimeWhileItWaitsForAnEndpoint) {
+  constexpr double kTimeLeftSeconds = 0.3;
+  SidecarProcess::Options options;
+  options.client_timeout = "12.0";
+  options.latency_objective = "6.0";
+  start(options, " ");
+  int taken = 0;
+  for (const std::size_t more_bytes : kMoreBytes) {
+    const auto answer =
+        answer_if_taken(upload(kTakenWholeBytes + more_bytes, GetParam(), "X-Time-Left: 300m\r\n"));
+    if (!answer) continue;
+    ++taken;
+
+    EXPECT_TRUE(answer->status == 502 || answer->status == 503) << answer->status;
+    EXPECT_LT(answer->after_s, kTimeLeftSeconds + kLostAfterSeconds);
+  }
+  EXPECT_GT(taken, 0);
+}
+
+// Guards against: an upload is given up although its client still sends, because its endpoint takes it
+// slowly.
+TEST_P(StreamedUpload, IsServedWhenItsEndpointTakesItLaterThanTheClientTimeout) {
+  start();
+
+  std::thread sends([&] { client_->send_text(upload(kNeverTakenWholeBytes, GetParam())); });
+  TestConnection attempt = endpoint_.accept_connection();
+  sleep_for(2.5 * kClientTimeoutSeconds);
+  const auto request = attempt.receive_message(HttpReader::Side::Request, 2 * kNeverTakenWholeBytes);
+  attempt.send_text(ok_response("stored"));
+  const int status = client_->response_status();
+  sends.join();
+
+  ASSERT_TRUE(request);
+  EXPECT_EQ(request->body.size(), kNeverTakenWholeBytes);
+  EXPECT_EQ(status, 200);
+}
+
+std::string framing_name(const testing::TestParamInfo<Framing>& info) {
+  return info.param == Framing::Length ? "WithALength" : "InChunks";
+}
+INSTANTIATE_TEST_SUITE_P(Framings, StreamedUpload, testing::Values(Framing::Length, Framing::Chunks),
+                         framing_name);
+
+}  // namespace
+}  // namespace puffinvane::test
+
+int main(int count, char** words) { return puffinvane::test::run_tests_of_program(count, words); }
