proxy: judge a relayed response by its declared length, not by what has arrived

Cause: past the deadline a response could go on if over 64 KiB of it had arrived; any other was ended after 0.2 s of silence, whatever length it had declared.

Change: overdue_relay decides, without I/O, by declared length, bytes, silence and rate. Declared long: 2 s of silence or under 8 KiB a second. Without a length: 0.6 s of silence, and 0.2 s from 0.4 s after the deadline on, so that it is still ended before it counts as lost.

--- a/src/proxy/request_forwarder.cpp
+++ b/src/proxy/request_forwarder.cpp
@@ -25,9 +25,7 @@
 constexpr double kMaxUploadTime = 1200;  // seconds: longer than any body takes at the lowest accepted rate
 // Seconds before its deadline at which an uploaded request without a response is failed.
 constexpr double kDeadlineMargin = 0.01;
-// Seconds without a byte after which a short response is given up once its request's deadline has passed.
-constexpr double kShortRelayStallTimeout = 0.2;
-constexpr double kMinRelayRate = 8 * 1024;  // bytes a second: a quarter of what clients sustain
+constexpr double kRelayCheckInterval = 0.1;  // seconds, from the deadline of a request on
 constexpr double kNever = std::numeric_limits<double>::infinity();
 // Seconds by which an attempt is told less than the time that remains. The loop doesn't notice stalls of up
 // to that length, and one between reading the clock and writing the request may use up the whole tolerance
@@ -419,16 +417,16 @@
   policy_->on_attempt_ended(now, {id, number, Outcome::Delivered, true, now - attempt.started_at, load});
 }
 
-// Called from the request's deadline on. A long response may go on past it. A response that is still short
-// may have been relayed only because its length is unknown: its client must not wait for it any longer if it
-// stalls or arrives a few bytes at a time.
+// Called from the request's deadline on, which a long response may go past.
 void RequestForwarder::check_relay(RequestId id) {
   PendingRequest* request = requests_.find(id);
-  if (!request || !request->relay || request->relay->response_is_long()) return;
-  if (request->relay->silent_for() >= kShortRelayStallTimeout ||
-      request->relay->response_slower_than(kMinRelayRate))
-    return request->relay->abort_response();
-  loop_.at(loop_.now() + kShortRelayStallTimeout / 2, alive_.guard([this, id] { check_relay(id); }));
+  if (!request || !request->relay) return;
+  switch (judge_overdue_relay(request->relay->relay_progress(request->deadline))) {
+    case RelayVerdict::Settled: return;
+    case RelayVerdict::GiveUp: return request->relay->abort_response();
+    case RelayVerdict::Continue: break;
+  }
+  loop_.at(loop_.now() + kRelayCheckInterval, alive_.guard([this, id] { check_relay(id); }));
 }
 
 void RequestForwarder::on_response_part(UpstreamConnection& upstream, BufferChain bytes) {
--- a/src/proxy/upstream_connection.cpp
+++ b/src/proxy/upstream_connection.cpp
@@ -174,6 +174,16 @@
   handle(last ? Input::LastResponse : Input::Response);
 }
 
+RelayProgress UpstreamConnection::relay_progress(double deadline) const {
+  RelayProgress progress;
+  progress.declared_bytes = reader_.content_length();
+  progress.received_bytes = reader_.body_bytes_received();
+  progress.elapsed_s = loop_.now() - response_started_at_;
+  progress.silent_s = silent_for();
+  progress.overdue_s = loop_.now() - deadline;
+  return progress;
+}
+
 // Checks regularly whether the response to the attempt that was assigned at `assigned_at` has stalled or has
 // to be relayed.
 void UpstreamConnection::watch_response(double assigned_at) {
--- a/src/proxy/upstream_connection.h
+++ b/src/proxy/upstream_connection.h
@@ -8,6 +8,7 @@
 #include "puffinvane/transition_table.h"
 #include "src/http/http.h"
 #include "src/net/tcp_connection.h"
+#include "src/proxy/overdue_relay.h"
 
 namespace puffinvane {
 
@@ -67,14 +68,8 @@
   void abort_response() { handle(Input::ResponseStalled); }
   // For how long no byte of the response has arrived; 0 while reading is paused.
   double silent_for() const { return tcp_.is_reading() ? loop_.now() - last_byte_at_ : 0; }
-  // More of the response's body has arrived than is buffered before it is relayed.
-  bool response_is_long() const { return reader_.body_bytes_received() > HttpReader::kMaxBodyBytes; }
-  // On average since its first byte the response has arrived more slowly than that. False within the first
-  // kMinRatePeriod.
-  bool response_slower_than(double bytes_per_s) const {
-    double elapsed = loop_.now() - response_started_at_;
-    return elapsed > kMinRatePeriod && double(reader_.body_bytes_received()) < bytes_per_s * elapsed;
-  }
+  // Of the response that is being relayed. deadline: of its request.
+  RelayProgress relay_progress(double deadline) const;
   bool idle() const { return state_ == State::Idle; }
   bool connecting() const { return state_ == State::Connecting; }  // for an attempt
   bool connecting_as_spare() const { return state_ == State::ConnectingSpare; }
@@ -90,8 +85,6 @@
   double idle_for(double now) const { return now - idle_since_; }
 
  private:
-  // Seconds. Over less time the average rate of a response means little.
-  static constexpr double kMinRatePeriod = 0.3;
   // Seconds. Long enough for the second and third connection request (SYN) of the operating system.
   static constexpr double kMaxSpareConnectTime = 2;
   enum class State { Connecting, ConnectingSpare, Idle, Sending, AwaitingResponse, Relaying, Closed };
--- /dev/null
+++ b/tests/integration/streamed_response_test.cpp
@@ -0,0 +1,135 @@
+// Responses that are relayed while they arrive. One of more than 64 KiB is owed whole for as long as its
+// endpoint writes it, also past the deadline of its request; one that its endpoint no longer writes is ended.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <thread>
+
+#include "testing/program_main.h"
+#include "testing/sidecar_process.h"
+
+namespace puffinvane::test {
+namespace {
+
+// The platform's terms: what is later than this after its time counts as never given, and each time limit is
+// 50 ms longer on sockets.
+constexpr double kLostAfterSeconds = 0.55;
+constexpr double kClientTimeoutSeconds = 1.0;
+// Seconds without a byte after which a long response is one that the endpoint no longer gives.
+constexpr double kMaxSilenceSeconds = 2.0;
+constexpr std::size_t kBodyBytes = 256'000;
+constexpr std::size_t kFirstPieceBytes = 16'000;  // written with the head
+constexpr std::size_t kPieceBytes = 32'000;
+constexpr double kPauseSeconds = 0.5;  // between two pieces: 64 kB a second
+constexpr double kWorkSeconds = 0.15;  // before the endpoint responds
+
+std::string numbered_body(std::size_t size) {
+  std::string body;
+  for (int i = 0; body.size() < size; ++i) body += std::to_string(i) + ";";
+  body.resize(size);
+  return body;
+}
+
+enum class Framing { Length, Chunks };
+
+std::string response_head(Framing framing) {
+  return std::string("HTTP/1.1 200 OK\r\n") +
+         (framing == Framing::Length ? "Content-Length: " + std::to_string(kBodyBytes) + "\r\n\r\n"
+                                     : "Transfer-Encoding: chunked\r\n\r\n");
+}
+
+std::string piece_of(const std::string& body, std::size_t from, std::size_t count, Framing framing) {
+  const std::string piece = body.substr(from, count);
+  return framing == Framing::Length ? piece : http_chunk(piece);
+}
+
+// Writes the first `size` bytes of the body in pieces.
+void write_slowly(TestConnection& endpoint, const std::string& body, std::size_t size, Framing framing) {
+  sleep_for(kWorkSeconds);
+  std::size_t sent = std::min(size, kFirstPieceBytes);
+  endpoint.send_text(response_head(framing) + piece_of(body, 0, sent, framing));
+  while (sent < size) {
+    sleep_for(kPauseSeconds);
+    const std::size_t count = std::min(kPieceBytes, size - sent);
+    if (!endpoint.send_text(piece_of(body, sent, count, framing))) return;
+    sent += count;
+  }
+  if (size == body.size() && framing == Framing::Chunks) endpoint.send_text("0\r\n\r\n");
+}
+
+class StreamedResponse : public testing::TestWithParam<Framing> {
+ protected:
+  // Sends a request and has the endpoint receive it.
+  void ask() {
+    client_.send_text(get_request());
+    asked_at_s_ = now();
+    attempt_ = std::make_unique<TestConnection>(endpoint_.accept_request().first);
+  }
+  double elapsed_s() const { return now() - asked_at_s_; }
+
+  Listener endpoint_{2};
+  SidecarProcess sidecar_{list_entry_json("a", endpoint_.address)};
+  TestConnection client_{sidecar_.listen};
+  std::unique_ptr<TestConnection> attempt_;
+  double asked_at_s_ = 0;
+};
+
+// Guards against: at the deadline a long response is reset of which less than 64 KiB have arrived so far.
+TEST_P(StreamedResponse, IsPassedOnWholeIfItsEndpointWritesItInPiecesPastTheDeadline) {
+  const std::string body = numbered_body(kBodyBytes);
+  ask();
+
+  std::thread writes([&] { write_slowly(*attempt_, body, body.size(), GetParam()); });
+  const auto response = client_.receive_message(HttpReader::Side::Response, kBodyBytes);
+  writes.join();
+
+  ASSERT_TRUE(response);
+  EXPECT_EQ(response->status, 200);
+  EXPECT_TRUE(response->body.text() == body);
+  EXPECT_GT(elapsed_s(), 3 * kClientTimeoutSeconds);
+}
+
+// Guards against: a response that its endpoint no longer writes is waited for without end.
+TEST_P(StreamedResponse, IsResetInTimeIfItsEndpointStopsWriting) {
+  constexpr std::size_t kWrittenBytes = kFirstPieceBytes + kPieceBytes;
+  const std::string body = numbered_body(kBodyBytes);
+  ask();
+
+  write_slowly(*attempt_, body, kWrittenBytes, GetParam());
+  const double last_written_at_s = elapsed_s();
+  client_.receive_until("never", 6);
+  const double ended_at_s = elapsed_s();
+
+  EXPECT_GT(ended_at_s, kClientTimeoutSeconds - 0.1);
+  if (GetParam() == Framing::Length) {
+    EXPECT_LT(ended_at_s, last_written_at_s + kMaxSilenceSeconds + 0.5);
+  } else {
+    EXPECT_LT(ended_at_s, kClientTimeoutSeconds + kLostAfterSeconds);
+  }
+}
+
+// Guards against: an endpoint holds its client for as long as it likes by a byte now and then.
+TEST_P(StreamedResponse, IsResetInTimeIfItsEndpointWritesAByteNowAndThen) {
+  constexpr double kPauseBetweenBytes = 0.05;
+  ask();
+
+  attempt_->send_text(response_head(GetParam()));
+  while (elapsed_s() < 6 && attempt_->send_text(piece_of("x", 0, 1, GetParam())))
+    sleep_for(kPauseBetweenBytes);
+
+  EXPECT_LT(elapsed_s(), GetParam() == Framing::Length ? kMaxSilenceSeconds + 0.5
+                                                       : kClientTimeoutSeconds + kLostAfterSeconds);
+}
+
+std::string framing_name(const testing::TestParamInfo<Framing>& info) {
+  return info.param == Framing::Length ? "WithALength" : "InChunks";
+}
+INSTANTIATE_TEST_SUITE_P(Framings, StreamedResponse, testing::Values(Framing::Length, Framing::Chunks),
+                         framing_name);
+
+}  // namespace
+}  // namespace puffinvane::test
+
+int main(int count, char** words) { return puffinvane::test::run_tests_of_program(count, words); }
