proxy: a client that reads a long response slowly makes progress

Callers that read 64 kB a second lost the end of some long responses, the client timeout and 4 s after the endpoint was done.

Cause: only the last byte written to the socket counted as progress, and the system takes more bytes only when a third of a send buffer of up to 4 MB is free. Change: bytes that the client's machine acknowledges count.

Measured: StreamedResponseToASlowClient.IsReadWholeLongAfterItsEndpointIsDone failed on the version before, passes now.

--- a/src/net/tcp_connection.cpp
+++ b/src/net/tcp_connection.cpp
@@ -180,7 +180,20 @@
   if (socket_ && on != reading_) watch_for(on, writing_);
 }
 
+std::uint64_t TcpConnection::delivered_bytes() const {
+  const std::uint64_t written_bytes = given_bytes_ - unsent_.size();
+  return written_bytes - std::min<std::uint64_t>(written_bytes, unacknowledged_bytes());
+}
+
+// Of what the socket was given. 0 if the system doesn't tell.
+std::size_t TcpConnection::unacknowledged_bytes() const {
+  int count = 0;
+  if (!socket_ || ioctl(g_socket_get_fd(socket_.get()), SIOCOUTQ, &count) != 0) return 0;
+  return std::size_t(std::max(0, count));
+}
+
 void TcpConnection::send(BufferChain bytes) {
+  given_bytes_ += bytes.size();
   if (unsent_.empty()) unsent_ = std::move(bytes);
   else unsent_.add(bytes);
   if (socket_ && !connecting_ && !writing_) flush();
@@ -290,6 +303,7 @@
   reading_ = writing_ = connecting_ = send_failed_ = paused_ = false;
   pause_ = kFirstPause;
   unsent_.clear();
+  given_bytes_ = 0;
   return std::move(socket_);
 }
 
@@ -305,9 +319,8 @@
 // elsewhere.
 void TcpConnection::discard_unread() {
   constexpr int kMaxReads = 64;
-  int undelivered_bytes = 0;
   const int descriptor = g_socket_get_fd(socket_.get());
-  if (ioctl(descriptor, SIOCOUTQ, &undelivered_bytes) != 0 || undelivered_bytes == 0) return;
+  if (unacknowledged_bytes() == 0) return;
   BufferPool::Buffer buffer = loop_.pool().acquire();
   for (int i = 0; i < kMaxReads; ++i) {
     if (::recv(descriptor, buffer->bytes.data(), BufferPool::kSize, MSG_DONTWAIT) <= 0) return;
--- a/src/net/tcp_connection.h
+++ b/src/net/tcp_connection.h
@@ -2,6 +2,7 @@
 // the connection.
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -41,6 +42,8 @@
   void send(BufferChain bytes);
   bool is_all_written() const { return unsent_.empty(); }
   std::size_t unsent_bytes() const { return unsent_.size(); }
+  // Bytes given to send() that the peer's machine has acknowledged, since the connection began.
+  std::uint64_t delivered_bytes() const;
   bool is_reading() const { return reading_; }
   // Bytes are left to send, but the system is out of memory; sending is retried soon.
   bool waits_for_memory() const { return paused_ && !unsent_.empty(); }
@@ -85,6 +88,7 @@
   void pause();
   void on_send_failed();
   void report_end_once_read();
+  std::size_t unacknowledged_bytes() const;
   void discard_unread();
   bool receive();
 
@@ -92,6 +96,7 @@
   Owner& owner_;
   Ref<GSocket> socket_;
   BufferChain unsent_;
+  std::uint64_t given_bytes_ = 0;        // to send()
   static constexpr int kBulkReads = 32;  // 512 KiB: an iteration for each buffer costs more than reading it
   // Seconds to wait after a call failed for lack of memory; doubled after each further failure.
   static constexpr double kFirstPause = 0.005;
--- a/src/proxy/downstream_connection.cpp
+++ b/src/proxy/downstream_connection.cpp
@@ -20,8 +20,8 @@
 // Seconds without any progress of a streamed response. Long, because the kernel buffers megabytes and a slow
 // client may read from them for a while before more can be written.
 constexpr double kStreamStallTimeout = 60;
-// Seconds, beyond the longest client timeout, for which a response may stay unread. Closing sooner would lose
-// it.
+// Seconds, beyond the longest client timeout, for which a client may read nothing of a response. Closing
+// sooner would lose it.
 constexpr double kUnreadResponseGrace = 4;
 // Seconds after the accept within which everything read is taken to have arrived before the accept.
 constexpr double kAcceptReadWindow = 0.05;
@@ -105,14 +105,24 @@
     check_body_arrival(now);
     enforce_request_timeout(now);
   } else if (state_ == State::StreamingResponse) {
+    check_delivery(now);
     if (now - last_progress_ > kStreamStallTimeout) apply(Input::Ended);
   } else if (state_ == State::Lingering) {
     if (now - last_received_ > kLingerTimeout || now - last_progress_ > kMaxLinger) apply(Input::Ended);
   } else if (state_ == State::WritingResponse || state_ == State::WritingLastResponse) {
+    check_delivery(now);
     if (now - last_progress_ > owner_.longest_client_timeout() + kUnreadResponseGrace) apply(Input::Ended);
   }
 }
 
+// A slow client makes progress long before the last byte can be written: the system takes more only once a
+// part of its send buffer is free, which may hold megabytes.
+void DownstreamConnection::check_delivery(double now) {
+  const std::uint64_t delivered_bytes = tcp_.delivered_bytes();
+  if (delivered_bytes != delivered_bytes_) last_progress_ = now;
+  delivered_bytes_ = delivered_bytes;
+}
+
 // Does nothing while input is unread: it may contain the rest of the request.
 void DownstreamConnection::enforce_request_timeout(double now) {
   const bool is_overdue =
--- a/src/proxy/downstream_connection.h
+++ b/src/proxy/downstream_connection.h
@@ -169,6 +169,7 @@
   void update_arrival_time();
   bool body_may_have_arrived() const;
   void check_body_arrival(double now);
+  void check_delivery(double now);
   void read_ahead();
 
   Loop& loop_;
@@ -194,6 +195,7 @@
   double arrived_at_;  // the earliest time at which the last byte read may have arrived
   // When a part of the body in hand had certainly not arrived yet, as last checked.
   double body_incomplete_at_ = 0;
+  std::uint64_t delivered_bytes_ = 0;         // to the client's machine, as last checked
   std::optional<double> body_arrived_after_;  // see RequestOwner::on_body_arrival
   LifetimeToken alive_;
 };
--- a/tests/integration/streamed_response_test.cpp
+++ b/tests/integration/streamed_response_test.cpp
@@ -4,8 +4,10 @@
 
 #include <algorithm>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "testing/program_main.h"
 #include "testing/sidecar_process.h"
@@ -123,6 +125,67 @@
                                                        : kClientTimeoutSeconds + kLostAfterSeconds);
 }
 
+// Reads a response and discards its body.
+class DiscardingReader {
+ public:
+  explicit DiscardingReader(const std::string& sidecar) : connection_(sidecar) {}
+  void ask(const std::string& id) { connection_.send_text(get_request("", id)); }
+  // Returns false once the response is whole or the connection is over.
+  bool read_some(std::size_t at_most) {
+    const std::optional<std::string> bytes = connection_.receive_some(at_most);
+    if (!bytes) return false;
+    reader_.feed(*bytes);
+    reader_.take_body_part();
+    return !reader_.is_complete();
+  }
+  bool is_complete() const { return reader_.is_complete(); }
+  std::size_t body_bytes() const { return reader_.body_bytes_received(); }
+
+ private:
+  TestConnection connection_;
+  BufferPool pool_;
+  HttpReader reader_{HttpReader::Side::Response, pool_, HttpReader::kMaxBodyBytes,
+                     HttpReader::kMaxStreamedBodyBytes};
+};
+
+// Guards against: a client that reads slowly loses the end of a long response some seconds after its endpoint
+// is done, as no more can be written before a large part of the socket's send buffer is read. Which lengths
+// end that way depends on the size of that buffer, so many are tried.
+TEST(StreamedResponseToASlowClient, IsReadWholeLongAfterItsEndpointIsDone) {
+  constexpr std::size_t kShortestBytes = 600'000;
+  constexpr std::size_t kLongestBytes = 4'400'000;
+  constexpr std::size_t kStepBytes = 64'000;
+  constexpr double kReadsSlowlySeconds = 8;  // more than the client timeout and 4 s
+  constexpr double kPauseBetweenReads = 0.1;
+  constexpr std::size_t kReadBytes = 6'400;  // 64 kB a second
+  Listener endpoint(2, 256);
+  SidecarProcess sidecar(list_entry_json("a", endpoint.address));
+  std::vector<std::unique_ptr<DiscardingReader>> clients;
+  std::vector<std::thread> writers;
+  for (std::size_t size = kShortestBytes; size <= kLongestBytes; size += kStepBytes) {
+    clients.push_back(std::make_unique<DiscardingReader>(sidecar.listen));
+    clients.back()->ask(std::to_string(size));
+    writers.emplace_back([size, attempt = endpoint.accept_request().first]() mutable {
+      attempt.send_text(ok_response(std::string(size, 'x')));
+    });
+  }
+
+  for (const double until = now() + kReadsSlowlySeconds; now() < until; sleep_for(kPauseBetweenReads)) {
+    for (auto& client : clients) client->read_some(kReadBytes);
+  }
+  for (auto& client : clients) {
+    while (client->read_some(HttpReader::kMaxBodyBytes)) {
+    }
+  }
+  for (std::thread& writer : writers) writer.join();
+
+  for (std::size_t i = 0; i < clients.size(); ++i) {
+    const std::size_t expected_bytes = kShortestBytes + i * kStepBytes;
+    EXPECT_TRUE(clients[i]->is_complete())
+        << clients[i]->body_bytes() << " of " << expected_bytes << " bytes";
+  }
+}
+
 std::string framing_name(const testing::TestParamInfo<Framing>& info) {
   return info.param == Framing::Length ? "WithALength" : "InChunks";
 }
