proxy: give up a request of which its endpoint takes nothing for 30 s

A client that couldn't send its last byte, as the endpoint took nothing, got no answer and was held for up to 1,200 s.

Cause: the state in which a request is written had no limit of its own, and the time of a streamed one only starts with its last byte. Change: bytes that the endpoint's machine acknowledges count as progress; 30 s without any end the attempt as one that never ran. Endpoints are known to hang for up to 24 s and to go on.

--- a/src/proxy/upstream_connection.cpp
+++ b/src/proxy/upstream_connection.cpp
@@ -13,6 +13,10 @@
 constexpr double kStallTimeout = 0.3;
 // Seconds without a byte of a response that is being relayed already: another attempt can't replace it.
 constexpr double kRelayStallTimeout = 5;
+// Seconds for which an endpoint may take nothing of a request that is being written. Endpoints that hang go
+// on after 24 s at most.
+constexpr double kRequestStallTimeout = 30;
+constexpr double kRequestCheckInterval = 1;  // seconds
 // Seconds for which a connection that this machine lacks a resource for is retried, before the request is
 // tried elsewhere; and the first pause between two tries, which doubles each time.
 constexpr double kLocalRetryPeriod = 0.05;
@@ -48,6 +52,7 @@
         {State::Idle, Input::InvalidResponse, State::Closed, &UpstreamConnection::report_unused_closed},
         {State::Sending, Input::RequestWritten, State::AwaitingResponse,
          &UpstreamConnection::report_request_sent},
+        {State::Sending, Input::RequestStalled, State::Closed, &UpstreamConnection::report_lost_before_sent},
         {State::Sending, Input::Response, State::Closed, &UpstreamConnection::report_response},
         {State::Sending, Input::LastResponse, State::Closed, &UpstreamConnection::report_response},
         {State::Sending, Input::InvalidResponse, State::Closed, &UpstreamConnection::report_invalid_response},
@@ -113,6 +118,7 @@
   reader_.expect_no_body(is_head);
   reused_ = state_ == State::Idle;
   response_started_ = false;
+  is_request_watched_ = false;
   assigned_at_ = loop_.now();
   handle(Input::AttemptAssigned);
 }
@@ -138,6 +144,27 @@
     if (next.empty()) return complete ? handle(Input::RequestWritten) : void();
     tcp_.send(std::move(next));
   }
+  if (state_ == State::Sending && !tcp_.is_all_written() && !is_request_watched_) start_watching_request();
+}
+
+void UpstreamConnection::start_watching_request() {
+  is_request_watched_ = true;
+  delivered_bytes_ = tcp_.delivered_bytes();
+  last_delivery_at_ = loop_.now();
+  watch_request(assigned_at_);
+}
+
+// Checks regularly whether the endpoint has stopped taking the request of the attempt that was assigned at
+// `assigned_at`. While all that has come from the client is written, the endpoint isn't waited for.
+void UpstreamConnection::watch_request(double assigned_at) {
+  loop_.at(loop_.now() + kRequestCheckInterval, alive_.guard([this, assigned_at] {
+    if (state_ != State::Sending || assigned_at_ != assigned_at) return;
+    const std::uint64_t delivered_bytes = tcp_.delivered_bytes();
+    if (delivered_bytes != delivered_bytes_ || tcp_.is_all_written()) last_delivery_at_ = loop_.now();
+    delivered_bytes_ = delivered_bytes;
+    if (loop_.now() - last_delivery_at_ >= kRequestStallTimeout) return handle(Input::RequestStalled);
+    watch_request(assigned_at);
+  }));
 }
 
 // Whether the response, of which a part has arrived, is or may become too long to be buffered whole.
--- a/src/proxy/upstream_connection.h
+++ b/src/proxy/upstream_connection.h
@@ -1,6 +1,7 @@
 // A connection to an endpoint. It carries one attempt at a time and is reused for later ones.
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <string>
 
@@ -98,6 +99,7 @@
     ResponseStarted,  // to be relayed while it arrives
     InvalidResponse,  // malformed, too large, without a request, or a long one that must not be relayed
     ResponseStalled,
+    RequestStalled,  // the endpoint takes nothing more of it
     ConnectionEnded,
     LocalShortage,  // this machine lacks a resource
     ConnectTimedOut,
@@ -124,6 +126,8 @@
   void report_unused_closed();
   void close_and_report(Outcome outcome);
   void watch_response(double assigned_at);
+  void start_watching_request();
+  void watch_request(double assigned_at);
 
   void on_connected() override;
   void on_received(std::string_view bytes) override;
@@ -142,7 +146,10 @@
   double last_byte_at_ = 0;         // of the response; also when reading was last paused or resumed
   double response_started_at_ = 0;  // when the first byte of the response arrived
   double idle_since_ = 0;
-  bool reused_ = false;            // it was established before it got its current attempt
+  bool reused_ = false;  // it was established before it got its current attempt
+  bool is_request_watched_ = false;
+  std::uint64_t delivered_bytes_ = 0;  // to the endpoint's machine, as last checked
+  double last_delivery_at_ = 0;
   bool response_started_ = false;  // a byte of the response to the current attempt has arrived
   LifetimeToken alive_;
 };
--- a/tests/integration/streamed_upload_test.cpp
+++ b/tests/integration/streamed_upload_test.cpp
@@ -78,6 +78,7 @@
 };
 
 class StreamedUpload : public testing::TestWithParam<Framing>, protected UploadSession {};
+class StreamedUploadToASilentEndpoint : public testing::Test, protected UploadSession {};
 
 // Guards against: no answer before a hung endpoint goes on, as the last byte stays unread and no timer is
 // set.
@@ -151,6 +152,24 @@
   EXPECT_EQ(status, 200);
 }
 
+// Guards against: an upload whose endpoint takes nothing more, and whose client can't send its last byte for
+// that, is held for 20 minutes.
+TEST_F(StreamedUploadToASilentEndpoint, IsGivenUpWhileItsClientStillSends) {
+  constexpr double kRequestStallTimeoutSeconds = 30;
+  start();
+
+  std::thread sends([&] { client_->send_text(upload(kNeverTakenWholeBytes, Framing::Length)); });
+  const double began_at_s = now();
+  const bool is_answered = client_->has_input_within(kRequestStallTimeoutSeconds + 5);
+  const double answered_after_s = now() - began_at_s;
+  const int status = is_answered ? client_->response_status() : 0;
+  sidecar_.reset();
+  sends.join();
+
+  EXPECT_EQ(status, 503);  // its last byte was never written, so it can't have run
+  EXPECT_GT(answered_after_s, kRequestStallTimeoutSeconds - 1);
+}
+
 std::string framing_name(const testing::TestParamInfo<Framing>& info) {
   return info.param == Framing::Length ? "WithALength" : "InChunks";
 }
