proxy: end the attempt of an upload whose client has left within its body

Where attempts are not cancelled (MayCancel off), the attempt of such a client kept its connection and its part of the body for up to 1,200 s. Cause: only the policy ended it, and may not there; but without the rest of its body it can't run, so nothing is lost. Change: it ends with its client, as not sent.

--- a/src/proxy/request_forwarder.cpp
+++ b/src/proxy/request_forwarder.cpp
@@ -550,6 +550,9 @@
     loop_.delete_later(take_busy(*relay));
     return requests_.remove_if_finished(id);
   }
+  // The rest of the body will never come. Where the policy may not cancel attempts, they would wait for it.
+  const int unfinishable_attempts = request.body_incomplete ? int(request.attempts.size()) : 0;
+  for (int number = 0; number < unfinishable_attempts; ++number) end_unsent_attempt(id, number);
   policy_->on_request_cancelled(loop_.now(), id);
   requests_.remove_if_finished(id);
 }
--- a/testing/sidecar_process.h
+++ b/testing/sidecar_process.h
@@ -37,6 +37,7 @@
     // Further variables, such as those of testing/faults/faults.h.
     std::vector<std::pair<std::string, std::string>> environment{};
     std::string rules = "{}";  // the Rules object of the settings
+    std::string may_cancel = "true";
   };
   SidecarProcess(const std::string& known, const std::string& limits,
                  const std::string& connect_timeout = "0.1", const std::string& shadow = "")
@@ -79,12 +80,14 @@
   static std::string settings(const std::string& attempts, const std::string& connect_timeout = "0.1",
                               const std::string& client_timeout = "1.0",
                               const std::string& discovery_mode = "pushed",
-                              const std::string& latency_objective = "0.5", const std::string& rules = "{}") {
+                              const std::string& latency_objective = "0.5", const std::string& rules = "{}",
+                              const std::string& may_cancel = "true") {
     std::string times =
         R"(","TargetLatencyS":)" + latency_objective + R"(,"ClientTimeoutS":)" + client_timeout + "}";
     return R"({"PathPrefixes":[{"Name":"read","Idempotency":"repeatable)" + times +
            R"(,{"Name":"write","Idempotency":"once)" + times + R"(],
-           "Limits":{"ParallelTries":true,"MayCancel":true,"RetryAfter":true,
+           "Limits":{"ParallelTries":true,"RetryAfter":true,"MayCancel":)" +
+           may_cancel + R"(,
              "MaxRetryAfterS":1.5,"ConnIdleS":2.0,"MaxBackendFetches":)" +
            attempts + R"(,"ConnectTimeoutS":)" + connect_timeout + R"(},"Rules":)" + rules +
            R"(,"RoundS":0.005,"Zone":"z","RegistryMode":")" + discovery_mode + R"("})";
@@ -144,7 +147,7 @@
            std::to_string(options.known_index) + R"(,"snapshot":true,"endpoints":[)" + known +
            R"(]},"settings":)" +
            settings("3", options.connect_timeout, options.client_timeout, options.discovery_mode,
-                    options.latency_objective, options.rules) +
+                    options.latency_objective, options.rules, options.may_cancel) +
            (options.shadow.empty() ? "" : R"(,"watch":)" + options.shadow) +
            (options.admin.empty() ? "" : R"(,"console":")" + options.admin + '"') + "}";
   }
--- a/tests/integration/streamed_upload_test.cpp
+++ b/tests/integration/streamed_upload_test.cpp
@@ -44,6 +44,14 @@
   return request + "0\r\n\r\n";
 }
 
+// Whether the connection ends within that time, whatever arrives before.
+bool is_over_within(TestConnection& connection, double seconds) {
+  for (const double until = now() + seconds; now() < until;) {
+    if (!connection.receive_some(HttpReader::kMaxBodyBytes)) return true;
+  }
+  return false;
+}
+
 // A sidecar with one endpoint that the test plays, and a client.
 class UploadSession {
  protected:
@@ -170,6 +178,20 @@
   EXPECT_GT(answered_after_s, kRequestStallTimeoutSeconds - 1);
 }
 
+// Guards against: where attempts are not cancelled, the attempt of a client that has left within its body
+// keeps its connection, and the part of the body that is held, for 20 minutes.
+TEST_P(StreamedUpload, EndsItsAttemptWhenItsClientLeavesAndAttemptsAreNotCancelled) {
+  SidecarProcess::Options options;
+  options.may_cancel = "false";
+  start(options);
+
+  client_->send_within(upload(kNeverTakenWholeBytes, GetParam()), 0.5);
+  TestConnection attempt = endpoint_.accept_connection();
+  client_->disconnect();
+
+  EXPECT_TRUE(is_over_within(attempt, 2));
+}
+
 std::string framing_name(const testing::TestParamInfo<Framing>& info) {
   return info.param == Framing::Length ? "WithALength" : "InChunks";
 }
