--- a/tests/integration/streaming_soak.cpp
+++ b/tests/integration/streaming_soak.cpp
@@ -71,6 +71,7 @@
     for (std::thread& thread : serving_) thread.join();
   }
   const std::string& address() const { return listener_.address; }
+  void begin_trouble() { is_in_trouble_ = true; }
 
  private:
   static constexpr double kPollSeconds = 0.02;
@@ -107,7 +108,7 @@
   void serve(TestConnection& connection) {
     while (!is_stopping_) {
       if (!connection.has_input_within(kPollSeconds)) continue;
-      if (!take_trouble(connection)) return;
+      if (is_in_trouble_ && !take_trouble(connection)) return;
       const auto request = connection.receive_message(HttpReader::Side::Request, kMaxBodyBytes);
       if (!request) return;
       const std::string id(request->header(kRequestIdHeader));
@@ -143,6 +144,7 @@
   const StreamingSoakPlan& plan_;
   const EndpointTrouble trouble_;
   ReceivedRequests& received_;
+  std::atomic<bool> is_in_trouble_ = false;
   std::atomic<bool> is_stopping_ = false;
   std::vector<std::thread> serving_;
   std::thread accepting_;
@@ -167,12 +169,12 @@
   }
 
   bool play() {
-    // Downloads come after the uploads, whose endpoint may be in trouble.
+    play_all(plan_.downloads, &Run::download);
+    for (auto& endpoint : endpoints_) endpoint->begin_trouble();
     play_all(plan_.uploads, &Run::upload);
     for (const UploadPlan& one : plan_.uploads) {
       if (one.is_unsafe && received_.count(one.id) > 1) fail(one.id, "ran twice");
     }
-    if (plan_.trouble == EndpointTrouble::None) play_all(plan_.downloads, &Run::download);
     if (resident_bytes() > std::size_t(plan_.memory_mb) << 20) fail("process", "is over its memory limit");
     std::printf("seed %llu: memory %d MB, trouble %d, hang %.1f s: %s\n",
                 static_cast<unsigned long long>(seed_), plan_.memory_mb, int(plan_.trouble), plan_.hang_s,
--- a/tests/integration/streaming_soak_plan.h
+++ b/tests/integration/streaming_soak_plan.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <iterator>
 #include <string>
 #include <vector>
 
@@ -47,15 +48,19 @@
 
 inline StreamingSoakPlan draw_streaming_soak_plan(std::uint64_t seed) {
   constexpr std::size_t kKilobyte = 1024;
-  constexpr int kMemoryLimitsMb[] = {32, 48, 64, 96};
+  constexpr int kMemoryLimitsMb[] = {32, 64, 96, 128};
   constexpr int kUploads = 6;
   constexpr int kDownloads = 8;
   constexpr double kMinRate = 64'000;  // bytes a second, of an endpoint that writes a long response
   RandomDraw draw(seed);
   StreamingSoakPlan plan;
   plan.memory_mb = kMemoryLimitsMb[draw.below(4)];
-  plan.trouble = EndpointTrouble(draw.below(5));
-  plan.hang_s = draw.uniform(0.5, 5);
+  constexpr EndpointTrouble kTroubles[] = {EndpointTrouble::None,         EndpointTrouble::Hangs,
+                                           EndpointTrouble::Hangs,        EndpointTrouble::HangsForGood,
+                                           EndpointTrouble::HangsForGood, EndpointTrouble::ReadsSlowly,
+                                           EndpointTrouble::Resets};
+  plan.trouble = kTroubles[draw.below(std::size(kTroubles))];
+  plan.hang_s = draw.uniform(1, 5);
   const std::size_t buffered_bytes = std::size_t(plan.memory_mb) * kKilobyte * kKilobyte / 16;
   for (int i = 0; i < kUploads; ++i) {
     UploadPlan upload;
@@ -81,7 +86,8 @@
     // Without a declared length only the rate can show in time that the response is long.
     download.pause_s = draw.uniform(0.02, download.framing == Framing::Length ? 1.5 : 0.5);
     download.piece_bytes = std::size_t(download.pause_s * kMinRate * draw.uniform(1, 3)) + 1;
-    download.time_left_s = draw.uniform(1.0, kClientTimeoutSeconds);
+    download.time_left_s =
+        draw.uniform(download.framing == Framing::Length ? 0.3 : 1.0, kClientTimeoutSeconds);
     download.begins_after_s = draw.uniform(0, 0.5);
     download.client_reads_slowly = draw.chance(0.2);
     plan.downloads.push_back(download);
