http: tell the end of a chunked upload by its last chunk, not by any empty line

Found by reading. may_end_chunked_message wants the last chunk or a trailer before the empty line.

Measured: ChunkedEnd.IsNotPossibleAfterAChunkOfWholeLinesOfText and the others pass; the five chunked tests of streamed_upload pass.

--- a/src/net/tcp_connection.cpp
+++ b/src/net/tcp_connection.cpp
@@ -157,16 +157,12 @@
   return std::size_t(std::max(0, count));
 }
 
-bool TcpConnection::unread_input_ends_with_empty_line() const {
-  constexpr std::size_t kTailBytes = 4;
+std::optional<std::string> TcpConnection::unread_tail(std::size_t max_bytes) const {
   const std::size_t unread = unread_bytes();
-  if (unread == 0) return false;
-  std::array<char, kTailBytes> tail{};
-  const std::size_t tail_size = std::min(unread, tail.size());
-  const ssize_t count = peek_tail(g_socket_get_fd(socket_.get()), unread, {tail.data(), tail_size});
-  if (count != ssize_t(unread)) return true;
-  const std::string_view end(tail.data(), tail_size);
-  return end.ends_with("\n\r\n") || end.ends_with("\n\n") || end == "\r\n" || end == "\n";
+  std::string tail(std::min(unread, max_bytes), '\0');
+  if (unread == 0) return tail;
+  if (peek_tail(g_socket_get_fd(socket_.get()), unread, tail) != ssize_t(unread)) return {};
+  return tail;
 }
 
 bool TcpConnection::read_into(BufferChain& into) {
--- a/src/net/tcp_connection.h
+++ b/src/net/tcp_connection.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -58,9 +59,9 @@
   bool input_may_hide_end() const;
   // Bytes that have arrived and are unread; 0 if the system doesn't tell.
   std::size_t unread_bytes() const;
-  // Whether the unread input ends with an empty line, as a message in chunks does. True if it can't be told;
-  // false if nothing is unread.
-  bool unread_input_ends_with_empty_line() const;
+  // The last bytes of the unread input, `max_bytes` at most, which stay unread. Empty if the system doesn't
+  // tell.
+  std::optional<std::string> unread_tail(std::size_t max_bytes) const;
   // Reads at most one buffer of input without calling the owner. Returns false if there was none.
   bool read_into(BufferChain& into);
   // Makes close() deliver what was sent even if input is unread: closing a socket with unread input resets
--- a/src/proxy/downstream_connection.cpp
+++ b/src/proxy/downstream_connection.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "src/http/chunked_end.h"
+
 namespace puffinvane {
 
 namespace {
@@ -30,6 +32,8 @@
 // The same while looking for the end of the stream behind the pipelined input. This much is read only when an
 // attempt is about to start, and less while buffers are scarce.
 constexpr std::size_t kMaxReadAhead = 16 * BufferPool::kSize;
+// Bytes at the end of an unread body in chunks that are looked at. A longer trailer is taken for the end.
+constexpr std::size_t kBodyTailBytes = 256;
 }  // namespace
 
 const Transition<DownstreamConnection, DownstreamConnection::State, DownstreamConnection::Input>
@@ -169,11 +173,12 @@
 }
 
 // Whether the last byte of the body may be here, though it is unread. Without a declared length only the end
-// of the unread input tells: a message in chunks ends with an empty line.
+// of the unread input tells.
 bool DownstreamConnection::body_may_have_arrived() const {
   if (const std::optional<std::size_t> length = reader_.content_length())
     return reader_.body_bytes_received() + unread_.size() + tcp_.unread_bytes() >= *length;
-  return tcp_.unread_input_ends_with_empty_line();
+  const std::optional<std::string> tail = tcp_.unread_tail(kBodyTailBytes);
+  return !tail || may_end_chunked_message(*tail);
 }
 
 // The client's timeout runs from the arrival of the last byte, which this side may leave unread for long: it
