proxy: tell an endpoint no more time than a paused upload may have left

deadline_of_a_streamed_request_excludes_a_slow_connect (tests/integration/clients.cpp) failed once, ctest -j4 beside two further runs of the tests: the endpoint was told more time than the client had left.

--- a/src/proxy/downstream_connection.h
+++ b/src/proxy/downstream_connection.h
@@ -68,6 +68,9 @@
   bool is_uploading() const { return state_ == State::Uploading; }
   std::optional<std::size_t> content_length() const { return reader_.content_length(); }
   void pause_reading(bool on);
+  // Seconds since reading was paused, 0 if it is not. The client may have written the last byte that long
+  // ago.
+  double reading_paused_for() const { return tcp_.is_reading() ? 0 : loop_.now() - paused_since_; }
   // See RequestOwner::on_body_arrival.
   std::optional<double> body_arrived_after() const { return body_arrived_after_; }
   // The earliest time at which the last byte of the request may have arrived, once it is read.
--- a/src/proxy/request_forwarder.cpp
+++ b/src/proxy/request_forwarder.cpp
@@ -297,11 +297,13 @@
 // The remaining time that the endpoint is told.
 double RequestForwarder::time_left_to_send(const PendingRequest& request,
                                            const PendingAttempt& attempt) const {
-  // The time of an upload counts from its last byte, which may have arrived already and be unread.
+  // The time of an upload counts from its last byte, which may have arrived already and be unread, or lie in
+  // the send buffer of the client's machine because reading is paused.
   const bool has_arrived = !request.streams_body || !request.body_incomplete ||
                            (request.downstream && request.downstream->body_arrived_after());
-  const double left =
-      has_arrived ? std::min(attempt.deadline, request.deadline) - loop_.now() : request.remaining_time_s;
+  const double paused_s = request.downstream ? request.downstream->reading_paused_for() : 0;
+  const double left = has_arrived ? std::min(attempt.deadline, request.deadline) - loop_.now()
+                                  : request.remaining_time_s - paused_s;
   return std::max(left - kTimeLeftMargin, left / 2);
 }
 
