--- a/tests/integration/streaming_soak.cpp
+++ b/tests/integration/streaming_soak.cpp
@@ -176,9 +176,9 @@
       if (one.is_unsafe && received_.count(one.id) > 1) fail(one.id, "ran twice");
     }
     if (resident_bytes() > std::size_t(plan_.memory_mb) << 20) fail("process", "is over its memory limit");
-    std::printf("seed %llu: memory %d MB, trouble %d, hang %.1f s: %s\n",
-                static_cast<unsigned long long>(seed_), plan_.memory_mb, int(plan_.trouble), plan_.hang_s,
-                has_failed_ ? "FAILED" : "passed");
+    std::printf("seed %llu: memory %d MB, trouble: %s, hang %.1f s: %s\n",
+                static_cast<unsigned long long>(seed_), plan_.memory_mb, to_string(plan_.trouble),
+                plan_.hang_s, has_failed_ ? "FAILED" : "passed");
     std::fflush(stdout);
     return !has_failed_;
   }
--- a/tests/integration/streaming_soak_plan.h
+++ b/tests/integration/streaming_soak_plan.h
@@ -15,6 +15,17 @@
 // What an endpoint does with uploads. One of several endpoints is in trouble.
 enum class EndpointTrouble { None, Hangs, HangsForGood, ReadsSlowly, Resets };
 
+inline const char* to_string(EndpointTrouble trouble) {
+  switch (trouble) {
+    case EndpointTrouble::None: return "none";
+    case EndpointTrouble::Hangs: return "hangs";
+    case EndpointTrouble::HangsForGood: return "hangs for good";
+    case EndpointTrouble::ReadsSlowly: return "reads slowly";
+    case EndpointTrouble::Resets: return "resets";
+  }
+  return "unknown";
+}
+
 constexpr double kClientTimeoutSeconds = 2.0;
 
 struct UploadPlan {
