proxy: pass on a response without a length whose pause crosses its deadline

Cause: judge_overdue_relay() took 0.6 s of silence at the deadline for the end of a response of unknown length. Also, a low rate was judged within a pause, so that a small first piece of a long response, with or without a length, counted as trickling.

Change: silence alone ends nothing until 0.4 s after the deadline, shortly before an answer counts as lost. From there on a response without a length goes on for as long as what has arrived keeps 60 kB a second; that is 1.1 s from its first byte at most, as more than 64 KiB show it to be long. A low rate counts only while bytes arrive.

--- a/src/proxy/overdue_relay.cpp
+++ b/src/proxy/overdue_relay.cpp
@@ -11,30 +11,39 @@
 constexpr double kMinRate = 8 * 1024;
 constexpr double kMinRatePeriodSeconds = 0.3;
 
+// With bytes this recent, a low rate is that of an endpoint that sends a few now and then.
+constexpr double kPieceSeconds = 0.2;
+
 // By its declared length the response is long.
 constexpr double kMaxSilenceOfDeclaredSeconds = 2;
 
-// Without a declared length. Until an answer counts as lost, half a second after its time, a pause may be one
-// between two pieces of a long response.
-constexpr double kMaxSilenceSeconds = 0.6;
-constexpr double kOverdueSeconds = 0.4;
-constexpr double kMaxSilenceWhenOverdueSeconds = 0.2;
+// Without a declared length. An answer counts as lost half a second after its time; until shortly before that
+// any silence may be the pause between two pieces of a long response.
+constexpr double kMaxOverdueSeconds = 0.4;
+// Bytes a second: the platform's slowest for a long body, less a margin for when pieces are written.
+constexpr double kLongBodyRate = 60'000;
+
+bool is_slower_than(double bytes_per_s, const RelayProgress& progress) {
+  return double(progress.received_bytes) < bytes_per_s * progress.elapsed_s;
+}
 
-bool is_slow(const RelayProgress& progress) {
-  return progress.elapsed_s > kMinRatePeriodSeconds &&
-         double(progress.received_bytes) < kMinRate * progress.elapsed_s;
+bool is_trickling(const RelayProgress& progress) {
+  return progress.silent_s < kPieceSeconds && progress.elapsed_s > kMinRatePeriodSeconds &&
+         is_slower_than(kMinRate, progress);
 }
 
-double max_silence_s(const RelayProgress& progress) {
-  if (progress.declared_bytes.value_or(0) > kLongBodyBytes) return kMaxSilenceOfDeclaredSeconds;
-  return progress.overdue_s >= kOverdueSeconds ? kMaxSilenceWhenOverdueSeconds : kMaxSilenceSeconds;
+bool has_stopped(const RelayProgress& progress) {
+  if (progress.declared_bytes.value_or(0) > kLongBodyBytes)
+    return progress.silent_s >= kMaxSilenceOfDeclaredSeconds;
+  // Whether it is short or long isn't known. It counts as long for as long as what has arrived keeps the rate
+  // of a long one, which is about a second at most.
+  return progress.overdue_s >= kMaxOverdueSeconds && is_slower_than(kLongBodyRate, progress);
 }
 }  // namespace
 
 RelayVerdict judge_overdue_relay(const RelayProgress& progress) {
   if (progress.received_bytes > kLongBodyBytes) return RelayVerdict::Settled;
-  const bool is_given_up = is_slow(progress) || progress.silent_s >= max_silence_s(progress);
-  return is_given_up ? RelayVerdict::GiveUp : RelayVerdict::Continue;
+  return is_trickling(progress) || has_stopped(progress) ? RelayVerdict::GiveUp : RelayVerdict::Continue;
 }
 
 }  // namespace puffinvane
