http: keep the fields of a head in one text, and count what heads need

Cause: each field was two strings of 32 bytes in a vector that doubles, so that a head of 16 KiB took 260 KiB and more, and nothing counted it.

Change: HeaderFields keeps all fields in one text and returns views. Target, fields and the unfinished line are charged to the buffer pool (MemoryCharge), which knows its limit and the pressure on it.

--- a/src/http/http.cpp
+++ b/src/http/http.cpp
@@ -84,7 +84,7 @@
 }
 
 std::string_view HttpMessage::header(std::string_view name) const {
-  for (const Header& header : headers) {
+  for (const HeaderField& header : headers) {
     if (same_name(header.name, name)) return header.value;
   }
   return {};
@@ -92,7 +92,7 @@
 
 int HttpMessage::header_count(std::string_view name) const {
   return int(std::count_if(headers.begin(), headers.end(),
-                           [&](const Header& header) { return same_name(header.name, name); }));
+                           [&](const HeaderField& header) { return same_name(header.name, name); }));
 }
 
 // The handler of a complete line, by state, in the order of State; null in the states of the body.
@@ -137,9 +137,17 @@
     (this->*handle_line)();
     line_.clear();
   }
+  update_head_memory();
   return received - bytes.size();
 }
 
+void HttpReader::update_head_memory() {
+  constexpr std::size_t kMaxKeptLineBytes = 256;  // between two lines
+  if (line_.empty() && line_.capacity() > kMaxKeptLineBytes) line_ = std::string();
+  line_memory_.set(line_.capacity());
+  message_.update_head_memory();
+}
+
 void HttpReader::end_of_input() {
   if (state_ == State::BodyToEnd) state_ = State::Complete;
 }
@@ -221,14 +229,13 @@
   // A folded line or a blank before the colon is interpreted differently by different hops, which allows
   // request smuggling.
   if (colon == std::string_view::npos || !is_token(line.substr(0, colon))) return fail(Fault::Malformed);
-  message_.headers.push_back(
-      {std::string(line.substr(0, colon)), std::string(trimmed(line.substr(colon + 1)))});
+  message_.headers.add(line.substr(0, colon), trimmed(line.substr(colon + 1)));
 }
 
 void HttpReader::finish_head() {
   bool chunked = false, sized = false;
   std::size_t size = 0;
-  for (const Header& header : message_.headers) {
+  for (const HeaderField& header : message_.headers) {
     if (same_name(header.name, "Transfer-Encoding")) {
       if (chunked || !same_name(header.value, "chunked")) return fail(Fault::Malformed);
       chunked = true;
@@ -309,7 +316,7 @@
 namespace {
 void add_headers(std::string& head, const HttpMessage& from) {
   std::string_view named = from.header("Connection");
-  for (const Header& header : from.headers) {
+  for (const HeaderField& header : from.headers) {
     if (!is_forwarded_header(header.name) || list_contains(named, header.name)) continue;
     head.append(header.name).append(": ").append(header.value).append("\r\n");
   }
--- a/src/http/http.h
+++ b/src/http/http.h
@@ -5,18 +5,16 @@
 #include <optional>
 #include <string>
 #include <string_view>
-#include <vector>
 
+#include "src/http/header_fields.h"
 #include "src/net/buffers.h"
 
 namespace puffinvane {
 
-struct Header {
-  std::string name, value;
-};
-
 struct HttpMessage {
-  explicit HttpMessage(BufferPool& pool) : body(pool) {}
+  explicit HttpMessage(BufferPool& pool) : body(pool), head_memory(pool) {}
+  // Charges the pool for what the head needs.
+  void update_head_memory() { head_memory.set(target.capacity() + headers.capacity_bytes()); }
   // The value of the first header of that name; empty if there is none.
   std::string_view header(std::string_view name) const;
   int header_count(std::string_view name) const;  // how many headers have that name
@@ -25,8 +23,9 @@
   int status = 0;              // of a response
   bool keep_alive = true, expects_continue = false;
   bool is_http_1_0 = false;  // the client cannot read chunked encoding
-  std::vector<Header> headers;
+  HeaderFields headers;
   BufferChain body;
+  MemoryCharge head_memory;
 };
 
 // Compares header names, ignoring case.
@@ -46,13 +45,18 @@
         pool_(&pool),
         max_body_(std::max(max_body, max_streamed)),
         is_streaming_(max_streamed > 0),
-        message_(pool) {}
+        message_(pool),
+        line_memory_(pool) {}
 
   // Returns the number of bytes consumed. Consumes nothing after the end of a message or after a fault.
   std::size_t feed(std::string_view bytes);
   // The connection was closed: completes a response whose body ends with the connection.
   void end_of_input();
   bool is_complete() const { return state_ == State::Complete; }
+  // Bytes of memory that the part of a message received so far needs.
+  std::size_t held_bytes() const {
+    return message_.body.size() + message_.head_memory.bytes() + line_memory_.bytes();
+  }
   // Whether any part of a message was received. One empty line does not count, as some clients send one after
   // a body; more count, so that endless empty lines meet the head timeout.
   bool started() const { return state_ != State::StartLine || !line_.empty() || head_bytes_ > 2; }
@@ -102,6 +106,7 @@
   void handle_trailer_line();
   void finish_head();
   bool add_body(std::string_view bytes);
+  void update_head_memory();
 
   Side side_;
   BufferPool* pool_;
@@ -114,6 +119,7 @@
   Fault fault_ = Fault::None;
   bool no_body_ = false;
   std::string line_;
+  MemoryCharge line_memory_;
   std::size_t head_bytes_ = 0;  // of the start line and headers, or of the current chunk line or trailers
   std::size_t left_ = 0;        // bytes until the end of the body or chunk
 };
--- a/src/net/buffers.cpp
+++ b/src/net/buffers.cpp
@@ -1,5 +1,7 @@
 #include "src/net/buffers.h"
 
+#include <malloc.h>
+
 #include <algorithm>
 #include <cstring>
 #include <utility>
@@ -19,6 +21,19 @@
   return Buffer(block, ReturnToPool{this});
 }
 
+void BufferPool::return_free_memory() {
+  free_.clear();
+  malloc_trim(0);
+}
+
+BufferPool::Pressure BufferPool::pressure() const {
+  const std::size_t used = bytes_in_use();
+  if (used >= limit_) return Pressure::Exhausted;
+  if (used >= limit_ / 8 * 7) return Pressure::Severe;
+  if (used >= limit_ / 8 * 5) return Pressure::Short;
+  return used > limit_ / 2 ? Pressure::Scarce : Pressure::None;
+}
+
 void BufferPool::take_back(Block* block) {
   --in_use_;
   std::unique_ptr<Block> returned(block);
--- a/src/net/buffers.h
+++ b/src/net/buffers.h
@@ -3,19 +3,31 @@
 #pragma once
 
 #include <array>
+#include <cstddef>
 #include <deque>
+#include <limits>
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace puffinvane {
 
-// Hands out fixed-size buffers and keeps a bounded number of returned ones for reuse. Must outlive its
-// buffers.
+// Hands out fixed-size buffers, keeps a bounded number of returned ones for reuse, and knows how much memory
+// of its limit is in use. It enforces nothing: who receives data asks it first. Must outlive its buffers and
+// charges.
 class BufferPool {
  public:
   static constexpr std::size_t kSize = 16 * 1024;  // bytes in each buffer
+  // How much of the limit is in use.
+  enum class Pressure {
+    None,
+    Scarce,    // over a half: what can be done in smaller pieces is
+    Short,     // five eighths: nothing more is received of requests that are not whole
+    Severe,    // seven eighths: no request is begun
+    Exhausted  // nothing more is received
+  };
   struct Block {
     std::array<char, kSize> bytes;
   };
@@ -28,11 +40,48 @@
   Buffer acquire();
   std::size_t in_use() const { return in_use_; }
   std::size_t free_count() const { return free_.size(); }
+  // Returns the buffers that are kept for reuse, and the free part of the heap, to the system.
+  void return_free_memory();
+  // The limit of bytes_in_use(); without one there is no pressure.
+  void set_limit(std::size_t bytes) { limit_ = bytes; }
+  std::size_t limit() const { return limit_; }
+  // In buffers, and in other memory that is charged.
+  std::size_t bytes_in_use() const { return in_use_ * kSize + charged_; }
+  Pressure pressure() const;
 
  private:
+  friend class MemoryCharge;
   void take_back(Block* block);
   std::vector<std::unique_ptr<Block>> free_;
   std::size_t in_use_ = 0;
+  std::size_t charged_ = 0;  // bytes
+  std::size_t limit_ = std::numeric_limits<std::size_t>::max();
+};
+
+// Memory outside of buffers that counts against the limit of a pool, for as long as this object lives.
+class MemoryCharge {
+ public:
+  explicit MemoryCharge(BufferPool& pool) : pool_(&pool) {}
+  MemoryCharge(MemoryCharge&& other) noexcept : pool_(other.pool_), bytes_(std::exchange(other.bytes_, 0)) {}
+  MemoryCharge& operator=(MemoryCharge&& other) noexcept {
+    if (this == &other) return *this;
+    set(0);
+    pool_ = other.pool_;
+    bytes_ = std::exchange(other.bytes_, 0);
+    return *this;
+  }
+  ~MemoryCharge() { set(0); }
+
+  void set(std::size_t bytes) {
+    pool_->charged_ += bytes;
+    pool_->charged_ -= bytes_;
+    bytes_ = bytes;
+  }
+  std::size_t bytes() const { return bytes_; }
+
+ private:
+  BufferPool* pool_;
+  std::size_t bytes_ = 0;
 };
 
 // A queue of bytes, stored in as many buffers as it needs.
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -345,7 +345,7 @@
   if (request.header_count("Host") > 1)
     return downstream.respond(400, nullptr, "", "one Host, not two\n", true);
   fields_.clear();
-  for (const Header& header : request.headers) fields_.push_back({header.name, header.value});
+  for (const HeaderField& header : request.headers) fields_.push_back({header.name, header.value});
   routing::RequestHead head{listener_name(downstream.listener()), request.method, request.header("Host"),
                             request.target, fields_};
   routing::Decision decision = router_.decide(head, double(random_() >> 11) * 0x1p-53);
@@ -375,7 +375,7 @@
       *forwarder.find_class(router_.site().request_classes[std::size_t(decision.request_class)].name);
   int ids = request.header_count(kRequestIdHeader);
   // Endpoints tell requests apart by their id, so a request without one gets one.
-  if (ids == 0) request.headers.push_back({std::string(kRequestIdHeader), new_request_id()});
+  if (ids == 0) request.headers.add(kRequestIdHeader, new_request_id());
   std::string_view id = request.header(kRequestIdHeader);
   if (id.empty() || ids > 1 || forwarder.has_pending_request(id))
     return downstream.respond(400, nullptr, "", "X-Correlation-Id has to be new, if it is there\n", true);
