proxy: keep buffers within a limit after connections are accepted, too

Cause: the limit of buffers was only looked at when a connection was accepted. Clients that were connected could each fill 64 KiB and more of a body, 16 to 256 KiB of pipelined requests, and as much of responses. During an upgrade both processes kept what they had, and half of the limit each on top.

Change: the buffer pool tells its pressure. From a half of the limit on bodies and responses are passed on in smaller pieces; from five eighths on nothing is received of partial requests, and those that are silent or hold most are answered 503 until there is room; from seven eighths on requests are rejected with 503 before they begin; at the limit nothing is received. Log event memory.short.

--- a/src/net/tcp_connection.cpp
+++ b/src/net/tcp_connection.cpp
@@ -266,10 +266,14 @@
 }
 
 bool TcpConnection::receive() {
+  const std::size_t max_bytes = std::min(owner_.receive_limit(), BufferPool::kSize);
+  if (max_bytes == 0) {
+    pause();
+    return false;
+  }
   BufferPool::Buffer buffer = loop_.pool().acquire();
-  ssize_t count = retry_on_eintr([&] {
-    return ::recv(g_socket_get_fd(socket_.get()), buffer->bytes.data(), BufferPool::kSize, MSG_DONTWAIT);
-  });
+  ssize_t count = retry_on_eintr(
+      [&] { return ::recv(g_socket_get_fd(socket_.get()), buffer->bytes.data(), max_bytes, MSG_DONTWAIT); });
   if (count > 0) {
     pause_ = kFirstPause;
     owner_.on_received({buffer->bytes.data(), std::size_t(count)});
--- a/src/net/tcp_connection.h
+++ b/src/net/tcp_connection.h
@@ -25,6 +25,9 @@
    public:
     virtual ~Owner() = default;
     virtual void on_connected() {}
+    // The most bytes that may be received now, out of a buffer's size. 0: none, asked again after a short
+    // while.
+    virtual std::size_t receive_limit() const { return BufferPool::kSize; }
     virtual void on_received(std::string_view bytes) = 0;
     // All bytes that send() could not write at once are written.
     virtual void on_written() {}
--- a/src/proxy/downstream_connection.cpp
+++ b/src/proxy/downstream_connection.cpp
@@ -32,8 +32,13 @@
 // The same while looking for the end of the stream behind the pipelined input. This much is read only when an
 // attempt is about to start, and less while buffers are scarce.
 constexpr std::size_t kMaxReadAhead = 16 * BufferPool::kSize;
+// Bytes of a request's head that are received even while memory is short, so that small requests are rejected
+// rather than left unread.
+constexpr std::size_t kMaxHeadWhileShort = 4 * 1024;
 // Bytes at the end of an unread body in chunks that are looked at. A longer trailer is taken for the end.
 constexpr std::size_t kBodyTailBytes = 256;
+// Bytes that a client's machine holds for a connection at most: Linux's largest send buffer by default.
+constexpr std::size_t kMaxClientSendBuffer = 4 * 1024 * 1024;
 }  // namespace
 
 const Transition<DownstreamConnection, DownstreamConnection::State, DownstreamConnection::Input>
@@ -66,6 +71,8 @@
          &DownstreamConnection::respond_with_error},
         {State::ReadingRequest, Input::TimedOut, State::WritingLastResponse,
          &DownstreamConnection::respond_with_error},
+        {State::ReadingRequest, Input::Rejected, State::WritingLastResponse,
+         &DownstreamConnection::respond_unavailable},
         {State::ReadingRequest, Input::CloseRequested, State::Lingering,
          &DownstreamConnection::start_lingering},
         {State::ReadingRequest, Input::Ended, State::Closed, &DownstreamConnection::close_now},
@@ -144,6 +151,14 @@
              kHeadTimeout + kSilenceTimeout + double(reader_.body_bytes_received()) / kMinUploadRate;
 }
 
+// While memory is short nothing is received that would need more of it.
+std::size_t DownstreamConnection::receive_limit() const {
+  const bool is_discarded = state_ == State::Lingering || state_ == State::WritingLastResponse;
+  if (is_discarded || loop_.pool().pressure() < BufferPool::Pressure::Short) return BufferPool::kSize;
+  if (reader_.in_body()) return 0;
+  return kMaxHeadWhileShort - std::min(kMaxHeadWhileShort, held_input_bytes());
+}
+
 void DownstreamConnection::on_received(std::string_view bytes) {
   last_received_ = loop_.now();
   if (state_ == State::Lingering || state_ == State::WritingLastResponse) return;
@@ -203,7 +218,8 @@
 }
 
 void DownstreamConnection::read_ahead() {
-  const std::size_t limit = std::min(kMaxReadAhead, owner_.max_buffered_body());
+  const bool is_scarce = loop_.pool().pressure() >= BufferPool::Pressure::Scarce;
+  const std::size_t limit = is_scarce ? kMaxPipelined : kMaxReadAhead;
   while (unread_.size() < limit && tcp_.input_may_hide_end()) {
     update_arrival_time();
     if (!tcp_.read_into(unread_)) return;
@@ -328,10 +344,21 @@
                : reader_.fault() == HttpReader::Fault::BodyTooLarge ? 413
                : reader_.fault() == HttpReader::Fault::Malformed    ? 400
                                                                     : 408;
+  end_unread_request(status, "this request can't be read\n");
+}
+
+void DownstreamConnection::respond_unavailable() {
+  end_unread_request(503, "bounced: trying again does no harm\n");
+}
+
+// Responds to a request that is not read to its end, and discards what has been and will be read.
+void DownstreamConnection::end_unread_request(int status, std::string_view text) {
   last_progress_ = loop_.now();
   discards_input_ = true;
+  unread_.clear();
+  reader_.take();
   BufferChain out(loop_.pool());
-  write_response(out, status, nullptr, "", "this request can't be read\n", true);
+  write_response(out, status, nullptr, "", text, true);
   tcp_.send(std::move(out));
   if (tcp_.is_all_written()) apply(Input::Written);
 }
--- a/src/proxy/downstream_connection.h
+++ b/src/proxy/downstream_connection.h
@@ -62,7 +62,14 @@
   void end_response();
   void abort_response() { apply(Input::Aborted); }
   // The client reads more slowly than the response arrives.
-  bool has_write_backlog() const { return tcp_.unsent_bytes() > kMaxWriteBacklog; }
+  bool has_write_backlog() const {
+    const bool is_scarce = loop_.pool().pressure() >= BufferPool::Pressure::Scarce;
+    return tcp_.unsent_bytes() > (is_scarce ? BufferPool::kSize : kMaxWriteBacklog);
+  }
+  // Bytes of memory that input holds which is no whole request yet.
+  std::size_t held_input_bytes() const { return reader_.held_bytes() + unread_.size(); }
+  // Answers 503 to a request of which a part has been read, releases that part and discards the rest.
+  void reject_partial_request() { apply(Input::Rejected); }
 
   // The request was dispatched before its body was complete.
   bool is_uploading() const { return state_ == State::Uploading; }
@@ -115,6 +122,7 @@
   // When the last byte was received, or else when the connection was accepted.
   double last_received() const { return last_received_; }
   bool has_partial_request() const { return reader_.started(); }
+  bool is_reading_request() const { return state_ == State::ReadingRequest; }
   int listener() const { return listener_; }  // the number of the listener that accepted it
   void close_after_next_response() { closes_after_response_ = true; }
   std::optional<OpenRequest> open_request;
@@ -136,6 +144,7 @@
     RequestComplete,
     ParseError,
     TimedOut,
+    Rejected,
     ResponseStarted,
     ResponseComplete,
     LastResponseComplete,
@@ -157,6 +166,8 @@
   bool is_too_slow(double now) const;
   void enforce_request_timeout(double now);
   void respond_with_error();
+  void respond_unavailable();
+  void end_unread_request(int status, std::string_view text);
   void abandon_upload();
   void read_next_request();
   bool may_be_last_response(bool last) const;
@@ -165,6 +176,7 @@
   void close_now();
   void reset_now();
 
+  std::size_t receive_limit() const override;
   void on_received(std::string_view bytes) override;
   void on_written() override { apply(Input::Written); }
   void on_ended(TcpConnection::End) override { apply(Input::Ended); }
--- a/src/proxy/downstream_connections.cpp
+++ b/src/proxy/downstream_connections.cpp
@@ -27,6 +27,8 @@
 // Connections freed ahead of need: the limit divided by kSpareDivisor, at most kMaxSpare.
 constexpr std::size_t kSpareDivisor = 8;
 constexpr std::size_t kMaxSpare = 64;
+// Seconds between two log events of the same shortage of memory.
+constexpr double kReliefLogInterval = 1;
 }  // namespace
 
 DownstreamConnections::DownstreamConnections(Loop& loop, ConnectionLimiter& limiter, RequestHandler& handler,
@@ -165,11 +167,47 @@
   }
 }
 
+// Without this, requests that stop half way would keep the memory that others wait for. Those that have been
+// silent are rejected first, then those that hold most, until memory is no longer short.
+void DownstreamConnections::relieve_memory() {
+  const BufferPool& pool = loop_.pool();
+  if (pool.pressure() < BufferPool::Pressure::Short) return;
+  struct Candidate {
+    bool is_silent;
+    std::size_t held_bytes;
+    DownstreamConnection* downstream;
+  };
+  std::vector<Candidate> candidates;
+  for (auto& [key, downstream] : connections_) {
+    if (!downstream->is_reading_request() || !downstream->has_partial_request()) continue;
+    const bool is_silent = loop_.now() - downstream->last_received() > kMaxSilenceWithinRequest &&
+                           downstream->has_no_unread_input();
+    candidates.push_back({is_silent, downstream->held_input_bytes(), downstream.get()});
+  }
+  std::ranges::sort(candidates, [](const Candidate& one, const Candidate& other) {
+    return std::tie(one.is_silent, one.held_bytes) > std::tie(other.is_silent, other.held_bytes);
+  });
+  for (const Candidate& candidate : candidates) {
+    if (pool.pressure() < BufferPool::Pressure::Short) break;
+    candidate.downstream->reject_partial_request();
+    ++rejected_for_memory_;
+  }
+  if (loop_.now() < last_relief_logged_at_ + kReliefLogInterval) return;
+  last_relief_logged_at_ = loop_.now();
+  loop_.log()
+      .event(Level::Warning, "memory.short")
+      .with("bytes_in_use", pool.bytes_in_use())
+      .with("limit_bytes", pool.limit())
+      .with("connections", connections_.size())
+      .with("rejected_partial_requests", rejected_for_memory_);
+}
+
 void DownstreamConnections::check_all_timeouts() {
   double now = loop_.now();
   std::vector<DownstreamConnection*> all;
   for (auto& [key, downstream] : connections_) all.push_back(downstream.get());
   for (DownstreamConnection* downstream : all) downstream->check_timeouts(now);
+  relieve_memory();
   loop_.at(now + kTimeoutCheckInterval, alive_.guard([this] { check_all_timeouts(); }));
 }
 
--- a/src/proxy/downstream_connections.h
+++ b/src/proxy/downstream_connections.h
@@ -25,6 +25,8 @@
                         std::size_t max_streamed = 0);
 
   bool empty() const { return connections_.empty(); }
+  // Requests of which only a part had been read when memory was short.
+  std::uint64_t rejected_for_memory() const { return rejected_for_memory_; }
   std::size_t max_connections() const { return max_connections_; }
   // While on, every connection is closed after its next response.
   void close_after_responses(bool on) { close_after_responses_ = on; }
@@ -55,6 +57,7 @@
   bool has_room();
   void make_room();  // closes connections that have no request in flight, if few or none are left
   void check_all_timeouts();
+  void relieve_memory();  // rejects partial requests while memory is short
 
   Loop& loop_;
   ConnectionLimiter& limiter_;
@@ -63,6 +66,8 @@
   bool close_after_responses_ = false;
   double longest_client_timeout_ = 6;
   double last_reclaim_ = 0;  // when make_room last searched for connections to close
+  double last_relief_logged_at_ = 0;
+  std::uint64_t rejected_for_memory_ = 0;  // partial requests
   std::unordered_map<const DownstreamConnection*, std::unique_ptr<DownstreamConnection>> connections_;
   LifetimeToken alive_;
 };
--- a/src/proxy/request_forwarder.cpp
+++ b/src/proxy/request_forwarder.cpp
@@ -366,11 +366,16 @@
     }
   }
   // Pauses reading from the client while too much of the body waits to be sent.
-  if (!whole && request.downstream &&
-      request.message.body.size() > (has_connection ? kBodyPartBytes : kMaxUnsentBytes))
+  if (!whole && request.downstream && request.message.body.size() > max_waiting_body_bytes(has_connection))
     request.downstream->pause_reading(true);
 }
 
+// Of an upload, read ahead of its endpoint.
+std::size_t RequestForwarder::max_waiting_body_bytes(bool has_connection) const {
+  if (loop_.pool().pressure() >= BufferPool::Pressure::Scarce) return BufferPool::kSize;
+  return has_connection ? kBodyPartBytes : kMaxUnsentBytes;
+}
+
 void RequestForwarder::on_body_arrival(RequestId id, std::optional<double> arrived_after) {
   if (arrived_after) return set_upload_deadline(id, *arrived_after);
   requests_.find(id)->deadline = loop_.now() + kMaxUploadTime;
@@ -568,6 +573,8 @@
 
 void RequestForwarder::forward(DownstreamConnection& downstream, HttpMessage message,
                                const RequestClass& request_class, double remaining_time_s) {
+  if (loop_.pool().pressure() >= BufferPool::Pressure::Severe)
+    return reject_for_memory(downstream, message, request_class);
   // The request may have waited unread, at the listener, behind another request or while this process was
   // stalled, and the client's timeout has been running meanwhile. That of an upload starts with its last
   // byte.
@@ -599,6 +606,17 @@
   policy_->on_request(now, {id, request_class.name, tenant, remaining_time_s, facts.key, facts.work});
 }
 
+// A request that is begun needs memory until it ends, and there is little left for those that have begun.
+void RequestForwarder::reject_for_memory(DownstreamConnection& downstream, const HttpMessage& message,
+                                         const RequestClass& request_class) {
+  const double retry_after_s = deployment_.sends_retry_after ? deployment_.max_retry_after_s : 0;
+  const std::string header =
+      retry_after_s > 0 ? "Retry-After: " + format_retry_after(retry_after_s) + "\r\n" : "";
+  counters_.record_outcome(index_of(request_class), RequestOutcome::Rejected);
+  log_request_ended(loop_.log(), message.header(kRequestIdHeader), 503, 0);
+  downstream.respond(503, nullptr, header, "bounced: trying again does no harm\n", false);
+}
+
 // ---- connections to endpoints
 
 void RequestForwarder::close_oldest_idle() {
--- a/src/proxy/upstream_connection.cpp
+++ b/src/proxy/upstream_connection.cpp
@@ -170,11 +170,17 @@
 // Whether the response, of which a part has arrived, is or may become too long to be buffered whole.
 bool UpstreamConnection::must_relay_response() const {
   if (!reader_.is_streaming() || !reader_.in_body()) return false;
-  if (reader_.content_length()) return *reader_.content_length() > HttpReader::kMaxBodyBytes;
+  const bool is_scarce = loop_.pool().pressure() >= BufferPool::Pressure::Scarce;
+  if (reader_.content_length())
+    return *reader_.content_length() > (is_scarce ? BufferPool::kSize : HttpReader::kMaxBodyBytes);
   return reader_.body_bytes_received() > HttpReader::kMaxBodyBytes ||
          loop_.now() - response_started_at_ > kMaxBufferingTime;
 }
 
+std::size_t UpstreamConnection::receive_limit() const {
+  return loop_.pool().pressure() < BufferPool::Pressure::Exhausted ? BufferPool::kSize : 0;
+}
+
 void UpstreamConnection::on_received(std::string_view bytes) {
   if (state_ == State::Idle) return handle(Input::InvalidResponse);  // there is no request to respond to
   last_byte_at_ = loop_.now();
--- a/src/proxy/upstream_connection.h
+++ b/src/proxy/upstream_connection.h
@@ -130,6 +130,7 @@
   void watch_request(double assigned_at);
 
   void on_connected() override;
+  std::size_t receive_limit() const override;
   void on_received(std::string_view bytes) override;
   void on_written() override { send_more_body(); }
   void on_ended(TcpConnection::End end) override;
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -12,8 +12,6 @@
 namespace puffinvane::serving {
 
 namespace {
-// Buffers may use the memory limit divided by this; the rest is for the policies, GLib and the heap.
-constexpr std::size_t kBufferMemoryDivisor = 2;
 constexpr double kFinishedPoolCheckInterval = 0.1;  // seconds
 // A listener that can't be opened for lack of descriptors is retried at this interval for five seconds; the
 // process has to be ready within ten.
@@ -65,7 +63,7 @@
       router_(make_shared_site(std::move(site))),
       version_(site::version(router_.site())),
       kill_timeout_(kill_timeout),
-      limiter_(loop, router_.site().limits.memory / kBufferMemoryDivisor),
+      limiter_(loop, router_.site().limits.memory),
       downstream_(loop, limiter_, *this, router_.site().limits.body) {
   downstream_.set_longest_client_timeout(drain_limits().longest_client_timeout_s);
 }
--- a/src/server/sidecar.cpp
+++ b/src/server/sidecar.cpp
@@ -22,8 +22,6 @@
 constexpr double kListenRetryInterval = 0.02;
 // Seconds. The first request on a connection younger than this may be on its way.
 constexpr double kMinIdleAge = 0.2;
-// Buffers may use the memory limit divided by this; the rest is for the policy, GLib and the heap.
-constexpr std::size_t kBufferMemoryDivisor = 2;
 
 std::optional<std::int64_t> index_if_listed(const EndpointList& known) {
   if (known.entries.empty()) return std::nullopt;
@@ -45,7 +43,7 @@
     : Lifecycle(loop),
       config_(std::move(config)),
       config_path_(std::move(config_path)),
-      limiter_(loop, config_.memory / kBufferMemoryDivisor),
+      limiter_(loop, config_.memory),
       forwarder_(loop, limiter_, config_.deployment, config_.seed,
                  with_shadow_policy(config_.shadow, differences_, make),
                  ForwarderOptions{false, HttpReader::kMaxBodyBytes, "", true}),
--- a/testing/answering_endpoint.h
+++ b/testing/answering_endpoint.h
@@ -9,11 +9,15 @@
 
 namespace puffinvane::test {
 
-// An endpoint that answers every request after 5 ms, with one thread per connection.
+// An endpoint that answers every request after 5 ms, with one thread per connection. Requests for a target
+// with "long" in it get the long answer, if there is one.
 class AnsweringEndpoint {
  public:
-  explicit AnsweringEndpoint(int last, std::string answer = ok_response("x"))
-      : listener(last, 512), answer_(std::move(answer)), accepting_([this] { accept(); }) {}
+  explicit AnsweringEndpoint(int last, std::string answer = ok_response("x"), std::string long_answer = "")
+      : listener(last, 512),
+        answer_(std::move(answer)),
+        long_answer_(std::move(long_answer)),
+        accepting_([this] { accept(); }) {}
   ~AnsweringEndpoint() {
     is_stopping_ = true;
     accepting_.join();
@@ -40,13 +44,17 @@
     for (;;) {
       if (is_stopping_) return false;
       if (!connection.has_input_within(0.02)) continue;
-      if (!connection.receive_message(HttpReader::Side::Request)) return false;
+      const auto request =
+          connection.receive_message(HttpReader::Side::Request, HttpReader::kMaxStreamedBodyBytes);
+      if (!request) return false;
       sleep_for(0.005);
       ++served;
-      return connection.send_text(answer_);
+      const bool wants_long = !long_answer_.empty() && request->target.find("long") != std::string::npos;
+      return connection.send_text(wants_long ? long_answer_ : answer_);
     }
   }
   const std::string answer_;
+  const std::string long_answer_;
   std::atomic<bool> is_stopping_ = false;
   std::vector<std::thread> serving_;
   std::thread accepting_;
--- /dev/null
+++ b/tests/integration/crowd_memory_test.cpp
@@ -0,0 +1,211 @@
+// Hundreds of clients at once, of the kinds that hold memory: the process stays under its limit, goes on
+// running, and answers the clients that are sound.
+#include <gtest/gtest.h>
+
+#include <cstdio>
+#include <iterator>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "testing/answering_endpoint.h"
+#include "testing/crowd.h"
+#include "testing/program_main.h"
+#include "testing/sidecar_process.h"
+#include "testing/soak_client.h"
+
+namespace puffinvane::test {
+namespace {
+
+constexpr int kMemoryMegabytes = 32;  // the least that deployments give
+constexpr int kDescriptors = 1024;
+constexpr int kClients = 480;  // near half of the descriptors, which is what clients may hold
+constexpr double kCrowdSeconds = 3.5;
+constexpr int kSoundClients = 4;
+constexpr double kClientTimeoutSeconds = 2.0;
+// The platform's terms: an answer that is later than this after its time counts as never given.
+constexpr double kLostAfterSeconds = 0.55;
+
+std::string numbered(const std::string& head, int number) {
+  return head + "X-Correlation-Id: crowd-" + std::to_string(number) + "\r\n";
+}
+
+// A head of about 16 KiB with as many fields as it can have.
+std::string many_fields(int number) {
+  constexpr std::size_t kHeadBytes = 16'000;
+  std::string head = numbered("POST /write HTTP/1.1\r\n", number) + "Content-Length: 60000\r\n";
+  while (head.size() < kHeadBytes) head += "a:\r\n";
+  return head;
+}
+
+std::string upload(int number, std::size_t body_bytes) {
+  return numbered("POST /write HTTP/1.1\r\n", number) + "Content-Length: " + std::to_string(body_bytes) +
+         "\r\n\r\n" + std::string(body_bytes, 'u');
+}
+
+struct CrowdKind {
+  const char* name;
+  std::size_t answer_bytes;  // of the requests of the crowd
+  CrowdClientPlan (*plan)(int number);
+};
+
+CrowdClientPlan many_fields_without_end(int number) { return {.text = many_fields(number)}; }
+CrowdClientPlan one_field_without_end(int number) {
+  return {.text = numbered("POST /write HTTP/1.1\r\n", number) + "X-Facts: " + std::string(15'000, 'f')};
+}
+CrowdClientPlan many_fields_and_half_a_body(int number) {
+  return {.text = many_fields(number) + "\r\n" + std::string(30'000, 'u')};
+}
+CrowdClientPlan many_fields_in_whole_requests(int number) {
+  std::string head = many_fields(number);
+  head.replace(head.find("60000"), 5, "00001");
+  return {.text = head + "\r\nu", .read_bytes_per_turn = 1300};
+}
+CrowdClientPlan half_an_upload(int number) {
+  return {.text = upload(number, 64'000), .stops_after_bytes = 60'000, .first_send_after_s = 1};
+}
+CrowdClientPlan half_a_large_upload(int number) {
+  return {.text = upload(number, 3'000'000), .stops_after_bytes = 1'500'000, .first_send_after_s = 1};
+}
+CrowdClientPlan slow_upload(int number) {
+  return {.text = upload(number, 2'000'000), .sent_bytes_per_turn = 1400, .first_send_after_s = 1};
+}
+CrowdClientPlan slow_reader(int number) {
+  return {.text = numbered("GET /read/long HTTP/1.1\r\n", number) + "\r\n",
+          .read_bytes_per_turn = 1300,
+          .first_send_after_s = 1};
+}
+CrowdClientPlan pipelined_requests(int number) {
+  constexpr int kRequests = 400;
+  std::string text;
+  for (int i = 0; i < kRequests; ++i)
+    text += numbered("GET /read/long HTTP/1.1\r\n", number * kRequests + i) + "\r\n";
+  return {.text = text, .read_bytes_per_turn = 1300, .first_send_after_s = 1};
+}
+CrowdClientPlan mixed(int number) {
+  constexpr CrowdClientPlan (*kPlans[])(int) = {many_fields_and_half_a_body, half_an_upload, slow_upload,
+                                                slow_reader, pipelined_requests};
+  return kPlans[std::size_t(number) % std::size(kPlans)](number);
+}
+
+class CrowdMemory : public testing::TestWithParam<CrowdKind> {
+ protected:
+  CrowdMemory() {
+    sidecar_ = start_process(0);
+    for (int i = 0; i < kSoundClients; ++i) {
+      sound_clients_.push_back(std::make_unique<SoakClient>(
+          SoakClient::Options{.address = sidecar_->listen,
+                              .name = "sound" + std::to_string(i),
+                              .pause_s = 0.05,
+                              .give_up_s = kClientTimeoutSeconds + kLostAfterSeconds,
+                              .is_unsafe = i % 2 == 0}));
+    }
+  }
+  // The number tells the processes of an upgrade apart.
+  std::unique_ptr<SidecarProcess> start_process(int number) {
+    SidecarProcess::Options options;
+    options.limits = R"({"sockets":)" + std::to_string(kDescriptors) + R"(,"memory_mb":)" +
+                     std::to_string(kMemoryMegabytes) + "}";
+    options.client_timeout = std::to_string(kClientTimeoutSeconds);
+    options.number = number;
+    options.admin = loopback_address(3) + ":" + std::to_string(5100 + number);
+    options.discovery = &discovery_;
+    return std::make_unique<SidecarProcess>(
+        list_entry_json("a", first_.listener.address) + "," + list_entry_json("b", second_.listener.address),
+        options);
+  }
+  std::vector<CrowdClientPlan> plans() const {
+    std::vector<CrowdClientPlan> all;
+    for (int i = 0; i < kClients; ++i) all.push_back(GetParam().plan(i));
+    return all;
+  }
+  static bool is_ready(int number) {
+    TestConnection connection(loopback_address(3) + ":" + std::to_string(5100 + number));
+    if (!connection.connected) return false;
+    connection.send_text("GET /api/ready HTTP/1.1\r\n\r\n");
+    return connection.response_status() == 200;
+  }
+  void expect_sound_requests_answered() {
+    int served = 0;
+    int answered = 0;
+    for (auto& client : sound_clients_) {
+      client->stop();
+      for (const SoakRequest& request : client->requests()) {
+        const bool is_answered = request.reply.end == SoakConnection::End::Answered;
+        EXPECT_TRUE(is_answered) << request.id << " got no answer in time";
+        answered += is_answered ? 1 : 0;
+        served += request.reply.status == 200 ? 1 : 0;
+      }
+    }
+    std::printf("sound requests: %d answered, %d served\n", answered, served);
+    EXPECT_GT(served, 0);
+  }
+
+  const std::string long_answer_ = ok_response(std::string(GetParam().answer_bytes, 'x'));
+  Listener discovery_{9};
+  AnsweringEndpoint first_{20, ok_response("x"), long_answer_};
+  AnsweringEndpoint second_{21, ok_response("x"), long_answer_};
+  std::unique_ptr<SidecarProcess> sidecar_;
+  std::vector<std::unique_ptr<SoakClient>> sound_clients_;
+};
+
+// Guards against: a process is killed for its memory while hundreds of clients send or read slowly.
+TEST_P(CrowdMemory, StaysUnderItsLimitAndSoundRequestsAreAnswered) {
+  {
+    Crowd crowd(sidecar_->listen, plans());
+    sleep_for(kCrowdSeconds);
+  }
+
+  EXPECT_EQ(sidecar_->exit_code(0.02), -1) << "the process has ended";
+  const std::size_t peak_bytes = peak_resident_bytes(sidecar_->child());
+  std::printf("peak: %zu kB\n", peak_bytes / 1024);
+  EXPECT_LT(peak_bytes, std::size_t{kMemoryMegabytes} << 20);
+  expect_sound_requests_answered();
+}
+
+// Guards against: the two processes of an upgrade need more memory together than they may.
+TEST_P(CrowdMemory, OfTwoProcessesOfAnUpgradeStaysUnderOneLimit) {
+  constexpr double kUpgradeBeginsAfterSeconds = 2.5;
+  Crowd crowd(sidecar_->listen, plans());
+  sleep_for(kUpgradeBeginsAfterSeconds);
+
+  std::unique_ptr<SidecarProcess> successor = start_process(1);
+  std::size_t peak_bytes = 0;
+  bool is_terminated = false;
+  int exit_code = -1;
+  for (const double until = now() + 8; now() < until && exit_code < 0; sleep_for(0.01)) {
+    const std::size_t successor_bytes =
+        runs_program(successor->child()) ? resident_bytes(successor->child()) : 0;
+    peak_bytes = std::max(peak_bytes, resident_bytes(sidecar_->child()) + successor_bytes);
+    if (!is_terminated && is_ready(1)) {
+      sidecar_->terminate();
+      is_terminated = true;
+    }
+    if (is_terminated) exit_code = sidecar_->exit_code(0.001);
+  }
+
+  EXPECT_EQ(exit_code, 0);
+  EXPECT_EQ(successor->exit_code(0.02), -1) << "the successor has ended";
+  std::printf("peak of both: %zu kB\n", peak_bytes / 1024);
+  EXPECT_LT(peak_bytes, std::size_t{kMemoryMegabytes} << 20);
+}
+
+constexpr CrowdKind kKinds[] = {{"ManyFieldsWithoutEnd", 0, many_fields_without_end},
+                                {"OneFieldWithoutEnd", 0, one_field_without_end},
+                                {"ManyFieldsAndHalfABody", 0, many_fields_and_half_a_body},
+                                {"ManyFieldsInWholeRequests", 0, many_fields_in_whole_requests},
+                                {"HalfAnUpload", 0, half_an_upload},
+                                {"HalfALargeUpload", 0, half_a_large_upload},
+                                {"SlowUpload", 0, slow_upload},
+                                {"SlowReaderOfLongAnswers", 1'000'000, slow_reader},
+                                {"SlowReaderOfShortAnswers", 60'000, pipelined_requests},
+                                {"PipelinedRequests", 1'000'000, pipelined_requests},
+                                {"Mixed", 1'000'000, mixed}};
+INSTANTIATE_TEST_SUITE_P(Kinds, CrowdMemory, testing::ValuesIn(kKinds),
+                         [](const auto& kind) { return kind.param.name; });
+
+}  // namespace
+}  // namespace puffinvane::test
+
+int main(int count, char** words) { return puffinvane::test::run_tests_of_program(count, words); }
