proxy: drop the timers of a request when it has ended

Cause: each request left its timers (deadlines of the request and its attempts, hedge, spare connection) in the loop until they were due, some seconds later, each with a closure on the heap. Seen: 48,158 timers and 6 MB of heap outside of buffers while 500 clients pipelined requests.

Change: Loop::at() returns an id by which an alarm can be dropped. The policy says which request a timer is for (Host::schedule_request_timer, by default the same as schedule_timer), and the forwarder drops the timers of a request when it removes it. Decisions are the same.

--- a/include/puffinvane/policy.h
+++ b/include/puffinvane/policy.h
@@ -154,6 +154,10 @@
   virtual void fail_request(RequestId request) = 0;
   // The embedder must call Policy::on_timer with `token` at `due_at` or shortly after.
   virtual void schedule_timer(double due_at, std::uint64_t token) = 0;
+  // The same for a timer that nobody needs once the request has ended: the embedder may drop it from then on.
+  virtual void schedule_request_timer(RequestId /*request*/, double due_at, std::uint64_t token) {
+    schedule_timer(due_at, token);
+  }
   virtual void poll_endpoint_list() = 0;
   virtual void log(std::string_view text) = 0;
   virtual void on_observation(PolicyObservation, RequestId) {}
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -127,12 +127,28 @@
 
 double Loop::unix_offset() { return double(g_get_real_time() - g_get_monotonic_time()) * 1e-6; }
 
-void Loop::at(double when, std::function<void()> callback) {
+AlarmId Loop::at(double when, std::function<void()> callback) {
   alarms_[bucket_of(when)].push_back({when, ++last_sequence_, std::move(callback)});
+  const AlarmId id{when, last_sequence_};
   if (when < next_alarm_) {
     next_alarm_ = when;
     set_alarm();
   }
+  return id;
+}
+
+// If it was the next alarm, the loop wakes up once for nothing.
+void Loop::cancel(const AlarmId& id) {
+  auto bucket = alarms_.find(bucket_of(id.when));
+  if (bucket == alarms_.end()) return;
+  std::erase_if(bucket->second, [&](const Alarm& alarm) { return alarm.sequence == id.sequence; });
+  if (bucket->second.empty()) alarms_.erase(bucket);
+}
+
+std::size_t Loop::alarm_count() const {
+  std::size_t count = 0;
+  for (const auto& [bucket, alarms] : alarms_) count += alarms.size();
+  return count;
 }
 
 void Loop::schedule_stall_check() {
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -60,6 +60,11 @@
   virtual void on_ready(std::uint32_t events) = 0;
 };
 
+struct AlarmId {
+  double when = 0;  // on the loop's clock
+  std::uint64_t sequence = 0;
+};
+
 class Loop {
  public:
   Loop(Log& log, int descriptors);
@@ -77,7 +82,10 @@
   // Input read now may have arrived that long ago.
   double stall_duration() const { return std::max(lateness(), now() < stall_reported_until_ ? stall_ : 0); }
   // Calls the callback once, at that time of now().
-  void at(double when, std::function<void()> callback);
+  AlarmId at(double when, std::function<void()> callback);
+  // Drops an alarm; does nothing if it has been called or dropped already.
+  void cancel(const AlarmId& id);
+  std::size_t alarm_count() const;  // that are neither called nor dropped yet
   // Calls the callback in the next iteration, never from within this call.
   void post(std::function<void()> callback);
   // Destroys the object in the next iteration, as its own methods may still be running.
--- a/src/policy/backup_request_policy.cpp
+++ b/src/policy/backup_request_policy.cpp
@@ -76,7 +76,7 @@
   // Rule 1: the client must have its response before the deadline, so the request is ended two round trips
   // earlier.
   double response_due_at = accepted.deadline - 2 * deployment_.round_trip_s;
-  host_.schedule_timer(std::max(now, response_due_at), deadline_timer(accepted.id));
+  host_.schedule_request_timer(accepted.id, std::max(now, response_due_at), deadline_timer(accepted.id));
   // If more requests are queued ahead than can be sent before its queue deadline, waiting would only delay
   // its rejection. Where responses report load, requests are admitted at once or not at all.
   auto requests_ahead = double(queue_.count_ahead_of(accepted.queue_position));
@@ -199,7 +199,7 @@
   for (auto& [id, request] : requests_) {
     if (request.deadline > deadline) {
       request.deadline = deadline;
-      host_.schedule_timer(deadline - 2 * deployment_.round_trip_s, deadline_timer(id));
+      host_.schedule_request_timer(id, deadline - 2 * deployment_.round_trip_s, deadline_timer(id));
     }
   }
 }
--- a/src/policy/request_transitions.cpp
+++ b/src/policy/request_transitions.cpp
@@ -102,7 +102,7 @@
 }
 
 void BackupRequestPolicy::start_hedge_timer(const RequestState& request, double delay_s) {
-  host_.schedule_timer(now_ + delay_s, hedge_timer(request.id));
+  host_.schedule_request_timer(request.id, now_ + delay_s, hedge_timer(request.id));
 }
 
 void BackupRequestPolicy::consider_hedge(RequestState& request) {
--- a/src/proxy/pending_requests.h
+++ b/src/proxy/pending_requests.h
@@ -12,6 +12,7 @@
 
 #include "puffinvane/policy.h"
 #include "src/http/http.h"
+#include "src/net/loop.h"
 
 namespace puffinvane {
 
@@ -51,6 +52,9 @@
   // Until the client timeout, counted from the arrival of the last byte of the request.
   double remaining_time_s = 0;
 
+  // Timers that nobody needs once the request is removed.
+  std::vector<AlarmId> alarms = {};
+
   // Its response has been sent or is being relayed, or its client has left.
   bool concluded() const { return !downstream || relay; }
   // Its response has been sent or its client has left.
@@ -73,15 +77,17 @@
     auto found = requests_.find(id);
     return found == requests_.end() ? nullptr : &found->second;
   }
-  // Removes the request if its client is done and the policy was told of the end of each attempt.
-  void remove_if_finished(RequestId id) {
+  // Takes the request out if its client is done and the policy was told of the end of each attempt.
+  std::optional<PendingRequest> take_if_finished(RequestId id) {
     auto found = requests_.find(id);
-    if (found == requests_.end() || !found->second.client_is_done()) return;
+    if (found == requests_.end() || !found->second.client_is_done()) return {};
     for (const PendingAttempt& attempt : found->second.attempts) {
-      if (!attempt.reported) return;
+      if (!attempt.reported) return {};
     }
-    client_ids_.erase(std::string(found->second.message.header(kRequestIdHeader)));
+    PendingRequest finished = std::move(found->second);
+    client_ids_.erase(std::string(finished.message.header(kRequestIdHeader)));
     requests_.erase(found);
+    return finished;
   }
   std::size_t count() const { return requests_.size(); }
   // The requests that are neither answered nor abandoned by their clients.
--- a/src/proxy/request_forwarder.cpp
+++ b/src/proxy/request_forwarder.cpp
@@ -108,7 +108,8 @@
   request.attempts.push_back({std::string(endpoint), now, deadline});
   log_attempt_started(loop_.log(), {client_id_of(request), number, endpoint}, directory_.index(),
                       now - directory_.confirmed_at_s());
-  loop_.at(deadline, alive_.guard([this, id, number] { on_attempt_deadline(id, number); }));
+  request.alarms.push_back(
+      loop_.at(deadline, alive_.guard([this, id, number] { on_attempt_deadline(id, number); })));
   if (client_may_have_left(id)) return report_attempt_end_soon(id, number, Outcome::NotSent);
   // A body whose first part was sent and released can't be sent again. NotSent blames no endpoint for that.
   if (request.body_consumed) return report_attempt_end_soon(id, number, Outcome::NotSent);
@@ -157,8 +158,8 @@
   used = fresh.get();
   busy_[used] = std::move(fresh);
   used->assign_attempt(attempt, is_head);
-  loop_.at(loop_.now() + kSpareDelayShare * deployment_.connect_timeout_s,
-           alive_.guard([this, attempt] { open_spare(attempt); }));
+  request.alarms.push_back(loop_.at(loop_.now() + kSpareDelayShare * deployment_.connect_timeout_s,
+                                    alive_.guard([this, attempt] { open_spare(attempt); })));
   return {};
 }
 
@@ -273,6 +274,21 @@
   loop_.at(due_at, alive_.guard([this, token] { policy_->on_timer(loop_.now(), token); }));
 }
 
+// Requests that have ended would keep a timer each until their deadlines otherwise, and a client that sends
+// small requests at full speed would use up the memory.
+void RequestForwarder::schedule_request_timer(RequestId id, double due_at, std::uint64_t token) {
+  PendingRequest* request = requests_.find(id);
+  if (!request) return;
+  request->alarms.push_back(
+      loop_.at(due_at, alive_.guard([this, token] { policy_->on_timer(loop_.now(), token); })));
+}
+
+void RequestForwarder::remove_if_finished(RequestId id) {
+  const std::optional<PendingRequest> finished = requests_.take_if_finished(id);
+  if (!finished) return;
+  for (const AlarmId& alarm : finished->alarms) loop_.cancel(alarm);
+}
+
 // Sends the final response to the client: `from` with `status`, or one made of `status`, `more_headers` and
 // `text`.
 void RequestForwarder::conclude(RequestId id, int status, const HttpMessage* from,
@@ -289,7 +305,7 @@
                                                     : RequestOutcome::Failed);
   downstream.respond(status, from, more_headers, text, false);
   // Removed on the next turn only: the policy may be working on this request and still cancel attempts of it.
-  loop_.post(alive_.guard([this, id] { requests_.remove_if_finished(id); }));
+  loop_.post(alive_.guard([this, id] { remove_if_finished(id); }));
 }
 
 // ---- attempts and responses
@@ -386,7 +402,8 @@
 void RequestForwarder::set_upload_deadline(RequestId id, double arrived_at) {
   PendingRequest& request = *requests_.find(id);
   request.deadline = std::min(arrived_at + request.remaining_time_s, shutdown_deadline_.value_or(kNever));
-  loop_.at(request.deadline - kDeadlineMargin, alive_.guard([this, id] { on_upload_deadline(id); }));
+  request.alarms.push_back(
+      loop_.at(request.deadline - kDeadlineMargin, alive_.guard([this, id] { on_upload_deadline(id); })));
 }
 
 void RequestForwarder::on_upload_deadline(RequestId id) {
@@ -418,7 +435,7 @@
   if (attempt.reused_after_idle_s) idle_reuse_.record(*attempt.reused_after_idle_s, false);
   request.relay = &upstream;
   Load load = parse_load(response.header("X-Backend-Load"));
-  loop_.at(request.deadline, alive_.guard([this, id] { check_relay(id); }));
+  request.alarms.push_back(loop_.at(request.deadline, alive_.guard([this, id] { check_relay(id); })));
   request.downstream->begin_response(response, length);
   on_response_part(upstream, std::move(response.body));
   policy_->on_attempt_ended(now, {id, number, Outcome::Delivered, true, now - attempt.started_at, load});
@@ -456,7 +473,7 @@
   request.relay = nullptr;
   DownstreamConnection* downstream = std::exchange(request.downstream, nullptr);
   downstream->open_request.reset();
-  requests_.remove_if_finished(id);
+  remove_if_finished(id);
   return downstream;
 }
 
@@ -544,7 +561,7 @@
       !request->concluded())
     request->error_response = std::move(*response);
   policy_->on_attempt_ended(now, {id, number, outcome, request->concluded(), now - attempt.started_at, load});
-  requests_.remove_if_finished(id);
+  remove_if_finished(id);
 }
 
 // ---- clients
@@ -555,13 +572,13 @@
   if (UpstreamConnection* relay = std::exchange(request.relay, nullptr)) {
     relay->close();
     loop_.delete_later(take_busy(*relay));
-    return requests_.remove_if_finished(id);
+    return remove_if_finished(id);
   }
   // The rest of the body will never come. Where the policy may not cancel attempts, they would wait for it.
   const int unfinishable_attempts = request.body_incomplete ? int(request.attempts.size()) : 0;
   for (int number = 0; number < unfinishable_attempts; ++number) end_unsent_attempt(id, number);
   policy_->on_request_cancelled(loop_.now(), id);
-  requests_.remove_if_finished(id);
+  remove_if_finished(id);
 }
 
 const RequestClass* RequestForwarder::find_class(std::string_view name) const {
--- a/src/proxy/request_forwarder.h
+++ b/src/proxy/request_forwarder.h
@@ -111,6 +111,7 @@
   void reject_request(RequestId id, double retry_after_s) override;
   void fail_request(RequestId id) override;
   void schedule_timer(double due_at, std::uint64_t token) override;
+  void schedule_request_timer(RequestId id, double due_at, std::uint64_t token) override;
   void poll_endpoint_list() override {}  // the discovery watch never stops
   void log(std::string_view text) override;
 
@@ -143,6 +144,8 @@
   void close_oldest_idle() override;
 
   // Requests
+  void remove_if_finished(RequestId id);
+  void remember_if_it_may_have_run(const PendingRequest& request);
   bool client_may_have_left(RequestId id);
   double time_left_to_send(const PendingRequest& request, const PendingAttempt& attempt) const;
   void conclude(RequestId id, int status, const HttpMessage* from, std::string_view more_headers,
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -76,7 +76,8 @@
     if (!is_shortage && open_tries_ == 0) throw;
     if (!is_shortage || ++open_tries_ > kMaxOpenTries)
       return fail(error.what());  // an exception must not leave a callback of the loop
-    return loop().at(loop().now() + kOpenRetryInterval, alive_.guard([this] { start(); }));
+    loop().at(loop().now() + kOpenRetryInterval, alive_.guard([this] { start(); }));
+    return;
   }
   open_tries_ = 0;
   set_pools(router_.site());
@@ -130,8 +131,10 @@
         .with("pools_ending", retired_.size());
     open_tries_ = 0;
   } catch (const std::exception& error) {
-    if (dynamic_cast<const Listener::LocalShortage*>(&error) && ++open_tries_ <= kMaxOpenTries)
-      return loop().at(loop().now() + kOpenRetryInterval, alive_.guard([this] { reload_settings(); }));
+    if (dynamic_cast<const Listener::LocalShortage*>(&error) && ++open_tries_ <= kMaxOpenTries) {
+      loop().at(loop().now() + kOpenRetryInterval, alive_.guard([this] { reload_settings(); }));
+      return;
+    }
     open_tries_ = 0;
     loop().log().event(Level::Warning, "site.kept").with("version", version_).with("why", error.what());
   }
--- a/src/server/sidecar.cpp
+++ b/src/server/sidecar.cpp
@@ -89,7 +89,8 @@
                      admin_ ? Listener::PortSharing::Shared : Listener::PortSharing::Exclusive);
   } catch (const Listener::NotAvailableNow&) {
     if (loop().now() > started_ + kKillTimeoutSeconds) throw;
-    return loop().at(loop().now() + kListenRetryInterval, alive_.guard([this] { try_listeners(); }));
+    loop().at(loop().now() + kListenRetryInterval, alive_.guard([this] { try_listeners(); }));
+    return;
   }
   if (fleet_) {
     has_predecessor_ ? fleet_->open_with_retry() : fleet_->open();
