proxy: count an upload as sent once its client's machine can hold the rest

Cause: a request's time runs from when its client has written the last byte. While the endpoint takes little, this process leaves input unread, and what follows stays in the send buffer of the client's machine, where nothing shows whether it is the last byte. It counted as not sent.

Change: while input is unread and the rest of a declared length fits into the largest send buffer that Linux has by default (4 MiB), the client's time runs from when no input was unread last. If more turns out to be missing, it is taken back, as before.

Open: a body in chunks of which the rest lies there; its length isn't known.

--- a/src/proxy/downstream_connection.cpp
+++ b/src/proxy/downstream_connection.cpp
@@ -187,11 +187,15 @@
   if (!is_newly_accepted && !is_behind_request) arrived_at_ = loop_.now() - loop_.stall_duration();
 }
 
-// Whether the last byte of the body may be here, though it is unread. Without a declared length only the end
-// of the unread input tells.
+// Whether the client may have written the last byte of the body, though it is unread. Input that is left
+// unread keeps what follows on the client's machine, as far as that can hold it. Without a declared length
+// only the end of the unread input tells.
 bool DownstreamConnection::body_may_have_arrived() const {
-  if (const std::optional<std::size_t> length = reader_.content_length())
-    return reader_.body_bytes_received() + unread_.size() + tcp_.unread_bytes() >= *length;
+  if (const std::optional<std::size_t> length = reader_.content_length()) {
+    const std::size_t unread_bytes = tcp_.unread_bytes();
+    const std::size_t seen_bytes = reader_.body_bytes_received() + unread_.size() + unread_bytes;
+    return seen_bytes + (unread_bytes > 0 ? kMaxClientSendBuffer : 0) >= *length;
+  }
   const std::optional<std::string> tail = tcp_.unread_tail(kBodyTailBytes);
   return !tail || may_end_chunked_message(*tail);
 }
--- a/tests/integration/streamed_upload_test.cpp
+++ b/tests/integration/streamed_upload_test.cpp
@@ -2,6 +2,7 @@
 // the arrival of its last byte, which the sidecar may leave unread for as long as the endpoint takes nothing.
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <memory>
 #include <optional>
 #include <string>
@@ -142,6 +143,40 @@
   EXPECT_GT(taken, 0);
 }
 
+// Guards against: an answer that comes seconds after its time because the endpoint reads slowly, and the rest
+// of the request lies in the send buffer of the client's machine.
+TEST_F(StreamedUploadToASilentEndpoint, IsAnsweredInTimeThoughTheClientsMachineHoldsTheRest) {
+  constexpr std::size_t kBytes[] = {3 * kMegabyte, 4 * kMegabyte, 5 * kMegabyte};
+  constexpr std::size_t kReadBytes = 3'200;
+  constexpr double kReadEverySeconds = 0.05;  // 64 kB a second
+  int written = 0;
+  for (const std::size_t body_bytes : kBytes) {
+    SidecarProcess::Options options;
+    options.limits = R"({"sockets":1024,"memory_mb":32})";
+    sidecar_.reset();
+    start(options);
+    std::atomic<bool> is_over = false;
+    std::thread reads([&] {
+      TestConnection attempt = endpoint_.accept_connection();
+      for (; !is_over && attempt.receive_some(kReadBytes); sleep_for(kReadEverySeconds)) {
+      }
+    });
+    const bool is_written = client_->send_within(upload(body_bytes, Framing::Length), 0.2);
+    const double written_at_s = now();
+    const bool is_answered = client_->has_input_within(kClientTimeoutSeconds + kLostAfterSeconds);
+    const double answered_after_s = now() - written_at_s;
+    is_over = true;
+    reads.join();
+    if (!is_written) continue;
+    ++written;
+
+    EXPECT_TRUE(is_answered) << body_bytes << " bytes";
+    EXPECT_EQ(is_answered ? client_->response_status() : 0, 502);
+    EXPECT_GT(answered_after_s, kClientTimeoutSeconds - 0.15);
+  }
+  EXPECT_GT(written, 0);
+}
+
 // Guards against: an upload is given up although its client still sends, because its endpoint takes it
 // slowly.
 TEST_P(StreamedUpload, IsServedWhenItsEndpointTakesItLaterThanTheClientTimeout) {
