proxy: refuse an id that may have run when its client has left

Cause: an id was refused only while its request was pending, and a request whose client leaves is removed once its attempts are cancelled, although the endpoint may have begun it.

Ids that can't have run are served.

--- a/src/proxy/pending_requests.h
+++ b/src/proxy/pending_requests.h
@@ -28,6 +28,7 @@
   double deadline = 0;
   UpstreamConnection* upstream = nullptr;  // null once it has ended, even if the policy is not told yet
   bool reported = false;                   // the policy was told of its end
+  bool may_have_run = false;               // as of its end; while it is in flight its connection tells
   // Of a body that is held whole. For one that is forwarded in chunks while it arrives: 1 once the last chunk
   // was passed to the connection, else 0.
   std::size_t body_bytes_sent = 0;
--- a/src/proxy/request_forwarder.cpp
+++ b/src/proxy/request_forwarder.cpp
@@ -33,6 +33,21 @@
 constexpr double kTimeLeftMargin = 0.025;
 constexpr double kDestroyDelay = 0.5;  // seconds, for callbacks put off to the next turn or timer check
 
+bool may_have_run(Outcome outcome) {
+  switch (outcome) {
+    case Outcome::Refused:
+    case Outcome::ConnectFailed:
+    case Outcome::NotSent:
+    case Outcome::Cancelled: return false;  // of a cancelled one its connection has told
+    case Outcome::Delivered:
+    case Outcome::Failed:
+    case Outcome::TimedOut:
+    case Outcome::Broken:
+    case Outcome::Stale: return true;
+  }
+  return true;
+}
+
 std::string_view client_id_of(const PendingRequest& request) {
   return request.message.header(kRequestIdHeader);
 }
@@ -550,6 +565,7 @@
   if (!request || request->attempts[std::size_t(number)].reported) return;
   PendingAttempt& attempt = request->attempts[std::size_t(number)];
   attempt.reported = true;
+  attempt.may_have_run = attempt.may_have_run || may_have_run(outcome);
   double now = loop_.now();
   log_attempt_ended(loop_.log(), {client_id_of(*request), number, attempt.endpoint}, outcome,
                     now - attempt.started_at);
@@ -566,8 +582,18 @@
 
 // ---- clients
 
+// Endpoints would run a request again that comes a second time under its id, from whomever.
+void RequestForwarder::remember_if_it_may_have_run(const PendingRequest& request) {
+  const bool may_have_run =
+      request.relay || std::ranges::any_of(request.attempts, [](const auto& attempt) {
+        return attempt.upstream ? attempt.upstream->may_have_run() : attempt.may_have_run;
+      });
+  if (may_have_run) abandoned_ids_.add(client_id_of(request), loop_.now());
+}
+
 void RequestForwarder::on_client_disconnected(RequestId id) {
   PendingRequest& request = *requests_.find(id);
+  remember_if_it_may_have_run(request);
   request.downstream = nullptr;
   if (UpstreamConnection* relay = std::exchange(request.relay, nullptr)) {
     relay->close();
@@ -676,7 +702,9 @@
 // Closes a connection that has an attempt. Returns that attempt, whose end the caller has to report.
 UpstreamConnection::AttemptId RequestForwarder::detach_and_close(UpstreamConnection& upstream) {
   UpstreamConnection::AttemptId attempt_id = upstream.attempt_id();
-  requests_.find(attempt_id.request)->attempts[std::size_t(attempt_id.number)].upstream = nullptr;
+  PendingAttempt& attempt = requests_.find(attempt_id.request)->attempts[std::size_t(attempt_id.number)];
+  attempt.may_have_run = upstream.may_have_run();
+  attempt.upstream = nullptr;
   upstream.close();
   loop_.delete_later(std::move(busy_.extract(&upstream).mapped()));
   return attempt_id;
--- a/src/proxy/request_forwarder.h
+++ b/src/proxy/request_forwarder.h
@@ -11,6 +11,7 @@
 
 #include "puffinvane/policy.h"
 #include "src/discovery/discovery_watch.h"
+#include "src/proxy/abandoned_request_ids.h"
 #include "src/proxy/connection_limiter.h"
 #include "src/proxy/downstream_connection.h"
 #include "src/proxy/endpoint_directory.h"
@@ -90,8 +91,10 @@
     counters_.record_outcome(index_of(request_class), RequestOutcome::Failed);
   }
 
-  // Whether a request with this client-assigned id is pending.
-  bool has_pending_request(std::string_view client_id) const { return requests_.has_client_id(client_id); }
+  // Whether a request with this client-assigned id is pending, or its client has left and it may have run.
+  bool is_id_in_use(std::string_view client_id) {
+    return requests_.has_client_id(client_id) || abandoned_ids_.contains(client_id, loop_.now());
+  }
   // Makes a pending request of it and tells the policy. remaining_time_s: for how long the client still
   // waits.
   void forward(DownstreamConnection& downstream, HttpMessage message, const RequestClass& request_class,
@@ -191,6 +194,7 @@
   EndpointDirectory directory_;
   RequestCounters counters_;
   PendingRequests requests_;
+  AbandonedRequestIds abandoned_ids_;
   IdleConnections<UpstreamConnection> idle_;
   // Connections being established without an attempt, by endpoint. No list is empty.
   std::map<std::string, std::vector<std::unique_ptr<UpstreamConnection>>> spares_;
--- a/src/proxy/upstream_connection.h
+++ b/src/proxy/upstream_connection.h
@@ -83,6 +83,9 @@
   }
   const AttemptId& attempt_id() const { return attempt_id_; }
   const std::string& endpoint() const { return endpoint_; }
+  const std::string& address() const { return address_; }  // that it was connected to
+  // Whether the request of the current attempt was written whole, or its response has begun.
+  bool may_have_run() const { return state_ == State::AwaitingResponse || state_ == State::Relaying; }
   double idle_for(double now) const { return now - idle_since_; }
 
  private:
--- a/src/server/server.cpp
+++ b/src/server/server.cpp
@@ -378,7 +378,7 @@
   // Endpoints tell requests apart by their id, so a request without one gets one.
   if (ids == 0) request.headers.add(kRequestIdHeader, new_request_id());
   std::string_view id = request.header(kRequestIdHeader);
-  if (id.empty() || ids > 1 || forwarder.has_pending_request(id))
+  if (id.empty() || ids > 1 || forwarder.is_id_in_use(id))
     return downstream.respond(400, nullptr, "", "X-Correlation-Id has to be new, if it is there\n", true);
   std::optional<double> time_left = remaining_deadline_of(request, request_class.client_timeout_s);
   if (!time_left) return downstream.respond(400, nullptr, "", "X-Time-Left is no number with m or u\n", true);
--- a/src/server/sidecar.cpp
+++ b/src/server/sidecar.cpp
@@ -257,7 +257,7 @@
   std::string_view id = request.header(kRequestIdHeader);
   std::optional<double> time_left = remaining_deadline_of(request, request_class->client_timeout_s);
   bool has_valid_id =
-      !id.empty() && request.header_count(kRequestIdHeader) == 1 && !forwarder_.has_pending_request(id);
+      !id.empty() && request.header_count(kRequestIdHeader) == 1 && !forwarder_.is_id_in_use(id);
   if (!has_valid_id || !time_left) forwarder_.record_invalid_request(*request_class);
   if (!has_valid_id)
     return downstream.respond(400, nullptr, "", "X-Correlation-Id has to be there, once and new\n", true);
--- /dev/null
+++ b/tests/integration/departed_client_test.cpp
@@ -0,0 +1,155 @@
+// Clients that leave: nothing more is sent for them, and what may have run for one of them doesn't run again
+// under its id.
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "testing/program_main.h"
+#include "testing/sidecar_process.h"
+
+namespace puffinvane::test {
+namespace {
+
+// The platform's terms: no attempt begins later than this after the close.
+constexpr double kAttemptMayBeginSeconds = 0.1;
+constexpr double kLookSeconds = 0.6;
+
+std::string unsafe_request(const std::string& id, std::size_t body_bytes = 1) {
+  return "POST /write HTTP/1.1\r\nHost: origin.svc\r\nX-Correlation-Id: " + id +
+         "\r\nContent-Length: " + std::to_string(body_bytes) + "\r\n\r\n" + std::string(body_bytes, 'u');
+}
+
+// Answers requests one after another, each after some work, and records when each arrived.
+class WorkingEndpoint {
+ public:
+  explicit WorkingEndpoint(int last, double work_s = 0.02)
+      : listener_(last, 64), work_s_(work_s), accepting_([this] { accept(); }) {}
+  WorkingEndpoint(const WorkingEndpoint&) = delete;
+  WorkingEndpoint& operator=(const WorkingEndpoint&) = delete;
+  ~WorkingEndpoint() {
+    is_stopping_ = true;
+    accepting_.join();
+    for (std::thread& thread : serving_) thread.join();
+  }
+  const std::string& address() const { return listener_.address; }
+  std::size_t count_after(double time_s) const {
+    std::lock_guard lock(mutex_);
+    return std::size_t(std::ranges::count_if(arrived_at_s_, [&](double at_s) { return at_s > time_s; }));
+  }
+  std::size_t count() const { return count_after(0); }
+
+ private:
+  static constexpr double kPollSeconds = 0.01;
+  void accept() {
+    while (!is_stopping_) {
+      if (!listener_.has_connection_within(kPollSeconds)) continue;
+      serving_.emplace_back(
+          [this, connection = listener_.accept_connection()]() mutable { serve(connection); });
+    }
+  }
+  void serve(TestConnection& connection) {
+    while (!is_stopping_) {
+      if (!connection.has_input_within(kPollSeconds)) continue;
+      if (!connection.receive_message(HttpReader::Side::Request)) return;
+      {
+        std::lock_guard lock(mutex_);
+        arrived_at_s_.push_back(now());
+      }
+      sleep_for(work_s_);
+      if (!connection.send_text(ok_response("x"))) return;
+    }
+  }
+
+  Listener listener_;
+  const double work_s_;
+  mutable std::mutex mutex_;
+  std::vector<double> arrived_at_s_;
+  std::atomic<bool> is_stopping_ = false;
+  std::vector<std::thread> serving_;
+  std::thread accepting_;
+};
+
+enum class Departure { Close, Reset };
+
+struct PipelinedLoad {
+  const char* name;
+  int requests;
+  std::size_t body_bytes;
+  Departure departure;
+};
+
+class DepartedClient : public testing::TestWithParam<PipelinedLoad> {};
+
+// Guards against: requests that a client had pipelined are sent on after it has closed its connection.
+TEST_P(DepartedClient, HasNothingSentForItThatItHadPipelined) {
+  WorkingEndpoint endpoint(2);
+  SidecarProcess sidecar(list_entry_json("a", endpoint.address()));
+  std::string text;
+  for (int i = 0; i < GetParam().requests; ++i)
+    text += unsafe_request("p" + std::to_string(i), GetParam().body_bytes);
+  TestConnection client(sidecar.listen);
+
+  client.send_what_fits(text);
+  sleep_for(0.15);
+  GetParam().departure == Departure::Close ? client.disconnect() : client.reset();
+  const double left_at_s = now();
+  sleep_for(kLookSeconds);
+
+  EXPECT_GT(endpoint.count(), 0U);
+  EXPECT_EQ(endpoint.count_after(left_at_s + kAttemptMayBeginSeconds), 0U);
+}
+
+constexpr PipelinedLoad kLoads[] = {
+    {"FewClose", 30, 1, Departure::Close},         {"FewReset", 30, 1, Departure::Reset},
+    {"ManyClose", 2000, 1, Departure::Close},      {"ManyReset", 2000, 1, Departure::Reset},
+    {"FloodClose", 60'000, 1, Departure::Close},   {"FloodReset", 60'000, 1, Departure::Reset},
+    {"LargeClose", 300, 8000, Departure::Close},   {"LargeReset", 300, 8000, Departure::Reset},
+    {"LongerClose", 40, 60'000, Departure::Close}, {"LongerReset", 40, 60'000, Departure::Reset}};
+INSTANTIATE_TEST_SUITE_P(Loads, DepartedClient, testing::ValuesIn(kLoads),
+                         [](const auto& load) { return load.param.name; });
+
+class ReturningId : public testing::TestWithParam<Departure> {};
+
+// Guards against: an id runs twice when it comes again after its client has left.
+TEST_P(ReturningId, DoesNotRunAgainIfItMayHaveRun) {
+  Listener endpoint(2);
+  SidecarProcess sidecar(list_entry_json("a", endpoint.address));
+  TestConnection first(sidecar.listen);
+  first.send_text(unsafe_request("twice"));
+  auto [attempt, request] = endpoint.accept_request();
+
+  GetParam() == Departure::Close ? first.disconnect() : first.reset();
+  sleep_for(0.2);
+  TestConnection second(sidecar.listen);
+  second.send_text(unsafe_request("twice"));
+
+  EXPECT_EQ(second.response_status(), 400);
+  EXPECT_FALSE(endpoint.has_connection_within(0.1));
+}
+
+// A client may send a request again that was read and not sent to any endpoint.
+TEST_P(ReturningId, IsServedIfItCanNotHaveRun) {
+  Listener endpoint(2, 1);
+  SidecarProcess sidecar(list_entry_json("a", endpoint.address));
+  TestConnection first(sidecar.listen);
+  first.send_text("POST /write HTTP/1.1\r\nX-Correlation-Id: again\r\nContent-Length: 9\r\n\r\nhalf");
+  sleep_for(0.1);
+  GetParam() == Departure::Close ? first.disconnect() : first.reset();
+  TestConnection second(sidecar.listen);
+  second.send_text(unsafe_request("again"));
+  auto [attempt, request] = endpoint.accept_request();
+  attempt.send_text(ok_response("x"));
+
+  EXPECT_EQ(second.response_status(), 200);
+}
+
+INSTANTIATE_TEST_SUITE_P(Departures, ReturningId, testing::Values(Departure::Close, Departure::Reset),
+                         [](const auto& one) { return one.param == Departure::Close ? "Close" : "Reset"; });
+
+}  // namespace
+}  // namespace puffinvane::test
+
+int main(int count, char** words) { return puffinvane::test::run_tests_of_program(count, words); }
