proxy: keep a connection only while it leads to its endpoint's address

Cause: a connection is kept under its endpoint's name. One that was busy while the list gave the endpoint another address, or took it out, was kept as idle when its attempt ended, and later requests for that name went to whoever is at the former address. Only idle connections were closed at the change.

Change: a connection knows the address that it was made to, and is kept only if its endpoint has that address now.

--- a/src/proxy/request_forwarder.cpp
+++ b/src/proxy/request_forwarder.cpp
@@ -512,7 +512,18 @@
   return taken;
 }
 
+// While a connection was busy its endpoint may have moved or gone, and another process may be at its address
+// by now.
+bool RequestForwarder::leads_to_its_endpoint(const UpstreamConnection& upstream) const {
+  const std::string* address = directory_.address_of(upstream.endpoint());
+  return address && *address == upstream.address();
+}
+
 void RequestForwarder::keep_or_close(std::unique_ptr<UpstreamConnection> upstream) {
+  if (!leads_to_its_endpoint(*upstream)) {
+    upstream->close();
+    return loop_.delete_later(std::move(upstream));
+  }
   if (upstream->connecting_as_spare() && !retired_at_) {
     auto& spares = spares_[upstream->endpoint()];
     if (spares.size() < kMaxSparesPerEndpoint) return spares.push_back(std::move(upstream));
--- a/src/proxy/request_forwarder.h
+++ b/src/proxy/request_forwarder.h
@@ -176,6 +176,7 @@
   void open_spare(UpstreamConnection::AttemptId attempt);
   std::unique_ptr<UpstreamConnection> take_busy(const UpstreamConnection& upstream);
   std::unique_ptr<UpstreamConnection> take_spare(const UpstreamConnection& upstream);
+  bool leads_to_its_endpoint(const UpstreamConnection& upstream) const;
   void keep_or_close(std::unique_ptr<UpstreamConnection> upstream);
   void hand_to_successor(std::unique_ptr<UpstreamConnection> idle, double idle_since);
   void close_connections(const std::string& endpoint);
--- a/src/proxy/upstream_connection.cpp
+++ b/src/proxy/upstream_connection.cpp
@@ -89,6 +89,7 @@
 void UpstreamConnection::handle(Input input) { apply_transition(kTransitions, *this, state_, input); }
 
 bool UpstreamConnection::connect(std::string_view address, double timeout_s) {
+  address_ = address;
   TcpConnection::ConnectStart started = tcp_.connect(address);
   if (started == TcpConnection::ConnectStart::Refused) return false;
   if (started == TcpConnection::ConnectStart::LocalShortage)
--- a/src/proxy/upstream_connection.h
+++ b/src/proxy/upstream_connection.h
@@ -141,6 +141,7 @@
   Loop& loop_;
   Owner* owner_;
   std::string endpoint_;
+  std::string address_;
   TcpConnection tcp_;
   HttpReader reader_;
   State state_ = State::Connecting;
