proxy: read pipelined requests no faster than they are answered

Cause: a connection stops reading once 16 KiB of pipelined input are buffered, but each response switched reading on again: up to 32 KiB were read for each request of 70 bytes that was answered.

Change: after a response reading goes on only once no more than 16 KiB of pipelined input are left.

--- a/src/proxy/downstream_connection.cpp
+++ b/src/proxy/downstream_connection.cpp
@@ -237,6 +237,7 @@
       body_arrived_after_.reset();
     }
     unread_.drop(reader_.feed(unread_.front()));
+    if (is_reading_deferred_) resume_reading_if_drained();
     if (reader_.fault() != HttpReader::Fault::None) return apply(Input::ParseError);
     if (reader_.is_complete()) return apply(Input::RequestComplete);
     if (state_ == State::Uploading) {
@@ -382,12 +383,23 @@
 }
 
 void DownstreamConnection::read_next_request() {
-  tcp_.set_reading(true);
+  resume_reading_if_drained();
   // Posted to the loop: otherwise each of many pipelined requests would be handled one call deeper in the
   // stack.
   if (!unread_.empty()) loop_.post(alive_.guard([this] { parse_input(); }));
 }
 
+// With each response more would be read than the next request takes off otherwise, and the pipelined input
+// of one client would use up the memory.
+void DownstreamConnection::resume_reading_if_drained() {
+  is_reading_deferred_ = unread_.size() > kMaxPipelined;
+  if (is_reading_deferred_) {
+    read_ahead_full_ = true;
+  } else {
+    tcp_.set_reading(true);
+  }
+}
+
 // Whether this side may close after the current response. Not while pipelined input is pending: it has been
 // received already, and closing would lose the requests in it.
 bool DownstreamConnection::may_be_last_response(bool last) const {
@@ -400,6 +412,7 @@
 // close: it stays unread, and the client can send it again on another connection.
 void DownstreamConnection::stop_reading_requests(bool client_is_done) {
   discards_input_ = client_is_done;
+  is_reading_deferred_ = false;
   if (!discards_input_) tcp_.set_reading(false);
 }
 
--- a/src/proxy/downstream_connection.h
+++ b/src/proxy/downstream_connection.h
@@ -170,6 +170,7 @@
   void end_unread_request(int status, std::string_view text);
   void abandon_upload();
   void read_next_request();
+  void resume_reading_if_drained();
   bool may_be_last_response(bool last) const;
   void stop_reading_requests(bool client_is_done);
   void start_lingering();
@@ -200,7 +201,8 @@
   bool is_head_request_ = false;
   bool is_http_1_0_ = false;
   bool chunks_response_ = false;
-  bool read_ahead_full_ = false;  // reading was stopped because enough pipelined input is buffered
+  bool read_ahead_full_ = false;      // reading was stopped because enough pipelined input is buffered
+  bool is_reading_deferred_ = false;  // until less pipelined input is buffered
   // Further input is not a request. It is read and discarded, so that closing does not reset the connection.
   bool discards_input_ = false;
   const int listener_;
