hot restart: tell the other process which requests were sent

Cause: each process knows only its own pending requests.

Change: while two processes run, each tells the other on the control channel which requests it writes to endpoints, as hashes of ids, at once; at a takeover the predecessor also names those that it has sent before. The other one answers such an id with 400, as it would its own. All other messages are as before.

An id that comes at both processes within the same moment isn't covered.

crowd_memory started its second process without a common $TMPDIR until now, so that no upgrade took place and the figure for both processes in is of two processes that knew nothing of each other.

--- a/src/hot_restart/hot_restart.cpp
+++ b/src/hot_restart/hot_restart.cpp
@@ -55,6 +55,7 @@
 void HotRestart::begin_takeover() {
   loop_.log().event(Level::Info, "hot_restart.takeover_started");
   send_snapshot();
+  for (const std::uint64_t id_hash : owner_.sent_requests()) note_sent_request(id_hash);
   // Learned state is sent after the snapshot, so that the successor can start without waiting for it.
   learned_state_.emplace(owner_.learned_state());
   send_learned_state_packet();
@@ -102,6 +103,24 @@
   if (successor_) successor_->send(packet);
 }
 
+// A client may leave this process and send its request again to the other one.
+void HotRestart::note_sent_request(std::uint64_t id_hash) {
+  if (!predecessor_ && !successor_) return;
+  if (sent_requests_.empty()) loop_.post(alive_.guard([this] { send_sent_requests(); }));
+  sent_requests_.push_back(id_hash);
+}
+
+void HotRestart::send_sent_requests() {
+  const std::vector<std::uint64_t> all = std::exchange(sent_requests_, {});
+  for (std::size_t sent = 0; sent < all.size(); sent += SentRequestsMessage::kMaxIds) {
+    const auto begin = all.begin() + std::ptrdiff_t(sent);
+    const auto end = all.begin() + std::ptrdiff_t(std::min(all.size(), sent + SentRequestsMessage::kMaxIds));
+    const std::string packet = encode_message(SentRequestsMessage{{begin, end}});
+    if (predecessor_) predecessor_->send(packet);
+    if (successor_) successor_->send(packet);
+  }
+}
+
 void HotRestart::forward_operator_overrides(const Channel& sender) {
   Channel* other = &sender == predecessor_.get() ? successor_.get() : predecessor_.get();
   if (!other) return;
--- a/src/hot_restart/hot_restart.h
+++ b/src/hot_restart/hot_restart.h
@@ -2,9 +2,11 @@
 // the control channels. Its owner serves requests meanwhile.
 #pragma once
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "puffinvane/transition_table.h"
 #include "src/hot_restart/channel.h"
@@ -34,6 +36,10 @@
     virtual void on_operator_overrides(const OperatorOverrides& overrides) = 0;
     virtual void on_connection(Ref<GSocket> socket, ConnectionHistory history) = 0;
     virtual void on_peer_presence(PeerPresence presence) = 0;
+    // Hashes of the ids of requests that were sent to endpoints and may still run.
+    virtual std::vector<std::uint64_t> sent_requests() const { return {}; }
+    // The peer has sent these.
+    virtual void on_sent_requests(const std::vector<std::uint64_t>& /*id_hashes*/) {}
   };
 
   // `predecessor` is the socket of the control channel to the predecessor; null if there is none.
@@ -45,6 +51,8 @@
   // Whether there is a successor for which learned state is still being sent.
   bool is_sending_learned_state() const { return successor_state_ == SuccessorState::ReceivingLearnedState; }
   void send_operator_overrides();
+  // Notifies the predecessor and the successor soon, if there are any.
+  void note_sent_request(std::uint64_t id_hash);
   // Passes a client's connection to the successor. Returns false if it wasn't sent: this process keeps it.
   [[nodiscard]] bool try_send_connection(GSocket* connection, ConnectionHistory history);
 
@@ -60,6 +68,9 @@
   void on_message(Channel& sender, OperatorOverridesMessage& message, Packet& packet);
   void on_message(Channel& sender, ConnectionMessage& message, Packet& packet);
   void on_message(Channel& sender, LearnedStateMessage& message, Packet& packet);
+  void on_message(Channel&, SentRequestsMessage& message, Packet&) {
+    owner_.on_sent_requests(message.id_hashes);
+  }
   // Ignored: request_takeover has already read the parts of the snapshot, and ServingMessage needs no
   // reaction.
   void on_message(Channel&, EndpointListMessage&, Packet&) {}
@@ -70,6 +81,7 @@
   void apply_successor_event(SuccessorEvent event);
   void begin_takeover();
   void send_snapshot();
+  void send_sent_requests();
   void send_learned_state_packet();
   void discard_learned_state();
   void discard_successor();
@@ -83,6 +95,7 @@
   std::unique_ptr<Channel> predecessor_;
   std::unique_ptr<Channel> successor_;
   SuccessorState successor_state_ = SuccessorState::None;
+  std::vector<std::uint64_t> sent_requests_;          // of which the peers are not notified yet
   std::optional<LearnedStateEncoder> learned_state_;  // set while it is being sent
   LifetimeToken alive_;
 };
--- a/src/hot_restart/message.h
+++ b/src/hot_restart/message.h
@@ -55,8 +55,15 @@
   LearnedState state;
 };
 
+// Requests that the sender has sent to endpoints: the receiver must not send them again. Hashes of their ids,
+// as AbandonedRequestIds makes them.
+struct SentRequestsMessage {
+  static constexpr std::size_t kMaxIds = 2000;  // in one packet
+  std::vector<std::uint64_t> id_hashes;
+};
+
 using ControlMessage =
     std::variant<EndpointListMessage, OperatorOverridesMessage, ListenerMessage, ConnectionMessage,
-                 SnapshotCompleteMessage, ServingMessage, LearnedStateMessage>;
+                 SnapshotCompleteMessage, ServingMessage, LearnedStateMessage, SentRequestsMessage>;
 
 }  // namespace puffinvane
--- a/src/hot_restart/message_decoder.cpp
+++ b/src/hot_restart/message_decoder.cpp
@@ -63,6 +63,16 @@
   return ControlMessage(std::move(decoded.value()));
 }
 
+DecodeResult decode_sent_requests(Element packet) {
+  JsonReader reader;
+  SentRequestsMessage message;
+  reader.for_each_member(packet, wire::kRequestIdsKey, [&](Element id) {
+    message.id_hashes.push_back(reader.value<std::uint64_t>(id, wire::kRequestIdsKey));
+  });
+  if (reader.error()) return *reader.error();
+  return ControlMessage(std::move(message));
+}
+
 template <typename Message>
 DecodeResult decode_without_fields(Element) {
   return ControlMessage(Message{});
@@ -81,6 +91,7 @@
     {wire::kSnapshotCompleteType, decode_without_fields<SnapshotCompleteMessage>},
     {wire::kServingType, decode_without_fields<ServingMessage>},
     {wire::kLearnedStateType, decode_learned_state_or_empty},
+    {wire::kSentRequestsType, decode_sent_requests},
 };
 
 }  // namespace
--- a/src/hot_restart/message_encoder.cpp
+++ b/src/hot_restart/message_encoder.cpp
@@ -139,6 +139,12 @@
     return learned_state_packet(message.state, PartPosition::First, std::move(endpoints));
   }
 
+  json operator()(const SentRequestsMessage& message) const {
+    json packet = begin_packet(wire::kSentRequestsType);
+    packet[wire::kRequestIdsKey] = message.id_hashes;
+    return packet;
+  }
+
   json operator()(const ListenerMessage&) const { return begin_packet(wire::kListenerType); }
   json operator()(const SnapshotCompleteMessage&) const { return begin_packet(wire::kSnapshotCompleteType); }
   json operator()(const ServingMessage&) const { return begin_packet(wire::kServingType); }
--- a/src/hot_restart/message_fuzz_test.cpp
+++ b/src/hot_restart/message_fuzz_test.cpp
@@ -38,6 +38,7 @@
 void check_decoded(const ConnectionMessage&) {}
 void check_decoded(const SnapshotCompleteMessage&) {}
 void check_decoded(const ServingMessage&) {}
+void check_decoded(const SentRequestsMessage&) {}
 
 void check_packet(std::string_view text) {
   const auto decoded = decode_message(text);
--- a/src/hot_restart/message_test.cpp
+++ b/src/hot_restart/message_test.cpp
@@ -59,6 +59,18 @@
 
 INSTANTIATE_TEST_SUITE_P(Sizes, EndpointListOfSize, testing::Values(0, 1, 400, 1201));
 
+TEST(SentRequests, AreDecodedAsEncodedAndFitIntoAPacket) {
+  SentRequestsMessage sent;
+  for (std::size_t i = 0; i < SentRequestsMessage::kMaxIds; ++i) sent.id_hashes.push_back(~std::uint64_t{i});
+
+  const std::string packet = encode_message(sent);
+  const auto decoded = decode_as<SentRequestsMessage>(packet);
+
+  EXPECT_LT(packet.size(), kMaxPacketBytes);
+  ASSERT_TRUE(decoded.has_value());
+  EXPECT_EQ(decoded->id_hashes, sent.id_hashes);
+}
+
 TEST(OperatorOverrides, AreDecodedAsEncoded) {
   const OperatorOverrides overrides = test::quoted_overrides();
 
--- a/src/hot_restart/takeover.cpp
+++ b/src/hot_restart/takeover.cpp
@@ -138,6 +138,7 @@
   void on_message(ConnectionMessage&, Packet&) {}
   void on_message(ServingMessage&, Packet&) {}
   void on_message(LearnedStateMessage&, Packet&) {}
+  void on_message(SentRequestsMessage&, Packet&) {}
 
   const std::string& path_;
   const double deadline_s_;
--- a/src/hot_restart/wire_format.h
+++ b/src/hot_restart/wire_format.h
@@ -1,6 +1,6 @@
 // The keys and values in the control channel's packets, which are JSON objects. Only the encoder and the
 // decoder use them. Any change requires another kFormat, and processes that use a different kFormat refuse
-// such packets.
+// such packets. A further type needs none: a version that doesn't know it drops its packets.
 #pragma once
 
 #include <cstdint>
@@ -22,6 +22,7 @@
 inline constexpr std::string_view kSnapshotCompleteType = "whole";
 inline constexpr std::string_view kServingType = "serving";
 inline constexpr std::string_view kLearnedStateType = "learned";
+inline constexpr std::string_view kSentRequestsType = "requests";
 
 // Endpoint list. `list` has the form of discovery's lists and two additional fields, which are monotonic
 // times: when the list was received and, in each endpoint, when that started.
@@ -37,6 +38,9 @@
 // Connection.
 inline constexpr const char* kConnectionUsedKey = "asked";
 
+// Sent requests: an array of hashes of ids.
+inline constexpr const char* kRequestIdsKey = "ids";
+
 // Learned state. `endpoints` is an array of [name, started at, statistics, [statistics by class...]], where
 // statistics are [health, ejection, ejected until, last response, recovery limit, [samples...]] and a sample
 // is [completed at, latency ratio, depth, in time, failed]. `prefixes` is an array of
--- a/src/proxy/abandoned_request_ids.h
+++ b/src/proxy/abandoned_request_ids.h
@@ -1,5 +1,6 @@
-// Remembers the ids of requests that may have run, or may yet run, although their clients have left without a
-// response: under such an id nothing is forwarded again.
+// Remembers the ids of requests that may have run, or may yet run, although this process has no pending
+// request for them: their clients have left without a response, or another process of this sidecar has sent
+// them. Under such an id nothing is forwarded again.
 #pragma once
 
 #include <cstddef>
@@ -31,6 +32,7 @@
     return hashes_.contains(hash_of(id));
   }
   std::size_t count() const { return hashes_.size(); }
+  const std::unordered_set<std::uint64_t>& hashes() const { return hashes_; }
 
   static std::uint64_t hash_of(std::string_view id) { return hash_name(kHashSeed, id); }
 
--- a/src/proxy/pending_requests.h
+++ b/src/proxy/pending_requests.h
@@ -91,6 +91,7 @@
     return finished;
   }
   std::size_t count() const { return requests_.size(); }
+  const std::unordered_map<RequestId, PendingRequest>& all() const { return requests_; }
   // The requests that are neither answered nor abandoned by their clients.
   std::size_t active_count() const {
     return std::size_t(std::count_if(requests_.begin(), requests_.end(),
--- a/src/proxy/request_forwarder.cpp
+++ b/src/proxy/request_forwarder.cpp
@@ -354,6 +354,7 @@
   if (!request.concluded() && !client_may_have_left(id)) {
     log_attempt_writing(loop_.log(), {client_id_of(request), number, attempt.endpoint},
                         loop_.now() - attempt.started_at);
+    if (on_request_written_) on_request_written_(AbandonedRequestIds::hash_of(client_id_of(request)));
     return out;
   }
   loop_.post(alive_.guard([this, id = id, number = number] { end_unsent_attempt(id, number); }));
@@ -602,6 +603,19 @@
   if (may_have_run) abandoned_ids_.add(client_id_of(request), loop_.now());
 }
 
+std::vector<std::uint64_t> RequestForwarder::sent_request_hashes() const {
+  const std::unordered_set<std::uint64_t>& abandoned = abandoned_ids_.hashes();
+  std::vector<std::uint64_t> hashes(abandoned.begin(), abandoned.end());
+  for (const auto& [id, request] : requests_.all()) {
+    if (!request.attempts.empty()) hashes.push_back(AbandonedRequestIds::hash_of(client_id_of(request)));
+  }
+  return hashes;
+}
+
+void RequestForwarder::on_sent_elsewhere(const std::vector<std::uint64_t>& id_hashes) {
+  for (const std::uint64_t hash : id_hashes) abandoned_ids_.add_hash(hash, loop_.now());
+}
+
 void RequestForwarder::on_client_disconnected(RequestId id) {
   PendingRequest& request = *requests_.find(id);
   remember_if_it_may_have_run(request);
--- a/src/proxy/request_forwarder.h
+++ b/src/proxy/request_forwarder.h
@@ -95,6 +95,14 @@
   bool is_id_in_use(std::string_view client_id) {
     return requests_.has_client_id(client_id) || abandoned_ids_.contains(client_id, loop_.now());
   }
+  // Hashes of the ids of requests that were sent to endpoints and may still run.
+  std::vector<std::uint64_t> sent_request_hashes() const;
+  // Another process of this sidecar has sent these.
+  void on_sent_elsewhere(const std::vector<std::uint64_t>& id_hashes);
+  // Called with such a hash before an attempt is written.
+  void set_sent_request_observer(std::function<void(std::uint64_t)> observer) {
+    on_request_written_ = std::move(observer);
+  }
   // Makes a pending request of it and tells the policy. remaining_time_s: for how long the client still
   // waits.
   void forward(DownstreamConnection& downstream, HttpMessage message, const RequestClass& request_class,
@@ -196,6 +204,7 @@
   RequestCounters counters_;
   PendingRequests requests_;
   AbandonedRequestIds abandoned_ids_;
+  std::function<void(std::uint64_t)> on_request_written_;  // empty: nobody wants to know
   IdleConnections<UpstreamConnection> idle_;
   // Connections being established without an attempt, by endpoint. No list is empty.
   std::map<std::string, std::vector<std::unique_ptr<UpstreamConnection>>> spares_;
--- a/src/server/sidecar.cpp
+++ b/src/server/sidecar.cpp
@@ -65,6 +65,8 @@
   if (has_predecessor_) limiter_.share_limits(true);
   hot_restart_.emplace(loop, static_cast<HotRestart::Owner&>(*this), control_socket_path(config_.listen),
                        std::move(takeover_.predecessor));
+  forwarder_.set_sent_request_observer(
+      [this](std::uint64_t id_hash) { hot_restart_->note_sent_request(id_hash); });
   admin_.emplace(loop, limiter_, overrides_, static_cast<AdminApi::Owner&>(*this));
 }
 
--- a/src/server/sidecar.h
+++ b/src/server/sidecar.h
@@ -71,6 +71,10 @@
   void on_connection(Ref<GSocket> socket, ConnectionHistory history) override {
     downstream_.take_over(std::move(socket), history == ConnectionHistory::Used);
   }
+  std::vector<std::uint64_t> sent_requests() const override { return forwarder_.sent_request_hashes(); }
+  void on_sent_requests(const std::vector<std::uint64_t>& id_hashes) override {
+    forwarder_.on_sent_elsewhere(id_hashes);
+  }
   void on_peer_presence(PeerPresence presence) override {
     limiter_.share_limits(presence == PeerPresence::Present);
   }
--- a/tests/integration/crowd_memory_test.cpp
+++ b/tests/integration/crowd_memory_test.cpp
@@ -14,6 +14,7 @@
 #include "testing/program_main.h"
 #include "testing/sidecar_process.h"
 #include "testing/soak_client.h"
+#include "testing/temporary_folder.h"
 
 namespace puffinvane::test {
 namespace {
@@ -111,6 +112,7 @@
     options.number = number;
     options.admin = loopback_address(3) + ":" + std::to_string(5100 + number);
     options.discovery = &discovery_;
+    options.environment = {{"TMPDIR", control_sockets_.path()}};
     return std::make_unique<SidecarProcess>(
         list_entry_json("a", first_.listener.address) + "," + list_entry_json("b", second_.listener.address),
         options);
@@ -143,6 +145,7 @@
   }
 
   const std::string long_answer_ = ok_response(std::string(GetParam().answer_bytes, 'x'));
+  const TemporaryFolder control_sockets_;
   Listener discovery_{9};
   AnsweringEndpoint first_{20, ok_response("x"), long_answer_};
   AnsweringEndpoint second_{21, ok_response("x"), long_answer_};
--- a/tests/integration/departed_client_test.cpp
+++ b/tests/integration/departed_client_test.cpp
@@ -9,6 +9,7 @@
 
 #include "testing/program_main.h"
 #include "testing/sidecar_process.h"
+#include "testing/temporary_folder.h"
 
 namespace puffinvane::test {
 namespace {
@@ -130,6 +131,44 @@
   EXPECT_FALSE(endpoint.has_connection_within(0.1));
 }
 
+// Guards against: an id runs twice when it comes again at the other process of an upgrade.
+TEST_P(ReturningId, DoesNotRunAgainAtTheOtherProcessOfAnUpgrade) {
+  const TemporaryFolder control_sockets;
+  Listener discovery(9);
+  Listener endpoint(2);
+  auto start_process = [&](int number) {
+    SidecarProcess::Options options;
+    options.admin = loopback_address(3) + ":" + std::to_string(5100 + number);
+    options.number = number;
+    options.discovery = &discovery;
+    options.environment = {{"TMPDIR", control_sockets.path()}};
+    return std::make_unique<SidecarProcess>(list_entry_json("a", endpoint.address), options);
+  };
+  auto is_ready = [](int number) {
+    TestConnection connection(loopback_address(3) + ":" + std::to_string(5100 + number));
+    if (!connection.connected) return false;
+    connection.send_text("GET /api/ready HTTP/1.1\r\n\r\n");
+    return connection.response_status() == 200;
+  };
+  const auto predecessor = start_process(0);
+  TestConnection first(predecessor->listen);
+  first.send_text(unsafe_request("before"));
+  auto [attempt, request] = endpoint.accept_request();
+
+  const auto successor = start_process(1);
+  for (const double until = now() + 6; !is_ready(1) && now() < until;) sleep_for(0.01);
+  sleep_for(0.05);
+  GetParam() == Departure::Close ? first.disconnect() : first.reset();
+  // Each new connection reaches either of the two processes.
+  for (int i = 0; i < 6; ++i) {
+    TestConnection again(successor->listen);
+    again.send_text(unsafe_request("before"));
+    EXPECT_EQ(again.response_status(), 400);
+  }
+
+  EXPECT_FALSE(endpoint.has_connection_within(0.1));
+}
+
 // A client may send a request again that was read and not sent to any endpoint.
 TEST_P(ReturningId, IsServedIfItCanNotHaveRun) {
   Listener endpoint(2, 1);
