--- a/tests/integration/streaming_soak_plan.h
+++ b/tests/integration/streaming_soak_plan.h
@@ -95,10 +95,9 @@
     download.written_bytes =
         stops ? std::size_t(draw.uniform(0, double(download.body_bytes - 1))) : download.body_bytes;
     // Without a declared length only the rate can show in time that the response is long.
-    download.pause_s = draw.uniform(0.02, download.framing == Framing::Length ? 1.5 : 0.5);
+    download.pause_s = draw.uniform(0.02, download.framing == Framing::Length ? 1.5 : 0.95);
     download.piece_bytes = std::size_t(download.pause_s * kMinRate * draw.uniform(1, 3)) + 1;
-    download.time_left_s =
-        draw.uniform(download.framing == Framing::Length ? 0.3 : 1.0, kClientTimeoutSeconds);
+    download.time_left_s = draw.uniform(0.3, kClientTimeoutSeconds);
     download.begins_after_s = draw.uniform(0, 0.5);
     download.client_reads_slowly = draw.chance(0.2);
     plan.downloads.push_back(download);
