proxy: tell why a response was given up, an id refused, requests rejected

Log events response.given_up (info) and request.id_refused (debug), metrics sidecar_buffer_bytes and sidecar_partial_requests_rejected_total. Existing events and metrics are as before.

--- a/src/admin/telemetry.cpp
+++ b/src/admin/telemetry.cpp
@@ -66,6 +66,10 @@
   write_metric(text, "discovery_calls_unanswered_total", "counter",
                "Calls to discovery that were not answered or not connected in time.",
                current.discovery.unanswered_calls);
+  write_metric(text, "buffer_bytes", "gauge", "Memory that buffers and heads of requests need now.",
+               current.buffer_bytes);
+  write_metric(text, "partial_requests_rejected_total", "counter",
+               "Requests rejected half way because memory was short.", current.requests_rejected_for_memory);
   return text;
 }
 
--- a/src/admin/telemetry.h
+++ b/src/admin/telemetry.h
@@ -20,6 +20,8 @@
   std::size_t avoided_endpoints = 0;  // excluded or ejected
   std::int64_t list_index = 0;        // of the list in force; 0: none
   DiscoveryStatus discovery;
+  std::size_t buffer_bytes = 0;                    // in use, by buffers and heads
+  std::uint64_t requests_rejected_for_memory = 0;  // of which only a part had been read
 };
 
 std::string write_telemetry(const std::vector<RequestClass>& request_classes, const RequestCounters& counters,
--- a/src/proxy/connection_limiter.h
+++ b/src/proxy/connection_limiter.h
@@ -46,6 +46,7 @@
     make_room_for_attempt();
     if (on && !is_returning_memory_) return_free_memory();
   }
+  std::size_t buffer_bytes() const { return loop_.pool().bytes_in_use(); }
   // Bytes of a request body that may be buffered before the body is streamed in parts.
   std::size_t max_buffered_body() const {
     if (loop_.pool().pressure() >= BufferPool::Pressure::Scarce) return HttpReader::kMaxBodyBytes;
--- a/src/proxy/forwarder_events.cpp
+++ b/src/proxy/forwarder_events.cpp
@@ -59,6 +59,19 @@
       .with("attempts", attempts);
 }
 
+void log_response_given_up(Log& log, std::string_view request_id, const RelayProgress& progress) {
+  log.event(Level::Info, "response.given_up")
+      .with("request", request_id)
+      .with("received_bytes", progress.received_bytes)
+      .with("declared_bytes", progress.declared_bytes.value_or(0))
+      .with("silent_s", progress.silent_s)
+      .with("overdue_s", progress.overdue_s);
+}
+
+void log_id_refused(Log& log, std::string_view request_id) {
+  log.event(Level::Debug, "request.id_refused").with("request", request_id);
+}
+
 std::string_view to_string(Outcome outcome) {
   switch (outcome) {
     case Outcome::Delivered: return "delivered";
--- a/src/proxy/forwarder_events.h
+++ b/src/proxy/forwarder_events.h
@@ -8,6 +8,7 @@
 
 #include "puffinvane/policy.h"
 #include "src/net/log.h"
+#include "src/proxy/overdue_relay.h"
 
 namespace puffinvane {
 
@@ -43,6 +44,13 @@
 void log_attempt_ended(Log& log, const LoggedAttempt& attempt, Outcome outcome, double latency_s);
 // request.ended request=... status=... attempts=...
 void log_request_ended(Log& log, std::string_view request_id, int status, std::size_t attempts);
+// request.id_refused request=...: it may have run for a client that has left, or at another process.
+void log_id_refused(Log& log, std::string_view request_id);
+
+// response.given_up request=... received_bytes=... declared_bytes=... silent_s=... overdue_s=...
+// At info: a response whose rest was not waited for, past the deadline of its request. declared_bytes 0:
+// none.
+void log_response_given_up(Log& log, std::string_view request_id, const RelayProgress& progress);
 
 // The name of an outcome in log events, e.g. "connect_failed".
 std::string_view to_string(Outcome outcome);
--- a/src/proxy/forwarder_events_test.cpp
+++ b/src/proxy/forwarder_events_test.cpp
@@ -63,9 +63,25 @@
   log_attempt_writing(log, kAttempt, 0.5);
   log_attempt_ended(log, kAttempt, Outcome::Delivered, 0.75);
   log_request_ended(log, "r1", 200, 3);
+  log_id_refused(log, "r1");
 
   EXPECT_EQ(output.str(), "");
 }
 
+TEST(ForwarderEvents, TellHowFarAResponseWasThatIsGivenUp) {
+  std::ostringstream output;
+  Log log(output, Level::Info);
+  RelayProgress progress;
+  progress.received_bytes = 48'000;
+  progress.silent_s = 0.75;
+  progress.overdue_s = 0.5;
+
+  log_response_given_up(log, "r1", progress);
+
+  EXPECT_EQ(output.str(),
+            "info: response.given_up request=r1 received_bytes=48000 declared_bytes=0 silent_s=0.75 "
+            "overdue_s=0.5\n");
+}
+
 }  // namespace
 }  // namespace puffinvane
--- a/src/proxy/request_forwarder.cpp
+++ b/src/proxy/request_forwarder.cpp
@@ -461,9 +461,12 @@
 void RequestForwarder::check_relay(RequestId id) {
   PendingRequest* request = requests_.find(id);
   if (!request || !request->relay) return;
-  switch (judge_overdue_relay(request->relay->relay_progress(request->deadline))) {
+  const RelayProgress progress = request->relay->relay_progress(request->deadline);
+  switch (judge_overdue_relay(progress)) {
     case RelayVerdict::Settled: return;
-    case RelayVerdict::GiveUp: return request->relay->abort_response();
+    case RelayVerdict::GiveUp:
+      log_response_given_up(loop_.log(), client_id_of(*request), progress);
+      return request->relay->abort_response();
     case RelayVerdict::Continue: break;
   }
   loop_.at(loop_.now() + kRelayCheckInterval, alive_.guard([this, id] { check_relay(id); }));
@@ -603,6 +606,12 @@
   if (may_have_run) abandoned_ids_.add(client_id_of(request), loop_.now());
 }
 
+bool RequestForwarder::is_id_in_use(std::string_view client_id) {
+  const bool is_abandoned = abandoned_ids_.contains(client_id, loop_.now());
+  if (is_abandoned) log_id_refused(loop_.log(), client_id);
+  return is_abandoned || requests_.has_client_id(client_id);
+}
+
 std::vector<std::uint64_t> RequestForwarder::sent_request_hashes() const {
   const std::unordered_set<std::uint64_t>& abandoned = abandoned_ids_.hashes();
   std::vector<std::uint64_t> hashes(abandoned.begin(), abandoned.end());
--- a/src/proxy/request_forwarder.h
+++ b/src/proxy/request_forwarder.h
@@ -92,9 +92,7 @@
   }
 
   // Whether a request with this client-assigned id is pending, or its client has left and it may have run.
-  bool is_id_in_use(std::string_view client_id) {
-    return requests_.has_client_id(client_id) || abandoned_ids_.contains(client_id, loop_.now());
-  }
+  bool is_id_in_use(std::string_view client_id);
   // Hashes of the ids of requests that were sent to endpoints and may still run.
   std::vector<std::uint64_t> sent_request_hashes() const;
   // Another process of this sidecar has sent these.
--- a/src/server/sidecar.cpp
+++ b/src/server/sidecar.cpp
@@ -240,7 +240,8 @@
 std::string Sidecar::metrics() const {
   return write_telemetry(forwarder_.deployment().request_classes, forwarder_.counters(),
                          {forwarder_.active_request_count(), forwarder_.listed_endpoint_count(),
-                          forwarder_.avoided_endpoint_count(), forwarder_.list_index(), watch_.status()},
+                          forwarder_.avoided_endpoint_count(), forwarder_.list_index(), watch_.status(),
+                          limiter_.buffer_bytes(), downstream_.rejected_for_memory()},
                          log().dropped_lines()) +
          (fleet_ ? write_telemetry(fleet_->metrics()) : "");
 }
