tests: one module serves the connections of endpoint stand-ins

Three stand-ins each accepted, served on threads and stopped in the same words, and a fourth had just been added; ConnectionThreads does it for all. departed_client uses SoakEndpoint, streaming_soak the memory of testing/crowd.h, and four tests one function that asks whether an admin API is ready.

--- a/testing/answering_endpoint.h
+++ b/testing/answering_endpoint.h
@@ -2,9 +2,10 @@
 #pragma once
 
 #include <atomic>
-#include <thread>
-#include <vector>
+#include <string>
+#include <utility>
 
+#include "testing/connection_threads.h"
 #include "testing/sidecar_process.h"
 
 namespace puffinvane::test {
@@ -17,23 +18,11 @@
       : listener(last, 512),
         answer_(std::move(answer)),
         long_answer_(std::move(long_answer)),
-        accepting_([this] { accept(); }) {}
-  ~AnsweringEndpoint() {
-    is_stopping_ = true;
-    accepting_.join();
-    for (std::thread& thread : serving_) thread.join();
-  }
+        connections_(listener, [this](TestConnection& connection) { serve(connection); }) {}
   Listener listener;
   std::atomic<int> served = 0, open = 0, opened = 0;
 
  private:
-  void accept() {
-    while (!is_stopping_) {
-      if (listener.has_connection_within(0.02))
-        serving_.emplace_back(
-            [this, connection = listener.accept_connection()]() mutable { serve(connection); });
-    }
-  }
   void serve(TestConnection& connection) {
     ++open, ++opened;
     while (answer_next(connection)) {
@@ -41,23 +30,18 @@
     --open;
   }
   bool answer_next(TestConnection& connection) {
-    for (;;) {
-      if (is_stopping_) return false;
-      if (!connection.has_input_within(0.02)) continue;
-      const auto request =
-          connection.receive_message(HttpReader::Side::Request, HttpReader::kMaxStreamedBodyBytes);
-      if (!request) return false;
-      sleep_for(0.005);
-      ++served;
-      const bool wants_long = !long_answer_.empty() && request->target.find("long") != std::string::npos;
-      return connection.send_text(wants_long ? long_answer_ : answer_);
-    }
+    if (!connections_.wait_for_input(connection)) return false;
+    const auto request =
+        connection.receive_message(HttpReader::Side::Request, HttpReader::kMaxStreamedBodyBytes);
+    if (!request) return false;
+    sleep_for(0.005);
+    ++served;
+    const bool wants_long = !long_answer_.empty() && request->target.find("long") != std::string::npos;
+    return connection.send_text(wants_long ? long_answer_ : answer_);
   }
   const std::string answer_;
   const std::string long_answer_;
-  std::atomic<bool> is_stopping_ = false;
-  std::vector<std::thread> serving_;
-  std::thread accepting_;
+  ConnectionThreads connections_;
 };
 
 }  // namespace puffinvane::test
--- a/testing/sidecar_process.h
+++ b/testing/sidecar_process.h
@@ -158,6 +158,14 @@
   pid_t child_ = 0;
 };
 
+// Whether the process with the admin API at that address takes clients.
+inline bool admin_api_is_ready(const std::string& address) {
+  TestConnection connection(address);
+  if (!connection.connected) return false;
+  connection.send_text("GET /api/ready HTTP/1.1\r\n\r\n");
+  return connection.response_status() == 200;
+}
+
 inline std::string get_request(const std::string& more = "", const std::string& id = "77") {
   return "GET /read/a?b HTTP/1.1\r\nHost: origin.svc\r\nX-Correlation-Id: " + id + "\r\n" + more + "\r\n";
 }
--- a/testing/soak_endpoint.h
+++ b/testing/soak_endpoint.h
@@ -7,10 +7,10 @@
 #include <map>
 #include <mutex>
 #include <string>
-#include <thread>
 #include <vector>
 
 #include "src/proxy/pending_requests.h"
+#include "testing/connection_threads.h"
 #include "testing/sidecar_process.h"
 
 namespace puffinvane::test {
@@ -66,31 +66,14 @@
       : listener_(last, 512),
         received_(received),
         response_time_s_(response_time_s),
-        accepting_([this] { accept(); }) {}
-  SoakEndpoint(const SoakEndpoint&) = delete;
-  SoakEndpoint& operator=(const SoakEndpoint&) = delete;
-  ~SoakEndpoint() {
-    is_stopping_ = true;
-    accepting_.join();
-    for (std::thread& thread : serving_) thread.join();
-  }
+        connections_(listener_, [this](TestConnection& connection) { serve(connection); }) {}
   const std::string& address() const { return listener_.address; }
   // From now on, requests are received and never answered.
   void hang() { is_hanging_ = true; }
 
  private:
-  static constexpr double kPollSeconds = 0.02;
-
-  void accept() {
-    while (!is_stopping_) {
-      if (!listener_.has_connection_within(kPollSeconds)) continue;
-      serving_.emplace_back(
-          [this, connection = listener_.accept_connection()]() mutable { serve(connection); });
-    }
-  }
   void serve(TestConnection& connection) {
-    while (!is_stopping_) {
-      if (!connection.has_input_within(kPollSeconds)) continue;
+    while (connections_.wait_for_input(connection)) {
       std::optional<HttpMessage> request = connection.receive_message(HttpReader::Side::Request);
       if (!request) return;
       received_.record(std::string(request->header(kRequestIdHeader)));
@@ -102,10 +85,8 @@
   Listener listener_;
   ReceivedRequests& received_;
   const double response_time_s_;
-  std::atomic<bool> is_stopping_ = false;
   std::atomic<bool> is_hanging_ = false;
-  std::vector<std::thread> serving_;
-  std::thread accepting_;
+  ConnectionThreads connections_;
 };
 
 }  // namespace puffinvane::test
--- a/tests/integration/crowd_memory_test.cpp
+++ b/tests/integration/crowd_memory_test.cpp
@@ -47,6 +47,9 @@
                               .is_unsafe = i % 2 == 0}));
     }
   }
+  static std::string admin_of(int number) {
+    return loopback_address(3) + ":" + std::to_string(5100 + number);
+  }
   // The number tells the processes of an upgrade apart.
   std::unique_ptr<SidecarProcess> start_process(int number) {
     SidecarProcess::Options options;
@@ -54,7 +57,7 @@
                      std::to_string(kMemoryMegabytes) + "}";
     options.client_timeout = std::to_string(kClientTimeoutSeconds);
     options.number = number;
-    options.admin = loopback_address(3) + ":" + std::to_string(5100 + number);
+    options.admin = admin_of(number);
     options.discovery = &discovery_;
     options.environment = {{"TMPDIR", control_sockets_.path()}};
     return std::make_unique<SidecarProcess>(
@@ -66,12 +69,6 @@
     for (int i = 0; i < kClients; ++i) all.push_back(GetParam().plan(i));
     return all;
   }
-  static bool is_ready(int number) {
-    TestConnection connection(loopback_address(3) + ":" + std::to_string(5100 + number));
-    if (!connection.connected) return false;
-    connection.send_text("GET /api/ready HTTP/1.1\r\n\r\n");
-    return connection.response_status() == 200;
-  }
   void expect_sound_requests_answered() {
     int served = 0;
     int answered = 0;
@@ -125,7 +122,7 @@
     const std::size_t successor_bytes =
         runs_program(successor->child()) ? resident_bytes(successor->child()) : 0;
     peak_bytes = std::max(peak_bytes, resident_bytes(sidecar_->child()) + successor_bytes);
-    if (!is_terminated && is_ready(1)) {
+    if (!is_terminated && admin_api_is_ready(admin_of(1))) {
       sidecar_->terminate();
       is_terminated = true;
     }
--- a/tests/integration/crowd_soak.cpp
+++ b/tests/integration/crowd_soak.cpp
@@ -139,8 +139,9 @@
     wait_until_ready();
   }
   void wait_until_ready() {
-    for (const double until = now() + 6; !is_ready(number_) && now() < until;) wait(0.01);
-    if (!is_ready(number_)) fail("process", "is not ready");
+    for (const double until = now() + 6; !admin_api_is_ready(admin_address(number_)) && now() < until;)
+      wait(0.01);
+    if (!admin_api_is_ready(admin_address(number_))) fail("process", "is not ready");
   }
   void play_upgrade() {
     ++number_;
@@ -165,13 +166,6 @@
     killed_at_s_.push_back(now());
     process_.reset();
   }
-  static bool is_ready(int number) {
-    TestConnection connection(admin_address(number));
-    if (!connection.connected) return false;
-    connection.send_text("GET /api/ready HTTP/1.1\r\n\r\n");
-    return connection.response_status() == 200;
-  }
-
   void check_request(const SoakRequest& request) {
     constexpr double kSeenLaterSeconds = 0.1;
     ++requests_;
--- a/tests/integration/departed_client_test.cpp
+++ b/tests/integration/departed_client_test.cpp
@@ -4,11 +4,10 @@
 
 #include <memory>
 #include <string>
-#include <thread>
-#include <vector>
 
 #include "testing/program_main.h"
 #include "testing/sidecar_process.h"
+#include "testing/soak_endpoint.h"
 #include "testing/temporary_folder.h"
 
 namespace puffinvane::test {
@@ -23,56 +22,6 @@
          "\r\nContent-Length: " + std::to_string(body_bytes) + "\r\n\r\n" + std::string(body_bytes, 'u');
 }
 
-// Answers requests one after another, each after some work, and records when each arrived.
-class WorkingEndpoint {
- public:
-  explicit WorkingEndpoint(int last, double work_s = 0.02)
-      : listener_(last, 64), work_s_(work_s), accepting_([this] { accept(); }) {}
-  WorkingEndpoint(const WorkingEndpoint&) = delete;
-  WorkingEndpoint& operator=(const WorkingEndpoint&) = delete;
-  ~WorkingEndpoint() {
-    is_stopping_ = true;
-    accepting_.join();
-    for (std::thread& thread : serving_) thread.join();
-  }
-  const std::string& address() const { return listener_.address; }
-  std::size_t count_after(double time_s) const {
-    std::lock_guard lock(mutex_);
-    return std::size_t(std::ranges::count_if(arrived_at_s_, [&](double at_s) { return at_s > time_s; }));
-  }
-  std::size_t count() const { return count_after(0); }
-
- private:
-  static constexpr double kPollSeconds = 0.01;
-  void accept() {
-    while (!is_stopping_) {
-      if (!listener_.has_connection_within(kPollSeconds)) continue;
-      serving_.emplace_back(
-          [this, connection = listener_.accept_connection()]() mutable { serve(connection); });
-    }
-  }
-  void serve(TestConnection& connection) {
-    while (!is_stopping_) {
-      if (!connection.has_input_within(kPollSeconds)) continue;
-      if (!connection.receive_message(HttpReader::Side::Request)) return;
-      {
-        std::lock_guard lock(mutex_);
-        arrived_at_s_.push_back(now());
-      }
-      sleep_for(work_s_);
-      if (!connection.send_text(ok_response("x"))) return;
-    }
-  }
-
-  Listener listener_;
-  const double work_s_;
-  mutable std::mutex mutex_;
-  std::vector<double> arrived_at_s_;
-  std::atomic<bool> is_stopping_ = false;
-  std::vector<std::thread> serving_;
-  std::thread accepting_;
-};
-
 enum class Departure { Close, Reset };
 
 struct PipelinedLoad {
@@ -86,7 +35,9 @@
 
 // Guards against: requests that a client had pipelined are sent on after it has closed its connection.
 TEST_P(DepartedClient, HasNothingSentForItThatItHadPipelined) {
-  WorkingEndpoint endpoint(2);
+  constexpr double kWorkSeconds = 0.02;
+  TimedRequests received;
+  SoakEndpoint endpoint(2, received, kWorkSeconds);
   SidecarProcess sidecar(list_entry_json("a", endpoint.address()));
   std::string text;
   for (int i = 0; i < GetParam().requests; ++i)
@@ -99,8 +50,8 @@
   const double left_at_s = now();
   sleep_for(kLookSeconds);
 
-  EXPECT_GT(endpoint.count(), 0U);
-  EXPECT_EQ(endpoint.count_after(left_at_s + kAttemptMayBeginSeconds), 0U);
+  EXPECT_GT(received.count_between(0, left_at_s), 0U);
+  EXPECT_EQ(received.count_between(left_at_s + kAttemptMayBeginSeconds, now()), 0U);
 }
 
 constexpr PipelinedLoad kLoads[] = {
@@ -136,27 +87,22 @@
   const TemporaryFolder control_sockets;
   Listener discovery(9);
   Listener endpoint(2);
+  auto admin_of = [](int number) { return loopback_address(3) + ":" + std::to_string(5100 + number); };
   auto start_process = [&](int number) {
     SidecarProcess::Options options;
-    options.admin = loopback_address(3) + ":" + std::to_string(5100 + number);
+    options.admin = admin_of(number);
     options.number = number;
     options.discovery = &discovery;
     options.environment = {{"TMPDIR", control_sockets.path()}};
     return std::make_unique<SidecarProcess>(list_entry_json("a", endpoint.address), options);
   };
-  auto is_ready = [](int number) {
-    TestConnection connection(loopback_address(3) + ":" + std::to_string(5100 + number));
-    if (!connection.connected) return false;
-    connection.send_text("GET /api/ready HTTP/1.1\r\n\r\n");
-    return connection.response_status() == 200;
-  };
   const auto predecessor = start_process(0);
   TestConnection first(predecessor->listen);
   first.send_text(unsafe_request("before"));
   auto [attempt, request] = endpoint.accept_request();
 
   const auto successor = start_process(1);
-  for (const double until = now() + 6; !is_ready(1) && now() < until;) sleep_for(0.01);
+  for (const double until = now() + 6; !admin_api_is_ready(admin_of(1)) && now() < until;) sleep_for(0.01);
   sleep_for(0.05);
   GetParam() == Departure::Close ? first.disconnect() : first.reset();
   // Each new connection reaches either of the two processes.
--- a/tests/integration/restart_soak.cpp
+++ b/tests/integration/restart_soak.cpp
@@ -244,12 +244,7 @@
 
   void start_successor() {
     successor_ = std::make_unique<SidecarProcess>(entries_, options(1));
-    auto is_ready = [this] {
-      TestConnection connection(admin(1));
-      return connection.connected && connection.send_text("GET /api/ready HTTP/1.1\r\n\r\n") &&
-             connection.response_status() == 200;
-    };
-    for (double until = now() + 5; !is_ready() && now() < until;) sleep_for(0.01);
+    for (double until = now() + 5; !admin_api_is_ready(admin(1)) && now() < until;) sleep_for(0.01);
   }
 
   // Sends the signals of the plan, including those of the stall, in order.
--- a/tests/integration/streaming_soak.cpp
+++ b/tests/integration/streaming_soak.cpp
@@ -8,7 +8,6 @@
 // Each seed determines one run.
 #include <atomic>
 #include <cstdio>
-#include <fstream>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -17,6 +16,8 @@
 #include <vector>
 
 #include "src/proxy/pending_requests.h"
+#include "testing/connection_threads.h"
+#include "testing/crowd.h"
 #include "testing/sidecar_process.h"
 #include "testing/soak_endpoint.h"
 #include "testing/soak_run.h"
@@ -60,34 +61,22 @@
  public:
   StreamingEndpoint(int last, const StreamingSoakPlan& plan, EndpointTrouble trouble,
                     ReceivedRequests& received)
-      : listener_(last, 64), plan_(plan), trouble_(trouble), received_(received), accepting_([this] {
-          accept();
-        }) {}
-  StreamingEndpoint(const StreamingEndpoint&) = delete;
-  StreamingEndpoint& operator=(const StreamingEndpoint&) = delete;
-  ~StreamingEndpoint() {
-    is_stopping_ = true;
-    accepting_.join();
-    for (std::thread& thread : serving_) thread.join();
-  }
+      : listener_(last, 64),
+        plan_(plan),
+        trouble_(trouble),
+        received_(received),
+        connections_(listener_, [this](TestConnection& connection) { serve(connection); }) {}
   const std::string& address() const { return listener_.address; }
   void begin_trouble() { is_in_trouble_ = true; }
 
  private:
   static constexpr double kPollSeconds = 0.02;
 
-  void accept() {
-    while (!is_stopping_) {
-      if (!listener_.has_connection_within(kPollSeconds)) continue;
-      serving_.emplace_back(
-          [this, connection = listener_.accept_connection()]() mutable { serve(connection); });
-    }
-  }
   // Returns false if the process ends meanwhile.
   bool pause(double seconds) const {
-    for (double until = now() + seconds; now() < until && !is_stopping_;)
+    for (double until = now() + seconds; now() < until && !connections_.is_stopping();)
       sleep_for(std::min(kPollSeconds, seconds));
-    return !is_stopping_;
+    return !connections_.is_stopping();
   }
   // Returns false if the connection is over.
   bool take_trouble(TestConnection& connection) {
@@ -97,7 +86,7 @@
       case EndpointTrouble::HangsForGood: return pause(2 * kLookSeconds) && false;
       case EndpointTrouble::Resets: connection.reset(); return false;
       case EndpointTrouble::ReadsSlowly:
-        for (int i = 0; i < 30 && !is_stopping_; ++i) {
+        for (int i = 0; i < 30 && !connections_.is_stopping(); ++i) {
           connection.receive_some(std::size_t(kSlowBytesPerSecond / 10));
           sleep_for(0.1);
         }
@@ -106,8 +95,7 @@
     return true;
   }
   void serve(TestConnection& connection) {
-    while (!is_stopping_) {
-      if (!connection.has_input_within(kPollSeconds)) continue;
+    while (connections_.wait_for_input(connection)) {
       if (is_in_trouble_ && !take_trouble(connection)) return;
       const auto request = connection.receive_message(HttpReader::Side::Request, kMaxBodyBytes);
       if (!request) return;
@@ -145,9 +133,7 @@
   const EndpointTrouble trouble_;
   ReceivedRequests& received_;
   std::atomic<bool> is_in_trouble_ = false;
-  std::atomic<bool> is_stopping_ = false;
-  std::vector<std::thread> serving_;
-  std::thread accepting_;
+  ConnectionThreads connections_;
 };
 
 class Run {
@@ -175,7 +161,8 @@
     for (const UploadPlan& one : plan_.uploads) {
       if (one.is_unsafe && received_.count(one.id) > 1) fail(one.id, "ran twice");
     }
-    if (resident_bytes() > std::size_t(plan_.memory_mb) << 20) fail("process", "is over its memory limit");
+    if (peak_resident_bytes(sidecar_->child()) > std::size_t(plan_.memory_mb) << 20)
+      fail("process", "is over its memory limit");
     std::printf("seed %llu: memory %d MB, trouble: %s, hang %.1f s: %s\n",
                 static_cast<unsigned long long>(seed_), plan_.memory_mb, to_string(plan_.trouble),
                 plan_.hang_s, has_failed_ ? "FAILED" : "passed");
@@ -264,11 +251,6 @@
     static thread_local BufferPool pool;
     return pool;
   }
-  std::size_t resident_bytes() const {
-    std::ifstream status("/proc/" + std::to_string(sidecar_->child()) + "/status");
-    const std::string text(std::istreambuf_iterator<char>(status), {});
-    return std::stoul(text.substr(text.find("VmHWM:") + 6)) * 1024;
-  }
   void fail(const std::string& who, const std::string& what) {
     std::lock_guard lock(mutex_);
     has_failed_ = true;
