--- a/src/proxy/pending_requests.h
+++ b/src/proxy/pending_requests.h
@@ -55,6 +55,7 @@
 
   // Timers that nobody needs once the request is removed.
   std::vector<AlarmId> alarms = {};
+  std::optional<AlarmId> upload_alarm = {};  // for the deadline of an upload, which may be set anew often
 
   // Its response has been sent or is being relayed, or its client has left.
   bool concluded() const { return !downstream || relay; }
--- a/src/proxy/request_forwarder.cpp
+++ b/src/proxy/request_forwarder.cpp
@@ -302,6 +302,7 @@
   const std::optional<PendingRequest> finished = requests_.take_if_finished(id);
   if (!finished) return;
   for (const AlarmId& alarm : finished->alarms) loop_.cancel(alarm);
+  if (finished->upload_alarm) loop_.cancel(*finished->upload_alarm);
 }
 
 // Sends the final response to the client: `from` with `status`, or one made of `status`, `more_headers` and
@@ -418,8 +419,9 @@
 void RequestForwarder::set_upload_deadline(RequestId id, double arrived_at) {
   PendingRequest& request = *requests_.find(id);
   request.deadline = std::min(arrived_at + request.remaining_time_s, shutdown_deadline_.value_or(kNever));
-  request.alarms.push_back(
-      loop_.at(request.deadline - kDeadlineMargin, alive_.guard([this, id] { on_upload_deadline(id); })));
+  if (request.upload_alarm) loop_.cancel(*request.upload_alarm);
+  request.upload_alarm =
+      loop_.at(request.deadline - kDeadlineMargin, alive_.guard([this, id] { on_upload_deadline(id); }));
 }
 
 void RequestForwarder::on_upload_deadline(RequestId id) {
