proxy: reject an upload in time while it waits for an endpoint

Cause: in chunks nothing shows whether the client has written its last byte, so no time was set. Such uploads also pile up: since buffers have a quarter of the memory limit, the second one of 12 MB makes memory scarce, and of the third only 64 KiB are read.

Change: while no connection carries an upload, its time runs as soon as input is left unread: nothing of it was sent, so rejecting it is safe even if its client has not written the rest. At its deadline it is answered 503 if there was no attempt, 502 before.

--- a/src/proxy/downstream_connection.cpp
+++ b/src/proxy/downstream_connection.cpp
@@ -189,13 +189,17 @@
 
 // Whether the client may have written the last byte of the body, though it is unread. Input that is left
 // unread keeps what follows on the client's machine, as far as that can hold it. Without a declared length
-// only the end of the unread input tells.
+// only the end of the unread input tells. While nothing of the request has been sent, it can be rejected
+// without harm if the guess is wrong.
 bool DownstreamConnection::body_may_have_arrived() const {
   if (const std::optional<std::size_t> length = reader_.content_length()) {
     const std::size_t unread_bytes = tcp_.unread_bytes();
     const std::size_t seen_bytes = reader_.body_bytes_received() + unread_.size() + unread_bytes;
     return seen_bytes + (unread_bytes > 0 ? kMaxClientSendBuffer : 0) >= *length;
   }
+  const bool is_waiting = state_ == State::Uploading && open_request &&
+                          open_request->owner->is_waiting_for_endpoint(open_request->id);
+  if (is_waiting && tcp_.unread_bytes() > 0) return true;
   const std::optional<std::string> tail = tcp_.unread_tail(kBodyTailBytes);
   return !tail || may_end_chunked_message(*tail);
 }
--- a/src/proxy/downstream_connection.h
+++ b/src/proxy/downstream_connection.h
@@ -33,6 +33,8 @@
     virtual void on_client_disconnected(std::uint32_t request) = 0;
     // The next part of a streamed request body; `whole`: it is the last part.
     virtual void on_body_part(std::uint32_t request, BufferChain bytes, bool whole) = 0;
+    // Whether no connection carries the request, so that nothing of it has been sent.
+    virtual bool is_waiting_for_endpoint(std::uint32_t request) const = 0;
     // What is known of the arrival of a streamed body's last byte has changed. `arrived_after`: all of the
     // body may have arrived, a part of it unread, but not before that time. Empty: a part of it has not
     // arrived.
--- a/src/proxy/pending_requests.h
+++ b/src/proxy/pending_requests.h
@@ -75,6 +75,10 @@
     requests_.emplace(last_id_, std::move(request));
     return last_id_;
   }
+  const PendingRequest* find(RequestId id) const {
+    auto found = requests_.find(id);
+    return found == requests_.end() ? nullptr : &found->second;
+  }
   PendingRequest* find(RequestId id) {
     auto found = requests_.find(id);
     return found == requests_.end() ? nullptr : &found->second;
--- a/src/proxy/request_forwarder.cpp
+++ b/src/proxy/request_forwarder.cpp
@@ -409,6 +409,11 @@
   return has_connection ? kBodyPartBytes : kMaxUnsentBytes;
 }
 
+bool RequestForwarder::is_waiting_for_endpoint(RequestId id) const {
+  return std::ranges::none_of(requests_.find(id)->attempts,
+                              [](const PendingAttempt& attempt) { return attempt.upstream != nullptr; });
+}
+
 void RequestForwarder::on_body_arrival(RequestId id, std::optional<double> arrived_after) {
   if (arrived_after) return set_upload_deadline(id, *arrived_after);
   requests_.find(id)->deadline = loop_.now() + kMaxUploadTime;
@@ -430,7 +435,11 @@
   // The last byte turned out not to have arrived when this timer was set.
   if (loop_.now() < request->deadline - kDeadlineMargin) return;
   const int attempt_count = int(request->attempts.size());
-  conclude(id, 502, nullptr, "", "errored: it may or may not have run\n");
+  if (attempt_count == 0) {
+    reject_request(id, 0);
+  } else {
+    fail_request(id);
+  }
   // Where the policy may not cancel attempts, they would be out until the time that it was told.
   for (int number = 0; number < attempt_count; ++number) on_attempt_deadline(id, number);
   policy_->on_request_cancelled(loop_.now(), id);
--- a/src/proxy/request_forwarder.h
+++ b/src/proxy/request_forwarder.h
@@ -127,6 +127,7 @@
   // DownstreamConnection::RequestOwner
   void on_client_disconnected(RequestId id) override;
   void on_body_part(RequestId id, BufferChain bytes, bool whole) override;
+  bool is_waiting_for_endpoint(RequestId id) const override;
   void on_body_arrival(RequestId id, std::optional<double> arrived_after) override;
   void on_response_drained(RequestId id) override;
 
--- a/tests/integration/streamed_upload_test.cpp
+++ b/tests/integration/streamed_upload_test.cpp
@@ -143,6 +143,24 @@
   EXPECT_GT(taken, 0);
 }
 
+// Guards against: no answer in time while no endpoint can be chosen, as the rest of the request stays on the
+// client's machine. Nothing of it was sent, so it is rejected.
+TEST_P(StreamedUpload, IsRejectedInTimeWhileItWaitsForAnEndpointThoughItsRestIsUnread) {
+  constexpr double kTimeLeftSeconds = 0.3;
+  constexpr std::size_t kMoreBytes = kMegabyte;  // than the socket's receive buffer takes
+  SidecarProcess::Options options;
+  options.client_timeout = "12.0";
+  options.latency_objective = "6.0";
+  start(options, " ");
+
+  ASSERT_TRUE(
+      client_->send_within(upload(kTakenWholeBytes + kMoreBytes, GetParam(), "X-Time-Left: 300m\r\n"), 0.2));
+  const bool is_answered = client_->has_input_within(kTimeLeftSeconds + kLostAfterSeconds);
+
+  ASSERT_TRUE(is_answered);
+  EXPECT_EQ(client_->response_status(), 503);
+}
+
 // Guards against: an answer that comes seconds after its time because the endpoint reads slowly, and the rest
 // of the request lies in the send buffer of the client's machine.
 TEST_F(StreamedUploadToASilentEndpoint, IsAnsweredInTimeThoughTheClientsMachineHoldsTheRest) {
