proxy: read a chunked upload ahead as far as its client's machine may hold it

Cause: without a declared length only the last chunk tells that the client has written the request, and with 64 KiB read ahead of the endpoint it stays in the send buffer of the client's machine.

Change: of a body in chunks up to 4 MiB, what that buffer holds at most, are read ahead while memory is not scarce. Then the last chunk is seen and the client's time runs. While memory is scarce the gap remains.

--- a/src/proxy/downstream_connection.cpp
+++ b/src/proxy/downstream_connection.cpp
@@ -37,8 +37,6 @@
 constexpr std::size_t kMaxHeadWhileShort = 4 * 1024;
 // Bytes at the end of an unread body in chunks that are looked at. A longer trailer is taken for the end.
 constexpr std::size_t kBodyTailBytes = 256;
-// Bytes that a client's machine holds for a connection at most: Linux's largest send buffer by default.
-constexpr std::size_t kMaxClientSendBuffer = 4 * 1024 * 1024;
 }  // namespace
 
 const Transition<DownstreamConnection, DownstreamConnection::State, DownstreamConnection::Input>
--- a/src/proxy/downstream_connection.h
+++ b/src/proxy/downstream_connection.h
@@ -13,6 +13,9 @@
 
 class DownstreamConnection final : TcpConnection::Owner {
  public:
+  // Bytes that a client's machine holds for a connection at most: Linux's largest send buffer by default.
+  static constexpr std::size_t kMaxClientSendBuffer = 4 * 1024 * 1024;
+
   class Owner {
    public:
     virtual ~Owner() = default;
--- a/src/proxy/request_forwarder.cpp
+++ b/src/proxy/request_forwarder.cpp
@@ -399,13 +399,17 @@
     }
   }
   // Pauses reading from the client while too much of the body waits to be sent.
-  if (!whole && request.downstream && request.message.body.size() > max_waiting_body_bytes(has_connection))
+  if (!whole && request.downstream &&
+      request.message.body.size() > max_waiting_body_bytes(request, has_connection))
     request.downstream->pause_reading(true);
 }
 
-// Of an upload, read ahead of its endpoint.
-std::size_t RequestForwarder::max_waiting_body_bytes(bool has_connection) const {
+// Of an upload, read ahead of its endpoint. Without a declared length only its end tells that the client has
+// written it whole, so as much is read as the client's machine may hold.
+std::size_t RequestForwarder::max_waiting_body_bytes(const PendingRequest& request,
+                                                     bool has_connection) const {
   if (loop_.pool().pressure() >= BufferPool::Pressure::Scarce) return BufferPool::kSize;
+  if (!request.body_length && has_connection) return DownstreamConnection::kMaxClientSendBuffer;
   return has_connection ? kBodyPartBytes : kMaxUnsentBytes;
 }
 
--- a/src/proxy/request_forwarder.h
+++ b/src/proxy/request_forwarder.h
@@ -163,7 +163,7 @@
   void check_relay(RequestId id);
   void reject_for_memory(DownstreamConnection& downstream, const HttpMessage& message,
                          const RequestClass& request_class);
-  std::size_t max_waiting_body_bytes(bool has_connection) const;
+  std::size_t max_waiting_body_bytes(const PendingRequest& request, bool has_connection) const;
   DownstreamConnection* end_relay(RequestId id, RequestOutcome outcome);
   void set_upload_deadline(RequestId id, double arrived_at);
   void on_upload_deadline(RequestId id);
