--- a/testing/connection_threads.h
+++ b/testing/connection_threads.h
@@ -3,9 +3,9 @@
 
 #include <atomic>
 #include <functional>
+#include <list>
 #include <thread>
 #include <utility>
-#include <vector>
 
 #include "testing/peers.h"
 
@@ -25,7 +25,7 @@
   void stop() {
     is_stopping_ = true;
     if (accepting_.joinable()) accepting_.join();
-    for (std::thread& thread : serving_) thread.join();
+    for (Serving& serving : serving_) serving.thread.join();
     serving_.clear();
   }
   // Whether a request, or the end of the connection, has arrived. Returns false once is_stopping().
@@ -38,19 +38,35 @@
 
  private:
   static constexpr double kPollSeconds = 0.02;
+  struct Serving {
+    std::thread thread;
+    std::atomic<bool> has_ended = false;
+  };
 
   void accept() {
     while (!is_stopping_) {
+      join_ended();
       if (!listener_.has_connection_within(kPollSeconds)) continue;
-      serving_.emplace_back(
-          [this, connection = listener_.accept_connection()]() mutable { serve_(connection); });
+      Serving& serving = serving_.emplace_back();
+      serving.thread = std::thread([this, &serving, connection = listener_.accept_connection()]() mutable {
+        serve_(connection);
+        serving.has_ended = true;
+      });
     }
   }
+  // A thread that has ended keeps its stack until it is joined.
+  void join_ended() {
+    serving_.remove_if([](Serving& serving) {
+      if (!serving.has_ended) return false;
+      serving.thread.join();
+      return true;
+    });
+  }
 
   Listener& listener_;
   const std::function<void(TestConnection&)> serve_;
   std::atomic<bool> is_stopping_ = false;
-  std::vector<std::thread> serving_;
+  std::list<Serving> serving_;
   std::thread accepting_;
 };
 
