policy: reject a request at once that has no time left for an attempt

A client that pipelines requests at full speed leaves them waiting until their time is nearly up, and each of those opened a connection to an endpoint, on which the request was written and cancelled 0.1 ms later, with 502. It may have run.

Cause: the final answer is due two round trips before the deadline. A request that arrived later than that was still dispatched, and its deadline timer ended it in the next turn.

Change: such a request is rejected with 503 at once; nothing of it has run.

--- a/src/policy/backup_request_policy.cpp
+++ b/src/policy/backup_request_policy.cpp
@@ -77,6 +77,8 @@
   // earlier.
   double response_due_at = accepted.deadline - 2 * deployment_.round_trip_s;
   host_.schedule_request_timer(accepted.id, std::max(now, response_due_at), deadline_timer(accepted.id));
+  // An attempt would be cancelled at once, and may have run by then.
+  bool is_due = response_due_at <= now;
   // If more requests are queued ahead than can be sent before its queue deadline, waiting would only delay
   // its rejection. Where responses report load, requests are admitted at once or not at all.
   auto requests_ahead = double(queue_.count_ahead_of(accepted.queue_position));
@@ -85,7 +87,7 @@
                              (completions_.recent_per_s() > 0 && requests_ahead > sendable_requests);
   RequestState& pending = requests_[request.id] = std::move(accepted);
   bool no_endpoint_left = !endpoints_.slots().empty() && endpoints_.listed_count() == 0;
-  if (no_endpoint_left || (is_queueing_useless && !has_capacity_for(pending))) {
+  if (is_due || no_endpoint_left || (is_queueing_useless && !has_capacity_for(pending))) {
     apply_event(pending, reject_or_fail_event(pending));
     requests_.erase(request.id);
   }
--- a/src/policy/request_queue_behavior_test.cpp
+++ b/src/policy/request_queue_behavior_test.cpp
@@ -28,6 +28,18 @@
   EXPECT_EQ(host.rejected(), std::vector<RequestId>{request});
 }
 
+// Guards against: an attempt is sent for a request whose time is up, cancelled at once, and may have run.
+TEST(RequestQueue, RejectsAtOnceIfNoTimeIsLeftForAnAttempt) {
+  const Deployment settings = deployment();
+  FakeHost host{settings};
+  host.list_ready_endpoints(2);
+
+  RequestId request = host.receive(request_of_class("mutating").due_in(2 * settings.round_trip_s));
+
+  EXPECT_EQ(host.sent().size(), 0U);
+  EXPECT_EQ(host.rejected(), std::vector<RequestId>{request});
+}
+
 // The tick that finds attempts lost releases their capacity. A request whose queue timeout ends in the same
 // tick has to get that capacity instead of being rejected.
 TEST(RequestQueue, DispatchesRequestIfCapacityIsFreedAsItsQueueTimeoutEnds) {
--- a/tests/integration/noisy_client_test.cpp
+++ b/tests/integration/noisy_client_test.cpp
@@ -21,6 +21,8 @@
 constexpr int kSoundClients = 3;
 constexpr std::size_t kMaxPeakBytes = std::size_t{16} << 20;
 constexpr double kClientTimeoutSeconds = 1.0;
+// Connections to the endpoint beyond those that carried a request.
+constexpr int kMaxUnusedConnections = 16;
 // The platform's terms: an answer that is later than this after its time counts as never given.
 constexpr double kLostAfterSeconds = 0.55;
 
@@ -125,9 +127,11 @@
     }
   }
   const std::size_t peak_bytes = peak_resident_bytes(sidecar.child());
-  std::printf("%d requests, peak %zu kB, others: %d served, longest %.3f s\n", sent, peak_bytes / 1024,
-              served, longest_s);
+  std::printf(
+      "%d requests, %d of all served on %d connections, peak %zu kB, others: %d served, longest %.3f s\n",
+      sent, endpoint.served.load(), endpoint.opened.load(), peak_bytes / 1024, served, longest_s);
   EXPECT_GT(served, 0);
+  EXPECT_LE(endpoint.opened, endpoint.served + kMaxUnusedConnections);
   EXPECT_LT(peak_bytes, kMaxPeakBytes);
 }
 
