proxy: drop the connect timers of a connection once it is established or closed

Cause: each new connection to an endpoint left two timers in the loop, one for 2 s, whether it was used, closed or long idle by then. A client whose requests each open a connection made them grow with its rate.

Change: they are dropped when the connection is established, and when it is destroyed. How much memory this was in the incident is not known.

--- a/src/proxy/upstream_connection.cpp
+++ b/src/proxy/upstream_connection.cpp
@@ -96,13 +96,19 @@
     retry_connect(std::string(address), kFirstRetryPause,
                   loop_.now() + std::min(timeout_s, kLocalRetryPeriod));
   connect_timeout_s_ = timeout_s;
-  loop_.at(loop_.now() + timeout_s,
-           alive_.guard([this] { handle(tcp_.socket() ? Input::ConnectTimedOut : Input::LocalShortage); }));
-  loop_.at(loop_.now() + std::max(timeout_s, kMaxSpareConnectTime),
-           alive_.guard([this] { handle(Input::SpareTimedOut); }));
+  connect_alarms_ = {loop_.at(loop_.now() + timeout_s, alive_.guard([this] {
+                       handle(tcp_.socket() ? Input::ConnectTimedOut : Input::LocalShortage);
+                     })),
+                     loop_.at(loop_.now() + std::max(timeout_s, kMaxSpareConnectTime),
+                              alive_.guard([this] { handle(Input::SpareTimedOut); }))};
   return true;
 }
 
+void UpstreamConnection::cancel_connect_alarms() {
+  for (const AlarmId& alarm : connect_alarms_) loop_.cancel(alarm);
+  connect_alarms_.clear();
+}
+
 void UpstreamConnection::retry_connect(const std::string& address, double pause_s, double retry_until) {
   loop_.at(loop_.now() + pause_s, alive_.guard([=, this] {
     if (state_ != State::Connecting && state_ != State::ConnectingSpare) return;
@@ -128,6 +134,7 @@
 // too. By then the endpoint may be draining, a Keyed request's idempotency window over or the client gone, so
 // the attempt is reported as not sent and the policy decides again.
 void UpstreamConnection::on_connected() {
+  cancel_connect_alarms();
   handle(loop_.now() - assigned_at_ > connect_timeout_s_ ? Input::ConnectedLate : Input::Connected);
 }
 
--- a/src/proxy/upstream_connection.h
+++ b/src/proxy/upstream_connection.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "puffinvane/policy.h"
 #include "puffinvane/transition_table.h"
@@ -48,6 +49,9 @@
   // Else bodies over max_body_bytes make a response invalid.
   UpstreamConnection(Loop& loop, Owner& owner, std::string endpoint, std::size_t max_body_bytes,
                      bool streams_response);
+  UpstreamConnection(const UpstreamConnection&) = delete;
+  UpstreamConnection& operator=(const UpstreamConnection&) = delete;
+  ~UpstreamConnection() { cancel_connect_alarms(); }
   // Returns false if the connection can't be started. If this machine lacks a resource for it (a descriptor,
   // a port, memory), starting is retried for a short while.
   bool connect(std::string_view address, double timeout_s);
@@ -125,6 +129,7 @@
   void no_action() {}
   void report_not_sent() { close_and_report(Outcome::NotSent); }
   void retry_connect(const std::string& address, double pause_s, double retry_until);
+  void cancel_connect_alarms();
   void report_lost_after_sent();
   void report_unused_closed();
   void close_and_report(Outcome outcome);
@@ -153,7 +158,8 @@
   double idle_since_ = 0;
   bool reused_ = false;  // it was established before it got its current attempt
   bool is_request_watched_ = false;
-  std::uint64_t delivered_bytes_ = 0;  // to the endpoint's machine, as last checked
+  std::vector<AlarmId> connect_alarms_;  // needed until it is established
+  std::uint64_t delivered_bytes_ = 0;    // to the endpoint's machine, as last checked
   double last_delivery_at_ = 0;
   bool response_started_ = false;  // a byte of the response to the current attempt has arrived
   LifetimeToken alive_;
