hot restart: bound the request ids that wait for a peer that stands still

Cause: the notices of which requests were sent were queued as packets without a limit. While the other process stands still they grew with every request, and a full channel takes no client connections either.

--- a/src/hot_restart/channel.h
+++ b/src/hot_restart/channel.h
@@ -57,6 +57,9 @@
   // longer than kMaxPacketBytes is dropped, which is logged.
   void send(std::string text);
 
+  // Whether packets wait for room in the socket's buffer.
+  bool has_backlog() const { return !queued_packets_.empty(); }
+
   // Sends a packet with an attached socket without queueing it. Returns false if it could not be sent now.
   [[nodiscard]] bool try_send(const std::string& text, GSocket* attached_socket);
 
--- a/src/hot_restart/hot_restart.cpp
+++ b/src/hot_restart/hot_restart.cpp
@@ -11,6 +11,7 @@
 
 // For the control listener's socket and the channels to both peers.
 constexpr int kReservedDescriptors = 3;
+constexpr double kResendInterval = 0.01;  // seconds, to a peer whose channel is full
 
 }  // namespace
 
@@ -92,6 +93,7 @@
 void HotRestart::discard_successor() {
   learned_state_.reset();
   loop_.delete_later(std::move(successor_));
+  ids_for_successor_.clear();
   update_peer_presence();
   listener_.open();
 }
@@ -105,20 +107,19 @@
 
 // A client may leave this process and send its request again to the other one.
 void HotRestart::note_sent_request(std::uint64_t id_hash) {
-  if (!predecessor_ && !successor_) return;
-  if (sent_requests_.empty()) loop_.post(alive_.guard([this] { send_sent_requests(); }));
-  sent_requests_.push_back(id_hash);
+  if (predecessor_) ids_for_predecessor_.add(id_hash);
+  if (successor_) ids_for_successor_.add(id_hash);
+  const bool has_peer = predecessor_ || successor_;
+  if (!has_peer || std::exchange(is_sending_ids_scheduled_, true)) return;
+  loop_.post(alive_.guard([this] { send_sent_requests(); }));
 }
 
 void HotRestart::send_sent_requests() {
-  const std::vector<std::uint64_t> all = std::exchange(sent_requests_, {});
-  for (std::size_t sent = 0; sent < all.size(); sent += SentRequestsMessage::kMaxIds) {
-    const auto begin = all.begin() + std::ptrdiff_t(sent);
-    const auto end = all.begin() + std::ptrdiff_t(std::min(all.size(), sent + SentRequestsMessage::kMaxIds));
-    const std::string packet = encode_message(SentRequestsMessage{{begin, end}});
-    if (predecessor_) predecessor_->send(packet);
-    if (successor_) successor_->send(packet);
-  }
+  if (predecessor_) ids_for_predecessor_.send_to(*predecessor_);
+  if (successor_) ids_for_successor_.send_to(*successor_);
+  is_sending_ids_scheduled_ = !ids_for_predecessor_.empty() || !ids_for_successor_.empty();
+  if (!is_sending_ids_scheduled_) return;
+  loop_.at(loop_.now() + kResendInterval, alive_.guard([this] { send_sent_requests(); }));
 }
 
 void HotRestart::forward_operator_overrides(const Channel& sender) {
@@ -165,6 +166,7 @@
     return;
   }
   loop_.delete_later(std::move(predecessor_));
+  ids_for_predecessor_.clear();
   update_peer_presence();
 }
 
--- a/src/hot_restart/hot_restart.h
+++ b/src/hot_restart/hot_restart.h
@@ -13,6 +13,7 @@
 #include "src/hot_restart/control_listener.h"
 #include "src/hot_restart/message.h"
 #include "src/hot_restart/message_encoder.h"
+#include "src/hot_restart/unsent_request_ids.h"
 
 namespace puffinvane {
 
@@ -95,7 +96,9 @@
   std::unique_ptr<Channel> predecessor_;
   std::unique_ptr<Channel> successor_;
   SuccessorState successor_state_ = SuccessorState::None;
-  std::vector<std::uint64_t> sent_requests_;          // of which the peers are not notified yet
+  UnsentRequestIds ids_for_predecessor_;
+  UnsentRequestIds ids_for_successor_;
+  bool is_sending_ids_scheduled_ = false;
   std::optional<LearnedStateEncoder> learned_state_;  // set while it is being sent
   LifetimeToken alive_;
 };
--- a/src/hot_restart/hot_restart_test.cpp
+++ b/src/hot_restart/hot_restart_test.cpp
@@ -13,7 +13,9 @@
 #include "src/hot_restart/control_address.h"
 #include "src/hot_restart/control_folder.h"
 #include "src/hot_restart/message_builders.h"
+#include "src/hot_restart/message_decoder.h"
 #include "src/hot_restart/socket_pair.h"
+#include "src/hot_restart/unsent_request_ids.h"
 
 namespace puffinvane {
 namespace {
@@ -65,6 +67,15 @@
   Channel channel_;
 };
 
+// The ids of the next packet; empty if it is of another kind or none has arrived.
+std::vector<std::uint64_t> receive_sent_requests(GSocket* socket) {
+  const ReceiveResult result = receive_packet(socket);
+  if (result.status != ReceiveStatus::Received) return {};
+  Result<ControlMessage, DecodeError> decoded = decode_message(result.packet.text);
+  const auto* sent = decoded ? std::get_if<SentRequestsMessage>(&decoded.value()) : nullptr;
+  return sent ? sent->id_hashes : std::vector<std::uint64_t>();
+}
+
 class HotRestartTest : public testing::Test {  // NOLINT(cppcoreguidelines-virtual-class-destructor)
  protected:
   HotRestartTest() {
@@ -147,6 +158,35 @@
   EXPECT_EQ(learned, expected);
 }
 
+// Guards against: a peer that stands still makes the notices to it grow without end.
+TEST_F(HotRestartTest, KeepsTheNewestRequestIdsForAPredecessorThatStandsStill) {
+  constexpr std::uint64_t kIds = 100'000;
+  constexpr std::uint64_t kIdsPerIteration = 100;
+  SocketPair sockets = connected_sockets(SOCK_SEQPACKET);
+  const Ref<GSocket> still = std::move(sockets.first);
+  const test::ControlFolder folder;
+  HotRestart sender(loop_, owner_, folder.path(), std::move(sockets.second));
+  for (std::uint64_t id = 1; id <= kIds; ++id) {
+    sender.note_sent_request(id);
+    if (id % kIdsPerIteration == 0) g_main_context_iteration(loop_.context(), FALSE);
+  }
+
+  std::vector<std::uint64_t> received;
+  EXPECT_TRUE(run_until([&] {
+    for (const std::uint64_t id : receive_sent_requests(still.get())) received.push_back(id);
+    return !received.empty() && received.back() == kIds;
+  }));
+
+  EXPECT_LT(received.size(), kIds) << "none was dropped";
+}
+
+TEST(UnsentRequestIds, KeepsOnlyTheNewest) {
+  UnsentRequestIds ids;
+  for (std::uint64_t id = 0; id < 3 * UnsentRequestIds::kMaxIds; ++id) ids.add(id);
+
+  EXPECT_EQ(ids.size(), UnsentRequestIds::kMaxIds);
+}
+
 TEST_F(HotRestartTest, RefusesASecondSuccessor) {
   const std::unique_ptr<Peer> successor = connect_up_to_date_successor();
 
