admin: take orders while clients use up the memory

What operators would have seen: during a crowd an order whose body comes 50 ms after its head got 503, or 200 after 3.3 s. A fault of: the admin API shares the buffers' limit with the clients.

Change: a listener with a fixed number of connections and small requests doesn't save memory.

--- a/src/proxy/downstream_connection.cpp
+++ b/src/proxy/downstream_connection.cpp
@@ -152,7 +152,8 @@
 // While memory is short nothing is received that would need more of it.
 std::size_t DownstreamConnection::receive_limit() const {
   const bool is_discarded = state_ == State::Lingering || state_ == State::WritingLastResponse;
-  if (is_discarded || loop_.pool().pressure() < BufferPool::Pressure::Short) return BufferPool::kSize;
+  const bool is_short = owner_.saves_memory() && loop_.pool().pressure() >= BufferPool::Pressure::Short;
+  if (is_discarded || !is_short) return BufferPool::kSize;
   if (reader_.in_body()) return 0;
   return kMaxHeadWhileShort - std::min(kMaxHeadWhileShort, held_input_bytes());
 }
@@ -354,9 +355,7 @@
   end_unread_request(status, "this request can't be read\n");
 }
 
-void DownstreamConnection::respond_unavailable() {
-  end_unread_request(503, "bounced: trying again does no harm\n");
-}
+void DownstreamConnection::respond_unavailable() { end_unread_request(503, "rejected: retrying is safe\n"); }
 
 // Responds to a request that is not read to its end, and discards what has been and will be read.
 void DownstreamConnection::end_unread_request(int status, std::string_view text) {
--- a/src/proxy/downstream_connection.h
+++ b/src/proxy/downstream_connection.h
@@ -26,6 +26,8 @@
     virtual bool closes_after_response() const = 0;
     // Bytes of a request body that are buffered before the body is streamed in parts.
     virtual std::size_t max_buffered_body() const = 0;
+    // Whether little is received while memory is short. Not for a few connections whose requests are small.
+    virtual bool saves_memory() const = 0;
     // Seconds: the longest client timeout of any request class.
     virtual double longest_client_timeout() const = 0;
   };
--- a/src/proxy/downstream_connections.cpp
+++ b/src/proxy/downstream_connections.cpp
@@ -171,7 +171,7 @@
 // silent are rejected first, then those that hold most, until memory is no longer short.
 void DownstreamConnections::relieve_memory() {
   const BufferPool& pool = loop_.pool();
-  if (pool.pressure() < BufferPool::Pressure::Short) return;
+  if (!saves_memory() || pool.pressure() < BufferPool::Pressure::Short) return;
   struct Candidate {
     bool is_silent;
     std::size_t held_bytes;
--- a/src/proxy/downstream_connections.h
+++ b/src/proxy/downstream_connections.h
@@ -52,6 +52,7 @@
   void on_closed(DownstreamConnection& downstream) override;
   bool closes_after_response() const override { return close_after_responses_; }
   std::size_t max_buffered_body() const override { return limiter_.max_buffered_body(); }
+  bool saves_memory() const override { return max_connections_ == 0; }
   double longest_client_timeout() const override { return longest_client_timeout_; }
   void add(Ref<GSocket> socket, int listener, double waited, bool has_sent_request);
   bool has_room();
--- a/tests/integration/crowd_memory_test.cpp
+++ b/tests/integration/crowd_memory_test.cpp
@@ -38,6 +38,9 @@
  protected:
   CrowdMemory() {
     sidecar_ = start_process(0);
+    add_sound_clients();
+  }
+  void add_sound_clients() {
     for (int i = 0; i < kSoundClients; ++i) {
       sound_clients_.push_back(std::make_unique<SoakClient>(
           SoakClient::Options{.address = sidecar_->listen,
@@ -108,6 +111,58 @@
   expect_sound_requests_answered();
 }
 
+// Guards against: a process passes its limit soon after a restart, when all clients come at once.
+TEST_P(CrowdMemory, AfterRestartsStaysUnderItsLimitAndSoundRequestsAreAnswered) {
+  constexpr double kFirstKillAfterSeconds = 1.0;
+  constexpr double kLaterKillAfterSeconds = 0.38;  // as in the incident
+  std::size_t peak_bytes = 0;
+  const auto kill_and_start = [&] {
+    peak_bytes = std::max(peak_bytes, peak_resident_bytes(sidecar_->child()));
+    sidecar_.reset();
+    sidecar_ = start_process(0);
+  };
+  sound_clients_.clear();  // their requests at the time of a kill are lost
+  {
+    Crowd crowd(sidecar_->listen, plans());
+    sleep_for(kFirstKillAfterSeconds);
+    kill_and_start();
+    sleep_for(kLaterKillAfterSeconds);
+    kill_and_start();
+    add_sound_clients();
+    sleep_for(kCrowdSeconds);
+  }
+
+  EXPECT_EQ(sidecar_->exit_code(0.02), -1) << "the process has ended";
+  peak_bytes = std::max(peak_bytes, peak_resident_bytes(sidecar_->child()));
+  std::printf("peak: %zu kB\n", peak_bytes / 1024);
+  EXPECT_LT(peak_bytes, std::size_t{kMemoryMegabytes} << 20);
+  expect_sound_requests_answered();
+}
+
+// Guards against: an operator's order is not taken while clients use up the memory.
+TEST_P(CrowdMemory, KeepsNoOperatorOut) {
+  constexpr double kOrderAnswerSeconds = 1.0;
+  constexpr double kBodyPauseSeconds = 0.05;
+  constexpr int kOrders = 20;
+  sound_clients_.clear();
+  const Crowd crowd(sidecar_->listen, plans());
+  sleep_for(1);
+
+  const std::string body = "a";
+  for (int order = 0; order < kOrders; ++order) {
+    const double begun_at_s = now();
+    TestConnection operator_connection(admin_of(0));
+    ASSERT_TRUE(operator_connection.connected);
+    operator_connection.send_text(
+        "PUT /api/include HTTP/1.1\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n");
+    sleep_for(kBodyPauseSeconds);
+    operator_connection.send_text(body);
+    EXPECT_EQ(operator_connection.response_status(), 200);
+    EXPECT_LT(now() - begun_at_s, kOrderAnswerSeconds);
+    sleep_for(kBodyPauseSeconds);
+  }
+}
+
 // Guards against: the two processes of an upgrade need more memory together than they may.
 TEST_P(CrowdMemory, OfTwoProcessesOfAnUpgradeStaysUnderOneLimit) {
   constexpr double kUpgradeBeginsAfterSeconds = 2.5;
