--- a/src/proxy/pending_requests.h
+++ b/src/proxy/pending_requests.h
@@ -83,7 +83,7 @@
     auto found = requests_.find(id);
     return found == requests_.end() ? nullptr : &found->second;
   }
-  // Takes the request out if its client is done and the policy was told of the end of each attempt.
+  // Takes the request out if its client is done and the policy knows of the end of each attempt.
   std::optional<PendingRequest> take_if_finished(RequestId id) {
     auto found = requests_.find(id);
     if (found == requests_.end() || !found->second.client_is_done()) return {};
--- a/src/proxy/request_forwarder.cpp
+++ b/src/proxy/request_forwarder.cpp
@@ -38,7 +38,7 @@
     case Outcome::Refused:
     case Outcome::ConnectFailed:
     case Outcome::NotSent:
-    case Outcome::Cancelled: return false;  // of a cancelled one its connection has told
+    case Outcome::Cancelled: return false;  // of a cancelled one its connection knows
     case Outcome::Delivered:
     case Outcome::Failed:
     case Outcome::TimedOut:
@@ -706,7 +706,7 @@
       retry_after_s > 0 ? "Retry-After: " + format_retry_after(retry_after_s) + "\r\n" : "";
   counters_.record_outcome(index_of(request_class), RequestOutcome::Rejected);
   log_request_ended(loop_.log(), message.header(kRequestIdHeader), 503, 0);
-  downstream.respond(503, nullptr, header, "bounced: trying again does no harm\n", false);
+  downstream.respond(503, nullptr, header, "rejected: retrying is safe\n", false);
 }
 
 // ---- connections to endpoints
--- a/testing/answering_endpoint.h
+++ b/testing/answering_endpoint.h
@@ -20,11 +20,14 @@
         long_answer_(std::move(long_answer)),
         connections_(listener, [this](TestConnection& connection) { serve(connection); }) {}
   Listener listener;
-  std::atomic<int> served = 0, open = 0, opened = 0;
+  std::atomic<int> served = 0;
+  std::atomic<int> open = 0;
+  std::atomic<int> opened = 0;
 
  private:
   void serve(TestConnection& connection) {
-    ++open, ++opened;
+    ++open;
+    ++opened;
     while (answer_next(connection)) {
     }
     --open;
--- a/tests/integration/reused_address_test.cpp
+++ b/tests/integration/reused_address_test.cpp
@@ -99,7 +99,7 @@
 };
 
 // Guards against: a connection that was busy when its endpoint moved is kept under the endpoint's name, and
-// later requests go to whoever is at the former address.
+// later requests go to the process that is at the former address.
 TEST_F(ReusedAddress, GetsNoRequestForAnEndpointThatMovedWhileItsConnectionWasBusy) {
   TestConnection client(sidecar_->listen);
   TestConnection attempt = begin_attempt(client);
