--- a/src/proxy/pending_requests.h
+++ b/src/proxy/pending_requests.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "puffinvane/policy.h"
+#include "src/http/headers.h"
 #include "src/http/http.h"
 #include "src/net/loop.h"
 
@@ -63,6 +64,11 @@
   bool client_is_done() const { return !downstream; }
 };
 
+// The id that the client gave it; empty if none.
+inline std::string_view client_id_of(const PendingRequest& request) {
+  return request.message.header(kRequestIdHeader);
+}
+
 class PendingRequests {
  public:
   // Whether a request with this client-assigned id is pending. Endpoints would take a second one for a repeat
--- a/src/proxy/request_forwarder.cpp
+++ b/src/proxy/request_forwarder.cpp
@@ -1,8 +1,6 @@
 #include "src/proxy/request_forwarder.h"
 
 #include <algorithm>
-#include <cmath>
-#include <limits>
 #include <utility>
 
 #include "src/http/headers.h"
@@ -11,22 +9,7 @@
 namespace puffinvane {
 
 namespace {
-// Share of the time after which endpoints close idle connections. They are closed here before that, so that
-// no attempt is sent while the endpoint closes.
-constexpr double kMaxIdleShare = 0.7;
-constexpr double kIdleCheckInterval = 0.25;  // seconds
-// Seconds for which a connection is not reused after a response. An endpoint may send stray bytes some
-// milliseconds after its response, and they would be read as the response to the next request.
-constexpr double kReuseDelay = 0.03;
-constexpr double kSpareDelayShare = 0.5;             // of the connect timeout
-constexpr std::size_t kMaxSparesPerEndpoint = 4;     // being established at a time
-constexpr std::size_t kBodyPartBytes = 64 * 1024;    // of a body, written at a time
-constexpr std::size_t kMaxUnsentBytes = 256 * 1024;  // of an upload that no connection carries yet
-constexpr double kMaxUploadTime = 1200;  // seconds: longer than any body takes at the lowest accepted rate
-// Seconds before its deadline at which an uploaded request without a response is failed.
-constexpr double kDeadlineMargin = 0.01;
-constexpr double kRelayCheckInterval = 0.1;  // seconds, from the deadline of a request on
-constexpr double kNever = std::numeric_limits<double>::infinity();
+constexpr double kSpareDelayShare = 0.5;  // of the connect timeout
 // Seconds by which an attempt is told less than the time that remains. The loop doesn't notice stalls of up
 // to that length, and one between reading the clock and writing the request may use up the whole tolerance
 // for the time that was told.
@@ -47,10 +30,6 @@
   }
   return true;
 }
-
-std::string_view client_id_of(const PendingRequest& request) {
-  return request.message.header(kRequestIdHeader);
-}
 }  // namespace
 
 RequestForwarder::RequestForwarder(Loop& loop, ConnectionLimiter& limiter, Deployment deployment,
@@ -82,23 +61,6 @@
     hand_to_successor(idle_.take_oldest(since), since);
 }
 
-// Each new connection costs its endpoint a handshake, so a mere change of settings must not close
-// connections. A successor gets only connections to endpoints that it knows at the same address.
-void RequestForwarder::hand_to_successor(std::unique_ptr<UpstreamConnection> idle, double idle_since) {
-  const std::string* address = directory_.address_of(idle->endpoint());
-  for (std::size_t i = 0; i < successors_.size(); ++i) {
-    const Successor& successor = successors_[next_successor_++ % successors_.size()];
-    if (successor.alive.expired() || successor.forwarder->retired_at_) continue;
-    const std::string* theirs = successor.forwarder->directory_.address_of(idle->endpoint());
-    if (!address || !theirs || *theirs != *address) continue;
-    idle->set_owner(*successor.forwarder);
-    std::string endpoint = idle->endpoint();
-    return successor.forwarder->idle_.add(endpoint, std::move(idle), idle_since);
-  }
-  idle->close();
-  loop_.delete_later(std::move(idle));
-}
-
 bool RequestForwarder::can_be_destroyed() const {
   // The timers of a request run until its client timeout, even if it has ended before.
   double longest = 0;
@@ -133,26 +95,6 @@
   }
 }
 
-std::unique_ptr<UpstreamConnection> RequestForwarder::take_reusable(UpstreamConnection::AttemptId attempt,
-                                                                    const std::string& endpoint) {
-  while (std::unique_ptr<UpstreamConnection> reusable =
-             idle_.take_most_recent(endpoint, loop_.now() - kReuseDelay)) {
-    double idle_s = reusable->idle_for(loop_.now());
-    // An Unsafe request may run once at most (rule 2). If it meets a dropped connection it can't be sent
-    // again and fails. The other requests are retried, and show which connections are dropped.
-    if (requests_.find(attempt.request)->request_class->idempotency == Idempotency::Unsafe &&
-        idle_reuse_.likely_stale(idle_s)) {
-      idle_.add(endpoint, std::move(reusable), loop_.now() - idle_s);
-      return {};
-    }
-    // The endpoint may have closed it without the loop having reported that yet.
-    if (reusable->has_nothing_to_read()) return reusable;
-    reusable->close();
-    loop_.delete_later(std::move(reusable));
-  }
-  return {};
-}
-
 std::optional<Outcome> RequestForwarder::send_attempt(UpstreamConnection::AttemptId attempt,
                                                       const std::string& endpoint) {
   PendingRequest& request = *requests_.find(attempt.request);
@@ -178,65 +120,6 @@
   return {};
 }
 
-std::unique_ptr<UpstreamConnection> RequestForwarder::open_connection(const std::string& endpoint) {
-  auto fresh = std::make_unique<UpstreamConnection>(loop_, *this, endpoint, options_.max_body_bytes,
-                                                    options_.stream_bodies);
-  const std::string* address = directory_.address_of(endpoint);
-  bool started = address && fresh->connect(*address, deployment_.connect_timeout_s);
-  return started ? std::move(fresh) : nullptr;
-}
-
-// A connection that is not established within half of the connect timeout may be late or never be
-// established, and another one to the same endpoint may be faster. Whichever is established first carries the
-// attempt; the other one is kept for later attempts.
-void RequestForwarder::open_spare(UpstreamConnection::AttemptId attempt) {
-  PendingRequest* request = requests_.find(attempt.request);
-  UpstreamConnection* waiting = request ? request->attempts[std::size_t(attempt.number)].upstream : nullptr;
-  if (!waiting || !waiting->connecting() || retired_at_ || loop_.descriptors().available() <= 0) return;
-  const std::string endpoint = waiting->endpoint();
-  if (auto found = spares_.find(endpoint);
-      found != spares_.end() && found->second.size() >= kMaxSparesPerEndpoint)
-    return;
-  if (std::unique_ptr<UpstreamConnection> spare = open_connection(endpoint)) {
-    spare->become_spare();
-    spares_[endpoint].push_back(std::move(spare));
-  }
-}
-
-// The spare takes the attempt of a connection to the same endpoint that is still being established, if there
-// is one; that connection becomes a spare in its place.
-void RequestForwarder::on_spare_connected(UpstreamConnection& upstream) {
-  const std::string endpoint = upstream.endpoint();
-  std::unique_ptr<UpstreamConnection> spare = take_spare(upstream);
-  auto found = std::find_if(busy_.begin(), busy_.end(), [&](const auto& one) {
-    return one.second->connecting() && one.second->endpoint() == endpoint;
-  });
-  if (retired_at_) return loop_.delete_later(std::move(spare));
-  // No response has arrived on it, so that it can be used without the delay.
-  if (found == busy_.end()) return idle_.add(endpoint, std::move(spare), loop_.now() - kReuseDelay);
-  std::unique_ptr<UpstreamConnection> waiting = std::move(busy_.extract(found).mapped());
-  const UpstreamConnection::AttemptId attempt = waiting->attempt_id();
-  waiting->become_spare();
-  spares_[endpoint].push_back(std::move(waiting));
-  PendingRequest& request = *requests_.find(attempt.request);
-  request.attempts[std::size_t(attempt.number)].upstream = &upstream;
-  busy_[&upstream] = std::move(spare);
-  upstream.assign_attempt(attempt, request.message.method == "HEAD");
-}
-
-// Null if it is not a spare.
-std::unique_ptr<UpstreamConnection> RequestForwarder::take_spare(const UpstreamConnection& upstream) {
-  auto spares = spares_.find(upstream.endpoint());
-  if (spares == spares_.end()) return {};
-  auto found = std::find_if(spares->second.begin(), spares->second.end(),
-                            [&](const auto& one) { return one.get() == &upstream; });
-  if (found == spares->second.end()) return {};
-  std::unique_ptr<UpstreamConnection> taken = std::move(*found);
-  spares->second.erase(found);
-  if (spares->second.empty()) spares_.erase(spares);
-  return taken;
-}
-
 // Whether the client has left, or this can't be told because too much unread data precedes the end of its
 // connection; nothing must be sent for it then. One turn of the loop may find responses, timers and the
 // client's end in any order, and after a stall or a wait at the listener the client may have left long ago,
@@ -363,199 +246,6 @@
   return out;
 }
 
-BufferChain RequestForwarder::on_body_wanted(UpstreamConnection& upstream, bool& complete) {
-  PendingRequest& request = *requests_.find(upstream.attempt_id().request);
-  PendingAttempt& attempt = request.attempts[std::size_t(upstream.attempt_id().number)];
-  BufferChain next(loop_.pool());
-  BufferChain& body = request.message.body;
-  if (request.streams_body) {
-    request.body_consumed = true;
-    BufferChain part = std::exchange(body, BufferChain(loop_.pool()));
-    if (request.downstream) request.downstream->pause_reading(false);
-    if (request.body_length) next = std::move(part);
-    else write_chunk(next, part);
-    if (!request.body_incomplete && !request.body_length && !std::exchange(attempt.body_bytes_sent, 1))
-      write_last_chunk(next);
-    complete = !request.body_incomplete && next.empty();
-    return next;
-  }
-  complete = body.size() <= kBodyPartBytes || attempt.body_bytes_sent == body.size();
-  if (complete) return next;
-  next.add(body, attempt.body_bytes_sent, kBodyPartBytes);
-  attempt.body_bytes_sent += next.size();
-  return next;
-}
-
-void RequestForwarder::on_body_part(RequestId id, BufferChain bytes, bool whole) {
-  PendingRequest& request = *requests_.find(id);
-  request.message.body.add(bytes);
-  request.body_incomplete = !whole;
-  if (whole && request.downstream) set_upload_deadline(id, request.downstream->last_byte_arrived_at());
-  bool has_connection = false;
-  for (PendingAttempt& attempt : request.attempts) {
-    if (attempt.upstream) {
-      has_connection = true;
-      attempt.upstream->send_more_body();
-    }
-  }
-  // Pauses reading from the client while too much of the body waits to be sent.
-  if (!whole && request.downstream &&
-      request.message.body.size() > max_waiting_body_bytes(request, has_connection))
-    request.downstream->pause_reading(true);
-}
-
-// Of an upload, read ahead of its endpoint. Without a declared length only its end tells that the client has
-// written it whole, so as much is read as the client's machine may hold.
-std::size_t RequestForwarder::max_waiting_body_bytes(const PendingRequest& request,
-                                                     bool has_connection) const {
-  if (loop_.pool().pressure() >= BufferPool::Pressure::Scarce) return BufferPool::kSize;
-  if (!request.body_length && has_connection) return DownstreamConnection::kMaxClientSendBuffer;
-  return has_connection ? kBodyPartBytes : kMaxUnsentBytes;
-}
-
-bool RequestForwarder::is_waiting_for_endpoint(RequestId id) const {
-  return std::ranges::none_of(requests_.find(id)->attempts,
-                              [](const PendingAttempt& attempt) { return attempt.upstream != nullptr; });
-}
-
-void RequestForwarder::on_body_arrival(RequestId id, std::optional<double> arrived_after) {
-  if (arrived_after) return set_upload_deadline(id, *arrived_after);
-  requests_.find(id)->deadline = loop_.now() + kMaxUploadTime;
-}
-
-// The policy was told kMaxUploadTime as the request's remaining time, as the client's own time only starts
-// with the last byte of the body. So the deadline is kept here.
-void RequestForwarder::set_upload_deadline(RequestId id, double arrived_at) {
-  PendingRequest& request = *requests_.find(id);
-  request.deadline = std::min(arrived_at + request.remaining_time_s, shutdown_deadline_.value_or(kNever));
-  if (request.upload_alarm) loop_.cancel(*request.upload_alarm);
-  request.upload_alarm =
-      loop_.at(request.deadline - kDeadlineMargin, alive_.guard([this, id] { on_upload_deadline(id); }));
-}
-
-void RequestForwarder::on_upload_deadline(RequestId id) {
-  PendingRequest* request = requests_.find(id);
-  if (!request || request->concluded()) return;
-  // The last byte turned out not to have arrived when this timer was set.
-  if (loop_.now() < request->deadline - kDeadlineMargin) return;
-  const int attempt_count = int(request->attempts.size());
-  if (attempt_count == 0) {
-    reject_request(id, 0);
-  } else {
-    fail_request(id);
-  }
-  // Where the policy may not cancel attempts, they would be out until the time that it was told.
-  for (int number = 0; number < attempt_count; ++number) on_attempt_deadline(id, number);
-  policy_->on_request_cancelled(loop_.now(), id);
-}
-
-void RequestForwarder::on_response_started(UpstreamConnection& upstream, HttpMessage response,
-                                           std::optional<std::size_t> length) {
-  auto [id, number] = upstream.attempt_id();
-  PendingRequest& request = *requests_.find(id);
-  PendingAttempt& attempt = request.attempts[std::size_t(number)];
-  double now = loop_.now();
-  // Another attempt or a timeout may have ended the request or this attempt before.
-  bool late = request.concluded() || attempt.reported;
-  if (late) {
-    detach_and_close(upstream);
-    return report_attempt_end_soon(id, number, Outcome::Cancelled);
-  }
-  attempt.upstream = nullptr;
-  attempt.reported = true;
-  if (attempt.reused_after_idle_s) idle_reuse_.record(*attempt.reused_after_idle_s, false);
-  request.relay = &upstream;
-  Load load = parse_load(response.header("X-Backend-Load"));
-  request.alarms.push_back(loop_.at(request.deadline, alive_.guard([this, id] { check_relay(id); })));
-  request.downstream->begin_response(response, length);
-  on_response_part(upstream, std::move(response.body));
-  policy_->on_attempt_ended(now, {id, number, Outcome::Delivered, true, now - attempt.started_at, load});
-}
-
-// Called from the request's deadline on, which a long response may go past.
-void RequestForwarder::check_relay(RequestId id) {
-  PendingRequest* request = requests_.find(id);
-  if (!request || !request->relay) return;
-  const RelayProgress progress = request->relay->relay_progress(request->deadline);
-  switch (judge_overdue_relay(progress)) {
-    case RelayVerdict::Settled: return;
-    case RelayVerdict::GiveUp:
-      log_response_given_up(loop_.log(), client_id_of(*request), progress);
-      return request->relay->abort_response();
-    case RelayVerdict::Continue: break;
-  }
-  loop_.at(loop_.now() + kRelayCheckInterval, alive_.guard([this, id] { check_relay(id); }));
-}
-
-void RequestForwarder::on_response_part(UpstreamConnection& upstream, BufferChain bytes) {
-  DownstreamConnection& downstream = *requests_.find(upstream.attempt_id().request)->downstream;
-  downstream.send_body_part(std::move(bytes));
-  if (downstream.has_write_backlog()) upstream.pause_reading(true);
-}
-
-// The client has been sent all that was relayed so far.
-void RequestForwarder::on_response_drained(RequestId id) {
-  PendingRequest* request = requests_.find(id);
-  if (request && request->relay) request->relay->pause_reading(false);
-}
-
-// Ends a request whose response was relayed. Returns its downstream connection, which the caller still has to
-// end the response on.
-DownstreamConnection* RequestForwarder::end_relay(RequestId id, RequestOutcome outcome) {
-  PendingRequest& request = *requests_.find(id);
-  counters_.record_outcome(index_of(*request.request_class), outcome);
-  request.relay = nullptr;
-  DownstreamConnection* downstream = std::exchange(request.downstream, nullptr);
-  downstream->open_request.reset();
-  remove_if_finished(id);
-  return downstream;
-}
-
-void RequestForwarder::on_response_finished(UpstreamConnection& upstream, BufferChain bytes) {
-  DownstreamConnection* downstream = end_relay(upstream.attempt_id().request, RequestOutcome::Delivered);
-  downstream->send_body_part(std::move(bytes));
-  downstream->end_response();
-  keep_or_close(take_busy(upstream));
-}
-
-void RequestForwarder::on_response_aborted(UpstreamConnection& upstream) {
-  DownstreamConnection* downstream = end_relay(upstream.attempt_id().request, RequestOutcome::Failed);
-  loop_.delete_later(take_busy(upstream));
-  downstream->abort_response();
-}
-
-std::unique_ptr<UpstreamConnection> RequestForwarder::take_busy(const UpstreamConnection& upstream) {
-  auto found = busy_.find(&upstream);
-  std::unique_ptr<UpstreamConnection> taken = std::move(found->second);
-  busy_.erase(found);
-  return taken;
-}
-
-// While a connection was busy its endpoint may have moved or gone, and another process may be at its address
-// by now.
-bool RequestForwarder::leads_to_its_endpoint(const UpstreamConnection& upstream) const {
-  const std::string* address = directory_.address_of(upstream.endpoint());
-  return address && *address == upstream.address();
-}
-
-void RequestForwarder::keep_or_close(std::unique_ptr<UpstreamConnection> upstream) {
-  if (!leads_to_its_endpoint(*upstream)) {
-    upstream->close();
-    return loop_.delete_later(std::move(upstream));
-  }
-  if (upstream->connecting_as_spare() && !retired_at_) {
-    auto& spares = spares_[upstream->endpoint()];
-    if (spares.size() < kMaxSparesPerEndpoint) return spares.push_back(std::move(upstream));
-  }
-  if (!upstream->idle()) {
-    upstream->close();
-    return loop_.delete_later(std::move(upstream));
-  }
-  if (retired_at_) return hand_to_successor(std::move(upstream), loop_.now());
-  std::string endpoint = upstream->endpoint();
-  idle_.add(endpoint, std::move(upstream), loop_.now());
-}
-
 void RequestForwarder::on_attempt_ended(UpstreamConnection& upstream, Outcome outcome, HttpMessage response) {
   auto [id, number] = upstream.attempt_id();
   keep_or_close(take_busy(upstream));
@@ -571,11 +261,6 @@
   return options_.relay_any_status ? outcome_of_any_status(response) : puffinvane::outcome_of(response);
 }
 
-void RequestForwarder::on_unused_closed(UpstreamConnection& upstream) {
-  std::unique_ptr<UpstreamConnection> spare = take_spare(upstream);
-  loop_.delete_later(spare ? std::move(spare) : idle_.remove(upstream.endpoint(), upstream));
-}
-
 void RequestForwarder::on_attempt_deadline(RequestId id, int number) {
   PendingRequest* request = requests_.find(id);
   if (!request) return;
@@ -709,66 +394,6 @@
   downstream.respond(503, nullptr, header, "rejected: retrying is safe\n", false);
 }
 
-// ---- connections to endpoints
-
-void RequestForwarder::close_oldest_idle() {
-  if (!spares_.empty()) return close_spares(std::string(spares_.begin()->first));
-  std::unique_ptr<UpstreamConnection> oldest = idle_.take_oldest(std::numeric_limits<double>::infinity());
-  if (oldest) {
-    oldest->close();
-    loop_.delete_later(std::move(oldest));
-  }
-}
-
-void RequestForwarder::close_spares(const std::string& endpoint) {
-  auto spares = spares_.extract(endpoint);
-  if (spares.empty()) return;
-  for (auto& spare : spares.mapped()) {
-    spare->close();
-    loop_.delete_later(std::move(spare));
-  }
-}
-
-// Closes all connections to the endpoint but those that an attempt was sent on.
-void RequestForwarder::close_connections(const std::string& endpoint) {
-  close_spares(endpoint);
-  while (std::unique_ptr<UpstreamConnection> idle = idle_.take_most_recent(endpoint)) {
-    idle->close();
-    loop_.delete_later(std::move(idle));
-  }
-  // A draining endpoint gets no attempts after a grace period (rule 3). The connect timeout may be longer
-  // than that, and the attempt is only sent once the connection is established.
-  std::vector<UpstreamConnection*> connecting;
-  for (auto& [key, upstream] : busy_) {
-    if (upstream->connecting() && upstream->endpoint() == endpoint) connecting.push_back(upstream.get());
-  }
-  for (UpstreamConnection* upstream : connecting) {
-    auto [id, number] = detach_and_close(*upstream);
-    report_attempt_end_soon(id, number, Outcome::ConnectFailed);
-  }
-}
-
-// Closes a connection that has an attempt. Returns that attempt, whose end the caller has to report.
-UpstreamConnection::AttemptId RequestForwarder::detach_and_close(UpstreamConnection& upstream) {
-  UpstreamConnection::AttemptId attempt_id = upstream.attempt_id();
-  PendingAttempt& attempt = requests_.find(attempt_id.request)->attempts[std::size_t(attempt_id.number)];
-  attempt.may_have_run = upstream.may_have_run();
-  attempt.upstream = nullptr;
-  upstream.close();
-  loop_.delete_later(std::move(busy_.extract(&upstream).mapped()));
-  return attempt_id;
-}
-
-void RequestForwarder::close_expired_idle() {
-  double now = loop_.now();
-  while (std::unique_ptr<UpstreamConnection> expired =
-             idle_.take_oldest(now - kMaxIdleShare * deployment_.idle_timeout_s)) {
-    expired->close();
-    loop_.delete_later(std::move(expired));
-  }
-  loop_.at(now + kIdleCheckInterval, alive_.guard([this] { close_expired_idle(); }));
-}
-
 // ---- the endpoint list
 
 void RequestForwarder::load_cached_list(const EndpointList& cached) { directory_.load_cached(cached); }
--- a/src/proxy/request_forwarder.h
+++ b/src/proxy/request_forwarder.h
@@ -109,6 +109,10 @@
   void on_endpoint_list(const EndpointList& list) override;
 
  private:
+  static constexpr std::size_t kBodyPartBytes = 64 * 1024;  // of a body, written at a time
+  static constexpr double kMaxUploadTime =
+      1200;  // seconds: longer than any body takes at the lowest accepted rate
+
   struct Successor {
     RequestForwarder* forwarder;
     std::weak_ptr<int> alive;
