--- a/src/hot_restart/unsent_request_ids.h
+++ b/src/hot_restart/unsent_request_ids.h
@@ -16,7 +16,7 @@
 class UnsentRequestIds {
  public:
   // Beyond that many the oldest are dropped: their requests are the likeliest to have ended.
-  static constexpr std::size_t kMaxIds = 16 * 1024;
+  static constexpr std::size_t kMaxIds = std::size_t{16} * 1024;
 
   bool empty() const { return ids_.empty(); }
   std::size_t size() const { return ids_.size(); }
