hot restart: receive what a process sent before it ended with unread packets

What callers saw: at an upgrade a request on a kept connection got a reset instead of its response.

Change: the error comes once; receiving is tried again after it.

The new test fails without the change: Closed is received first, and only then the packet.

--- a/src/hot_restart/channel.cpp
+++ b/src/hot_restart/channel.cpp
@@ -79,8 +79,12 @@
   message.msg_iovlen = 1;
   message.msg_control = buffer.bytes.data();
   message.msg_controllen = buffer.bytes.size();
-  const ssize_t size = retry_on_eintr(
-      [&] { return recvmsg(g_socket_get_fd(socket), &message, MSG_CMSG_CLOEXEC | MSG_DONTWAIT); });
+  const auto receive = [&] {
+    return recvmsg(g_socket_get_fd(socket), &message, MSG_CMSG_CLOEXEC | MSG_DONTWAIT);
+  };
+  ssize_t size = retry_on_eintr(receive);
+  // A peer that closed its socket with unread packets causes this error once, ahead of what it had sent.
+  if (size < 0 && errno == ECONNRESET) size = retry_on_eintr(receive);
   if (size < 0 && errno == EAGAIN) return {ReceiveStatus::WouldBlock, {}};
   if (size < 0 && is_temporary(errno)) return {ReceiveStatus::TryLater, {}};
   if (size <= 0) return {ReceiveStatus::Closed, {}};
--- a/src/hot_restart/channel_test.cpp
+++ b/src/hot_restart/channel_test.cpp
@@ -159,6 +159,22 @@
   EXPECT_EQ(received.status, ReceiveStatus::WouldBlock);
 }
 
+// Guards against: the connections that a process passes on just before it ends are lost if a packet to that
+// process was still unread.
+TEST(ReceivePacket, ReceivesWhatThePeerSentBeforeItClosedItsSocketWithUnreadPackets) {
+  SocketPair sockets = connected_sockets(SOCK_SEQPACKET);
+  const std::string sent = "sent before";
+  ASSERT_EQ(write(g_socket_get_fd(sockets.first.get()), sent.data(), sent.size()), ssize_t(sent.size()));
+  ASSERT_EQ(write(g_socket_get_fd(sockets.second.get()), "unread", 6), 6);
+  sockets.first.reset();
+
+  const ReceiveResult received = receive_packet(sockets.second.get());
+
+  EXPECT_EQ(received.status, ReceiveStatus::Received);
+  EXPECT_EQ(received.packet.text, sent);
+  EXPECT_EQ(receive_packet(sockets.second.get()).status, ReceiveStatus::Closed);
+}
+
 TEST(ReceivePacket, ReportsThatThePeerClosedItsSocket) {
   SocketPair sockets = connected_sockets(SOCK_SEQPACKET);
   sockets.second.reset();
