--- a/src/proxy/request_forwarder_bodies.cpp
+++ b/src/proxy/request_forwarder_bodies.cpp
@@ -77,7 +77,7 @@
   requests_.find(id)->deadline = loop_.now() + kMaxUploadTime;
 }
 
-// The policy was told kMaxUploadTime as the request's remaining time, as the client's own time only starts
+// The policy knows kMaxUploadTime as the request's remaining time, as the client's own time only starts
 // with the last byte of the body. So the deadline is kept here.
 void RequestForwarder::set_upload_deadline(RequestId id, double arrived_at) {
   PendingRequest& request = *requests_.find(id);
@@ -98,7 +98,7 @@
   } else {
     fail_request(id);
   }
-  // Where the policy may not cancel attempts, they would be out until the time that it was told.
+  // Where the policy may not cancel attempts, they would be out until the time that it knows.
   for (int number = 0; number < attempt_count; ++number) on_attempt_deadline(id, number);
   policy_->on_request_cancelled(loop_.now(), id);
 }
