--- a/review/support-2/rig.hpp
+++ b/review/support-2/rig.hpp
@@ -331,6 +331,12 @@
     std::thread([this] { accept_all(); }).detach();
   }
   Address address;
+  // Called after the changes up to that index were written to a watch.
+  std::function<void(long index)> on_written;
+  long index() {
+    std::lock_guard lock(mutex_);
+    return index_;
+  }
   std::string whole() {
     std::lock_guard lock(mutex_);
     return whole_locked();
@@ -401,6 +407,7 @@
       std::string changes = changes_after(after, upto);
       if (!changes.empty()) {
         if (!send_all(fd, chunk(changes + "\n"))) return;
+        if (on_written) on_written(upto);
         quiet_since = now();
       } else if (now() - quiet_since >= 2) {
         if (!send_all(fd, chunk("\n"))) return;
@@ -408,7 +415,7 @@
       }
       after = upto;
       pollfd polled{fd, POLLIN, 0};
-      if (poll(&polled, 1, 20) > 0) {
+      if (poll(&polled, 1, 5) > 0) {
         char byte;
         if (recv(fd, &byte, 1, MSG_PEEK) <= 0) return;
       }
