--- a/review/6/test.cc
+++ b/review/6/test.cc
@@ -11,9 +11,9 @@
 constexpr int kResetEvery = 3;  // of the requests, one in so many meets a reset
 constexpr double kRemembered = 1.5;  // seconds, by the settings
 constexpr double kSlack = 0.05;      // on sockets
-constexpr double kWorkBeforeReset = 0.6;
+constexpr double kWorkBeforeReset = 1.0;
 constexpr std::size_t kBody = 11 * 1024 * 1024;
-constexpr double kSlowRate = 7.0 * 1024 * 1024;  // bytes a second
+constexpr double kSlowRate = 9.0 * 1024 * 1024;  // bytes a second
 
 struct Run {
   int endpoint = 0;
@@ -93,7 +93,7 @@
       record.line("endpoint s-%d: the connection of %s is reset", number, mark.c_str());
       return void(close(fd));
     }
-    sleep_for(0.1);
+    sleep_for(0.05);
     if (!send_all(fd, ok("booked"))) return void(close(fd));
   }
 }
@@ -172,5 +172,5 @@
   char text[200];
   std::snprintf(text, sizeof text, "%d requests, %d served, %d not; %d met a reset; %d came again after the pod had forgotten them, %d applied twice",
                 kRequests, served, other, resets, late, twice);
-  judge(late > 0 || (!trouble && other > 0), text);
+  judge(late > 0, text);
 }
--- a/review/7/test.cc
+++ b/review/7/test.cc
@@ -122,5 +122,5 @@
   std::snprintf(text, sizeof text,
                 "%d uploads, %d answered, %d not; %d came whole; %d requests at endpoints that no client sent, %d as the first on their connection",
                 uploads, answered, unanswered, whole.load(), foreign.load(), headless.load());
-  judge(foreign > 0 || (!trouble && unanswered > 0), text);
+  judge(foreign > 0, text);
 }
--- a/review/support-2/rig.hpp
+++ b/review/support-2/rig.hpp
@@ -462,6 +462,8 @@
 inline bool trouble = true;
 inline void begin() {
   signal(SIGPIPE, SIG_IGN);
+  // A case that is told to end leaves neither a process nor a folder.
+  for (int number : {SIGTERM, SIGINT}) signal(number, [](int) { finish(2); });
   const char* value = std::getenv("TROUBLE");
   trouble = !(value && std::string(value) == "0");
   const char* place = std::getenv("CASE_FOLDER");
