--- a/review/6/test.cc
+++ b/review/6/test.cc
@@ -10,7 +10,8 @@
 constexpr int kRequests = 18;
 constexpr int kResetEvery = 3;  // of the requests, one in so many meets a reset
 constexpr double kRemembered = 1.5;  // seconds, by the settings
-constexpr double kSlack = 0.05;      // on sockets
+// On sockets, and 30 ms for what had come and was not read yet (128 KB at 9 MB a second are half of that).
+constexpr double kSlack = 0.05 + 0.03;
 constexpr double kWorkBeforeReset = 1.0;
 constexpr std::size_t kBody = 11 * 1024 * 1024;
 constexpr double kSlowRate = 9.0 * 1024 * 1024;  // bytes a second
--- a/review/7/test.cc
+++ b/review/7/test.cc
@@ -33,14 +33,16 @@
   while (std::optional<Message> request = reader.read(now() + 5)) {
     const std::string id = request->header("X-Correlation-Id");
     const bool known = is_sent(id);
-    record.line("endpoint s%d ran: %s, id %s, %zu bytes%s", endpoint, request->first.c_str(), id.c_str(),
+    record.line("endpoint s%d got: %s, id %s, %zu bytes%s", endpoint, request->first.c_str(), id.c_str(),
                 request->body.size(), known ? "" : ": NO CLIENT SENT THIS REQUEST");
     if (!known) ++foreign;
     if (!known && is_first) ++headless;
     if (known) ++whole;
     is_first = false;
-    send_all(fd, ok("stored " + id, "Connection: close\r\n"));
-    if (known) break;
+    // "A request with an id that no client sent in this form is answered 400" (PROTOCOL.md).
+    send_all(fd, known ? ok("stored " + id, "Connection: close\r\n")
+                       : "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+    break;
   }
   close(fd);
 }
