proxy: send nothing of a repeat past its idempotency window

Cause: the window was asked when a repeat was decided; its bytes went out whenever the endpoint took them, from the sidecar's memory and from the send buffer of its machine. Change: the policy gives each attempt a send deadline (RetrySafety); it is asked before each write, also of bytes that wait for the socket and on a connection that takes an attempt over. At that time an attempt that its endpoint's machine has not acknowledged whole is given up, and the request is answered. A connection closed with undelivered bytes is reset, so that the system discards them; that holds for every attempt that is given up.

--- a/include/puffinvane/policy.h
+++ b/include/puffinvane/policy.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <span>
 #include <string>
@@ -140,12 +141,19 @@
   int count = 1;
 };
 
+// How long an attempt may take.
+struct AttemptLimits {
+  double deadline = 0;  // of its response; 0: the deadline of the request applies
+  // The last byte of the request has to be at the endpoint's machine by then. What is still to be sent after
+  // that must not be sent.
+  double send_deadline = std::numeric_limits<double>::infinity();
+};
+
 // The actions that a Policy requests from its embedder. They are only called during a call of the Policy.
 class Host {
  public:
   virtual ~Host() = default;
-  // `attempt_deadline` 0: the deadline of the request applies.
-  virtual void start_attempt(RequestId request, std::string_view endpoint, double attempt_deadline) = 0;
+  virtual void start_attempt(RequestId request, std::string_view endpoint, const AttemptLimits& limits) = 0;
   virtual void cancel_attempt(RequestId request, int number) = 0;
   // Ends a request that can't have run, or that may safely run again. `retry_after_s`: when the client should
   // retry, 0 for no advice.
--- a/src/admin/shadow_policy.cpp
+++ b/src/admin/shadow_policy.cpp
@@ -17,9 +17,9 @@
 class ShadowPolicy::SideHost final : public Host {
  public:
   SideHost(ShadowPolicy& owner, Side side) : owner_(owner), side_(side) {}
-  void start_attempt(RequestId request, std::string_view endpoint, double attempt_deadline) override {
+  void start_attempt(RequestId request, std::string_view endpoint, const AttemptLimits& limits) override {
     owner_.record_attempt(side_, request, endpoint);
-    if (side_ == Acting) owner_.host_.start_attempt(request, endpoint, attempt_deadline);
+    if (side_ == Acting) owner_.host_.start_attempt(request, endpoint, limits);
   }
   void cancel_attempt(RequestId request, int number) override {
     if (side_ == Acting) owner_.host_.cancel_attempt(request, number);
--- a/src/net/tcp_connection.cpp
+++ b/src/net/tcp_connection.cpp
@@ -255,6 +255,7 @@
     set_reading(true);
     return owner_.on_connected();
   }
+  if (!unsent_.empty() && !owner_.may_write()) return watch_for(reading_, false);
   if (!unsent_.empty()) flush();
   if (send_failed_ || !unsent_.empty()) return;
   watch_for(reading_, false);
--- a/src/net/tcp_connection.h
+++ b/src/net/tcp_connection.h
@@ -29,6 +29,9 @@
     // while.
     virtual std::size_t receive_limit() const { return BufferPool::kSize; }
     virtual void on_received(std::string_view bytes) = 0;
+    // Asked before bytes that send() could not write at once are written later. If it returns false, they are
+    // not written, and the owner closes the connection soon.
+    virtual bool may_write() { return true; }
     // All bytes that send() could not write at once are written.
     virtual void on_written() {}
     // The connection was closed or reset, or was never established.
@@ -46,6 +49,8 @@
   void send(BufferChain bytes);
   bool is_all_written() const { return unsent_.empty(); }
   std::size_t unsent_bytes() const { return unsent_.size(); }
+  // Whether the peer's machine has acknowledged all bytes given to send().
+  bool is_all_delivered() const { return is_all_written() && unacknowledged_bytes() == 0; }
   // Bytes given to send() that the peer's machine has acknowledged, since the connection began.
   std::uint64_t delivered_bytes() const;
   bool is_reading() const { return reading_; }
--- a/src/policy/request_transitions.cpp
+++ b/src/policy/request_transitions.cpp
@@ -80,6 +80,8 @@
   Endpoint& endpoint = endpoints_[target];
   endpoint.last_used_at = now_;
   int number = int(request.attempts.size());
+  AttemptLimits limits;
+  limits.send_deadline = retry_safety_.send_deadline(request);
   Attempt attempt;
   attempt.endpoint = target;
   attempt.depth = int(effective_depth(endpoint, now_)) + 1;
@@ -94,7 +96,7 @@
   endpoint.whole.in_flight.insert(in_flight);
   endpoint.by_class[request.class_index].in_flight.insert(in_flight);
   limit_.acquire(request);
-  host_.start_attempt(request.id, endpoint.name, 0);
+  host_.start_attempt(request.id, endpoint.name, limits);
   bool may_hedge = class_of(request).idempotency == Idempotency::Safe && deployment_.parallel_attempts;
   if (may_hedge && request.phase == RequestPhase::InFlight) {
     start_hedge_timer(request, latencies_.hedge_threshold_s(request.class_index));
--- a/src/policy/retry_safety.cpp
+++ b/src/policy/retry_safety.cpp
@@ -1,6 +1,7 @@
 #include "src/policy/retry_safety.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace puffinvane {
 
@@ -33,8 +34,7 @@
 bool RetrySafety::is_in_idempotency_scope(const RequestClass& request_class, const Attempt& earlier,
                                           const Endpoint& endpoint, double now) const {
   // On a new connection, the attempt may be written as late as the connect timeout from now.
-  double window_end = earlier.sent_at + request_class.idempotency_window_s - deployment_.connect_timeout_s;
-  if (now > window_end - 2 * deployment_.round_trip_s) {
+  if (now > idempotency_window_end(request_class, earlier) - deployment_.connect_timeout_s) {
     return false;
   }
   switch (request_class.idempotency_scope) {
@@ -45,6 +45,24 @@
   return false;
 }
 
+double RetrySafety::idempotency_window_end(const RequestClass& request_class, const Attempt& earlier) const {
+  return earlier.sent_at + request_class.idempotency_window_s - 2 * deployment_.round_trip_s;
+}
+
+double RetrySafety::send_deadline(const RequestState& request) const {
+  double deadline = std::numeric_limits<double>::infinity();
+  const RequestClass& request_class = class_of(request);
+  if (request_class.idempotency != Idempotency::Keyed) {
+    return deadline;
+  }
+  for (const Attempt& earlier : request.attempts) {
+    if (earlier.is_in_flight || earlier.may_have_run) {
+      deadline = std::min(deadline, idempotency_window_end(request_class, earlier));
+    }
+  }
+  return deadline;
+}
+
 bool RetrySafety::may_retry_same_endpoint(const RequestState& request) const {
   return class_of(request).idempotency == Idempotency::Keyed && !cannot_have_run(request);
 }
--- a/src/policy/retry_safety.h
+++ b/src/policy/retry_safety.h
@@ -12,6 +12,9 @@
 
   // Whether `request` may be sent to `endpoint` now.
   bool may_attempt(const RequestState& request, const Endpoint& endpoint, double now) const;
+  // The time by which the last byte of an attempt that starts now has to be at its endpoint: while all
+  // endpoints that may have run `request` still recognize its key. Infinite if it may be sent at any time.
+  double send_deadline(const RequestState& request) const;
   // Whether `request` may be sent to the same endpoint again. Only a keyed request that may have run may: the
   // group that holds its idempotency key may have no other endpoint.
   bool may_retry_same_endpoint(const RequestState& request) const;
@@ -26,6 +29,8 @@
   // Whether the attempt `earlier` permits another one to `endpoint`.
   bool allows_further_attempt(const RequestState& request, const Attempt& earlier, const Endpoint& endpoint,
                               double now) const;
+  // Until when the endpoints that `earlier` was sent to recognize its idempotency key.
+  double idempotency_window_end(const RequestClass& request_class, const Attempt& earlier) const;
   // Whether `endpoint` is in the group that `earlier` was sent to and the idempotency window is still open,
   // so that `endpoint` recognizes the key and does not run the request twice.
   bool is_in_idempotency_scope(const RequestClass& request_class, const Attempt& earlier,
--- a/src/policy/retry_safety_test.cpp
+++ b/src/policy/retry_safety_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <cmath>
+
 #include "testing/policy/builders.h"
 
 namespace puffinvane {
@@ -69,6 +71,24 @@
   EXPECT_FALSE(safety_.may_attempt(request_that_may_have_run(kKeyedEverywhere), endpoint_, kSentAt + 0.75));
 }
 
+// Guards against: a repeat that is begun within the window and sent to its end after it.
+TEST_F(RetrySafetyTest, RepeatOfKeyedRequestHasToBeSentWithinIdempotencyWindow) {
+  EXPECT_DOUBLE_EQ(safety_.send_deadline(request_that_may_have_run(kKeyedInZone)), kSentAt + 0.99);
+  EXPECT_TRUE(std::isinf(safety_.send_deadline(request_of(kKeyedInZone))));
+  EXPECT_TRUE(std::isinf(safety_.send_deadline(request_that_never_ran(kKeyedInZone))));
+  EXPECT_TRUE(std::isinf(safety_.send_deadline(request_that_may_have_run(kSafe))));
+}
+
+TEST_F(RetrySafetyTest, SendDeadlineFollowsFromTheEarliestAttemptThatMayHaveRun) {
+  RequestState request = request_that_never_ran(kKeyedInZone);
+  for (const double sent_at : {kSentAt + 0.2, kSentAt + 0.4}) {
+    request.attempts.push_back(request_that_may_have_run(kKeyedInZone).attempts.front());
+    request.attempts.back().sent_at = sent_at;
+  }
+
+  EXPECT_DOUBLE_EQ(safety_.send_deadline(request), kSentAt + 0.2 + 0.99);
+}
+
 TEST_F(RetrySafetyTest, KeyedRequestIsRetriedWithinItsGroup) {
   Endpoint elsewhere;
   elsewhere.zone = "there";
--- a/src/proxy/pending_requests.h
+++ b/src/proxy/pending_requests.h
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <limits>
 #include <optional>
 #include <set>
 #include <string>
@@ -27,6 +28,7 @@
   std::string endpoint;
   double started_at = 0;
   double deadline = 0;
+  double send_deadline = std::numeric_limits<double>::infinity();  // see AttemptLimits
   UpstreamConnection* upstream = nullptr;  // null once it has ended, even if the policy is not told yet
   bool reported = false;                   // the policy was told of its end
   bool may_have_run = false;               // as of its end; while it is in flight its connection tells
--- a/src/proxy/request_forwarder.cpp
+++ b/src/proxy/request_forwarder.cpp
@@ -77,16 +77,20 @@
 
 // ---- Host: what the policy asks for
 
-void RequestForwarder::start_attempt(RequestId id, std::string_view endpoint, double attempt_deadline) {
+void RequestForwarder::start_attempt(RequestId id, std::string_view endpoint, const AttemptLimits& limits) {
   PendingRequest& request = *requests_.find(id);
   int number = int(request.attempts.size());
   double now = loop_.now();
-  double deadline = attempt_deadline > 0 ? std::min(attempt_deadline, request.deadline) : request.deadline;
-  request.attempts.push_back({std::string(endpoint), now, deadline});
+  double deadline = limits.deadline > 0 ? std::min(limits.deadline, request.deadline) : request.deadline;
+  request.attempts.push_back({std::string(endpoint), now, deadline, limits.send_deadline});
   log_attempt_started(loop_.log(), {client_id_of(request), number, endpoint}, directory_.index(),
                       now - directory_.confirmed_at_s());
   request.alarms.push_back(
       loop_.at(deadline, alive_.guard([this, id, number] { on_attempt_deadline(id, number); })));
+  if (!std::isinf(limits.send_deadline)) {
+    request.alarms.push_back(
+        loop_.at(limits.send_deadline, alive_.guard([this, id, number] { on_send_deadline(id, number); })));
+  }
   if (client_may_have_left(id)) return report_attempt_end_soon(id, number, Outcome::NotSent);
   // A body whose first part was sent and released can't be sent again. NotSent blames no endpoint for that.
   if (request.body_consumed) return report_attempt_end_soon(id, number, Outcome::NotSent);
@@ -135,14 +139,6 @@
   return true;
 }
 
-void RequestForwarder::end_unsent_attempt(RequestId id, int number) {
-  PendingRequest* request = requests_.find(id);
-  UpstreamConnection* upstream = request ? request->attempts[std::size_t(number)].upstream : nullptr;
-  if (!upstream) return;
-  detach_and_close(*upstream);
-  report_attempt_end(id, number, Outcome::NotSent, nullptr);
-}
-
 void RequestForwarder::cancel_attempt(RequestId id, int number) {
   PendingRequest* request = requests_.find(id);
   if (!request || number >= int(request->attempts.size())) return;
@@ -235,13 +231,13 @@
   write_request(out, request.message, address ? *address : attempt.endpoint, format_remaining_deadline(left),
                 framing);
   // Checked last: this process may have stalled since it read the clock, and the client left meanwhile.
-  if (!request.concluded() && !client_may_have_left(id)) {
+  if (is_in_time_to_send(attempt) && !request.concluded() && !client_may_have_left(id)) {
     log_attempt_writing(loop_.log(), {client_id_of(request), number, attempt.endpoint},
                         loop_.now() - attempt.started_at);
     if (on_request_written_) on_request_written_(AbandonedRequestIds::hash_of(client_id_of(request)));
     return out;
   }
-  loop_.post(alive_.guard([this, id = id, number = number] { end_unsent_attempt(id, number); }));
+  end_unsent_attempt_soon(id, number);
   out.clear();
   return out;
 }
--- a/src/proxy/request_forwarder.h
+++ b/src/proxy/request_forwarder.h
@@ -119,7 +119,7 @@
   };
 
   // Host, called by the policy.
-  void start_attempt(RequestId id, std::string_view endpoint, double attempt_deadline) override;
+  void start_attempt(RequestId id, std::string_view endpoint, const AttemptLimits& limits) override;
   void cancel_attempt(RequestId id, int number) override;
   void reject_request(RequestId id, double retry_after_s) override;
   void fail_request(RequestId id) override;
@@ -137,6 +137,7 @@
 
   // UpstreamConnection::Owner
   BufferChain on_ready_to_send(UpstreamConnection& upstream) override;
+  bool may_send_more(UpstreamConnection& upstream) override;
   BufferChain on_body_wanted(UpstreamConnection& upstream, bool& complete) override;
   void on_response_started(UpstreamConnection& upstream, HttpMessage response,
                            std::optional<std::size_t> length) override;
@@ -173,8 +174,11 @@
   void on_upload_deadline(RequestId id);
 
   // Attempts. Both report functions tell the policy, the second one on the next turn of the loop.
+  bool is_in_time_to_send(const PendingAttempt& attempt) const;
   void end_unsent_attempt(RequestId id, int number);
+  void end_unsent_attempt_soon(RequestId id, int number);
   void on_attempt_deadline(RequestId id, int number);
+  void on_send_deadline(RequestId id, int number);
   void report_attempt_end(RequestId id, int number, Outcome outcome, HttpMessage* response);
   void report_attempt_end_soon(RequestId id, int number, Outcome outcome);
 
--- a/src/proxy/upstream_connection.cpp
+++ b/src/proxy/upstream_connection.cpp
@@ -150,6 +150,7 @@
     bool complete = false;
     BufferChain next = owner_->on_body_wanted(*this, complete);
     if (next.empty()) return complete ? handle(Input::RequestWritten) : void();
+    if (!owner_->may_send_more(*this)) return;
     tcp_.send(std::move(next));
   }
   if (state_ == State::Sending && !tcp_.is_all_written() && !is_request_watched_) start_watching_request();
@@ -290,8 +291,18 @@
   owner_->on_unused_closed(*this);
 }
 
+// The system would go on sending what the endpoint has not taken yet after an ordinary close, however late
+// that is, and the endpoint would run the request.
+void UpstreamConnection::close_socket() {
+  if (tcp_.is_all_delivered()) {
+    tcp_.close();
+  } else {
+    tcp_.reset();
+  }
+}
+
 void UpstreamConnection::close_and_report(Outcome outcome) {
-  tcp_.close();
+  close_socket();
   owner_->on_attempt_ended(*this, outcome, HttpMessage(loop_.pool()));
 }
 
--- a/src/proxy/upstream_connection.h
+++ b/src/proxy/upstream_connection.h
@@ -27,6 +27,9 @@
     // that remains now in its header. Empty: nobody waits for the response any more, and the owner closes the
     // connection soon.
     virtual BufferChain on_ready_to_send(UpstreamConnection& upstream) = 0;
+    // Asked before each later write of the request. If it returns false, nothing more is written, and the
+    // owner closes the connection soon.
+    virtual bool may_send_more(UpstreamConnection& upstream) = 0;
     // Called once all bytes sent so far are written. Returns the next part of the request's body. Empty: sets
     // `complete` if there is no more; else the owner calls send_more_body once more has arrived.
     virtual BufferChain on_body_wanted(UpstreamConnection& upstream, bool& complete) = 0;
@@ -66,7 +69,7 @@
     last_byte_at_ = loop_.now();
   }
   void close() {
-    tcp_.close();
+    close_socket();
     state_ = State::Closed;
   }
   void set_owner(Owner& owner) { owner_ = &owner; }  // only while idle
@@ -90,6 +93,8 @@
   const std::string& address() const { return address_; }  // that it was connected to
   // Whether the request of the current attempt was written whole, or its response has begun.
   bool may_have_run() const { return state_ == State::AwaitingResponse || state_ == State::Relaying; }
+  // Whether the endpoint's machine has received the request of the current attempt whole.
+  bool is_request_delivered() const { return may_have_run() && tcp_.is_all_delivered(); }
   double idle_for(double now) const { return now - idle_since_; }
 
  private:
@@ -132,6 +137,7 @@
   void cancel_connect_alarms();
   void report_lost_after_sent();
   void report_unused_closed();
+  void close_socket();
   void close_and_report(Outcome outcome);
   void watch_response(double assigned_at);
   void start_watching_request();
@@ -140,6 +146,7 @@
   void on_connected() override;
   std::size_t receive_limit() const override;
   void on_received(std::string_view bytes) override;
+  bool may_write() override { return state_ != State::Sending || owner_->may_send_more(*this); }
   void on_written() override { send_more_body(); }
   void on_ended(TcpConnection::End end) override;
 
--- a/src/proxy/upstream_connection_test.cpp
+++ b/src/proxy/upstream_connection_test.cpp
@@ -15,6 +15,7 @@
  public:
   explicit IdleOwner(Loop& loop) : loop_(loop) {}
   BufferChain on_ready_to_send(UpstreamConnection&) override { return BufferChain(loop_.pool()); }
+  bool may_send_more(UpstreamConnection&) override { return true; }
   BufferChain on_body_wanted(UpstreamConnection&, bool&) override { return BufferChain(loop_.pool()); }
   void on_response_started(UpstreamConnection&, HttpMessage, std::optional<std::size_t>) override {}
   void on_response_part(UpstreamConnection&, BufferChain) override {}
--- a/testing/policy/fake_host.h
+++ b/testing/policy/fake_host.h
@@ -27,6 +27,7 @@
   std::string endpoint;
   int number = 0;  // 0 for the first attempt of its request
   double sent_at_s = 0;
+  double send_deadline_s = 0;  // infinite if it has none
 };
 
 // An attempt that the policy cancelled.
@@ -45,10 +46,11 @@
   FakeHost& operator=(const FakeHost&) = delete;
 
   // ---- actions requested by the policy
-  void start_attempt(RequestId request, std::string_view endpoint, double /*attempt_deadline*/) override {
+  void start_attempt(RequestId request, std::string_view endpoint, const AttemptLimits& limits) override {
     EXPECT_FALSE(is_concluded(request))
         << "attempt for request " << request << ", which already has its answer";
-    sent_.push_back({request, std::string(endpoint), attempt_counts_[request]++, now_s_});
+    sent_.push_back(
+        {request, std::string(endpoint), attempt_counts_[request]++, now_s_, limits.send_deadline});
   }
   void cancel_attempt(RequestId request, int number) override { cancelled_.push_back({request, number}); }
   void reject_request(RequestId request, double /*retry_after_s*/) override {
--- a/testing/sidecar_process.h
+++ b/testing/sidecar_process.h
@@ -38,6 +38,8 @@
     std::vector<std::pair<std::string, std::string>> environment{};
     std::string rules = "{}";  // the Rules object of the settings
     std::string may_cancel = "true";
+    // Further request classes: objects of PathPrefixes in the settings, each with a comma before it.
+    std::string more_classes{};
   };
   SidecarProcess(const std::string& known, const std::string& limits,
                  const std::string& connect_timeout = "0.1", const std::string& shadow = "")
@@ -81,11 +83,11 @@
                               const std::string& client_timeout = "1.0",
                               const std::string& discovery_mode = "pushed",
                               const std::string& latency_objective = "0.5", const std::string& rules = "{}",
-                              const std::string& may_cancel = "true") {
+                              const std::string& may_cancel = "true", const std::string& more_classes = "") {
     std::string times =
         R"(","TargetLatencyS":)" + latency_objective + R"(,"ClientTimeoutS":)" + client_timeout + "}";
     return R"({"PathPrefixes":[{"Name":"read","Idempotency":"repeatable)" + times +
-           R"(,{"Name":"write","Idempotency":"once)" + times + R"(],
+           R"(,{"Name":"write","Idempotency":"once)" + times + more_classes + R"(],
            "Limits":{"ParallelTries":true,"RetryAfter":true,"MayCancel":)" +
            may_cancel + R"(,
              "MaxRetryAfterS":1.5,"ConnIdleS":2.0,"MaxBackendFetches":)" +
@@ -147,7 +149,7 @@
            std::to_string(options.known_index) + R"(,"snapshot":true,"endpoints":[)" + known +
            R"(]},"settings":)" +
            settings("3", options.connect_timeout, options.client_timeout, options.discovery_mode,
-                    options.latency_objective, options.rules, options.may_cancel) +
+                    options.latency_objective, options.rules, options.may_cancel, options.more_classes) +
            (options.shadow.empty() ? "" : R"(,"watch":)" + options.shadow) +
            (options.admin.empty() ? "" : R"(,"console":")" + options.admin + '"') + "}";
   }
--- a/tools/load_test/baselines/baselines.cpp
+++ b/tools/load_test/baselines/baselines.cpp
@@ -155,7 +155,7 @@
     ++endpoint.pending;
     ++request.pending;
     request.endpoints.push_back(endpoint.name);
-    host_.start_attempt(id, endpoint.name, 0);
+    host_.start_attempt(id, endpoint.name, {});
   }
   void conclude_unserved(RequestId id) {
     PendingRequest& request = requests_[id];
--- a/tools/simulator_adapter/main.cpp
+++ b/tools/simulator_adapter/main.cpp
@@ -25,11 +25,11 @@
   }
   Policy& policy() { return *policy_; }
 
-  void start_attempt(RequestId request, std::string_view endpoint, double attempt_deadline) override {
+  void start_attempt(RequestId request, std::string_view endpoint, const AttemptLimits& limits) override {
     begin_action("CALL_OUT");
     add_field(request);
     add_field(endpoint);
-    add_field(attempt_deadline);
+    add_field(limits.deadline);
     end_action();
   }
   void cancel_attempt(RequestId request, int number) override {
