proxy: write no body of an attempt whose head was withheld

Cause: for a client that has left the forwarder gave no head and ended the attempt a turn later; until then the connection was in the state in which an empty queue means that the head is out, and a part of the body that was read in the same turn was written. Change: such an attempt is in a state of its own, in which nothing is written; the refusal of a later part leads there too.

--- a/src/proxy/upstream_connection.cpp
+++ b/src/proxy/upstream_connection.cpp
@@ -50,6 +50,9 @@
         {State::Idle, Input::AttemptAssigned, State::Sending, &UpstreamConnection::send_request},
         {State::Idle, Input::ConnectionEnded, State::Closed, &UpstreamConnection::report_unused_closed},
         {State::Idle, Input::InvalidResponse, State::Closed, &UpstreamConnection::report_unused_closed},
+        {State::Sending, Input::SendingRefused, State::Withheld, &UpstreamConnection::no_action},
+        {State::Withheld, Input::ConnectionEnded, State::Closed,
+         &UpstreamConnection::report_lost_before_sent},
         {State::Sending, Input::RequestWritten, State::AwaitingResponse,
          &UpstreamConnection::report_request_sent},
         {State::Sending, Input::RequestStalled, State::Closed, &UpstreamConnection::report_lost_before_sent},
@@ -140,17 +143,28 @@
 
 void UpstreamConnection::send_request() {
   BufferChain request = owner_->on_ready_to_send(*this);
-  if (request.empty()) return;
+  if (request.empty()) return handle(Input::SendingRefused);
   tcp_.send(std::move(request));
   send_more_body();
 }
 
+bool UpstreamConnection::ask_to_send_more() {
+  if (owner_->may_send_more(*this)) return true;
+  handle(Input::SendingRefused);
+  return false;
+}
+
+bool UpstreamConnection::may_write() {
+  if (state_ == State::Sending) return ask_to_send_more();
+  return state_ != State::Withheld;
+}
+
 void UpstreamConnection::send_more_body() {
   while (state_ == State::Sending && tcp_.is_all_written()) {
     bool complete = false;
     BufferChain next = owner_->on_body_wanted(*this, complete);
     if (next.empty()) return complete ? handle(Input::RequestWritten) : void();
-    if (!owner_->may_send_more(*this)) return;
+    if (!ask_to_send_more()) return;
     tcp_.send(std::move(next));
   }
   if (state_ == State::Sending && !tcp_.is_all_written() && !is_request_watched_) start_watching_request();
--- a/src/proxy/upstream_connection.h
+++ b/src/proxy/upstream_connection.h
@@ -24,7 +24,7 @@
    public:
     virtual ~Owner() = default;
     // Called once the connection can carry its attempt. Returns the first bytes of the request, with the time
-    // that remains now in its header. Empty: nobody waits for the response any more, and the owner closes the
+    // that remains now in its header. Empty: the attempt may not be sent any more, and the owner closes the
     // connection soon.
     virtual BufferChain on_ready_to_send(UpstreamConnection& upstream) = 0;
     // Asked before each later write of the request. If it returns false, nothing more is written, and the
@@ -100,11 +100,21 @@
  private:
   // Seconds. Long enough for the second and third connection request (SYN) of the operating system.
   static constexpr double kMaxSpareConnectTime = 2;
-  enum class State { Connecting, ConnectingSpare, Idle, Sending, AwaitingResponse, Relaying, Closed };
+  enum class State {
+    Connecting,
+    ConnectingSpare,
+    Idle,
+    Sending,
+    Withheld,  // the attempt may not be sent any more, and the owner closes the connection soon
+    AwaitingResponse,
+    Relaying,
+    Closed
+  };
   enum class Input {
     Connected,
     ConnectedLate,  // after the connect timeout
     AttemptAssigned,
+    SendingRefused,  // by the owner
     RequestWritten,
     Response,         // complete, and the connection can be reused
     LastResponse,     // complete, and the connection can't be reused
@@ -121,6 +131,7 @@
   static const Transition<UpstreamConnection, State, Input> kTransitions[];
   void handle(Input input);
   void send_request();
+  bool ask_to_send_more();
   void report_request_sent() { owner_->on_request_sent(); }
   void report_response();
   void report_response_started();
@@ -146,7 +157,7 @@
   void on_connected() override;
   std::size_t receive_limit() const override;
   void on_received(std::string_view bytes) override;
-  bool may_write() override { return state_ != State::Sending || owner_->may_send_more(*this); }
+  bool may_write() override;
   void on_written() override { send_more_body(); }
   void on_ended(TcpConnection::End end) override;
 
