hot restart: tell each operator order with the time it was given

Cause: after each order a process sent the other its whole set, which replaced the other's; a set sent before its sender knew of the other's last order undid that order. Change: orders are sent one by one with their times, as a new type on the control channel, and the last given one holds in both processes. The whole set follows in its old form for former versions; a peer that sends orders has its sets ignored.

--- a/src/admin/admin_api.cpp
+++ b/src/admin/admin_api.cpp
@@ -63,24 +63,24 @@
   downstream.respond(200, nullptr, "Content-Type: application/json\r\n", json, true);
 }
 void AdminApi::exclude(DownstreamConnection& downstream, std::string_view body) {
-  respond_to_order(downstream, overrides_.exclude(loop_.now(), body));
+  give_order(downstream, OperatorOrder::Action::Exclude, body);
 }
 void AdminApi::include(DownstreamConnection& downstream, std::string_view body) {
-  respond_to_order(downstream, overrides_.include(body));
+  give_order(downstream, OperatorOrder::Action::Include, body);
 }
 void AdminApi::evacuate(DownstreamConnection& downstream, std::string_view) {
-  overrides_.evacuate(loop_.now());
-  respond_to_order(downstream, true);
+  give_order(downstream, OperatorOrder::Action::Evacuate, "");
 }
 void AdminApi::rejoin(DownstreamConnection& downstream, std::string_view) {
-  overrides_.rejoin();
-  respond_to_order(downstream, true);
+  give_order(downstream, OperatorOrder::Action::Rejoin, "");
 }
 
-void AdminApi::respond_to_order(DownstreamConnection& downstream, bool accepted) {
-  if (accepted) owner_.on_override();
-  accepted ? respond(downstream, 200, "done")
-           : respond(downstream, 404, "no endpoint of that id was ever listed");
+void AdminApi::give_order(DownstreamConnection& downstream, OperatorOrder::Action action,
+                          std::string_view endpoint) {
+  const OperatorOrder order{action, std::string(endpoint), loop_.now()};
+  if (!overrides_.accept(order)) return respond(downstream, 404, "no endpoint of that id was ever listed");
+  owner_.on_override(order);
+  respond(downstream, 200, "done");
 }
 
 void AdminApi::respond(DownstreamConnection& downstream, int status, std::string_view text,
--- a/src/admin/admin_api.h
+++ b/src/admin/admin_api.h
@@ -20,8 +20,8 @@
     virtual bool is_ready() const = 0;
     // All metrics, in the Prometheus exposition format.
     virtual std::string metrics() const = 0;
-    // An order was accepted.
-    virtual void on_override() = 0;
+    // The order was accepted and carried out.
+    virtual void on_override(const OperatorOrder& order) = 0;
     // The state of the fleet as JSON; empty if the process is not part of one.
     virtual std::string fleet_json() const { return {}; }
   };
@@ -43,7 +43,7 @@
   void rejoin(DownstreamConnection& downstream, std::string_view body);
   void respond(DownstreamConnection& downstream, int status, std::string_view text,
                std::string_view extra_headers = "");
-  void respond_to_order(DownstreamConnection& downstream, bool accepted);
+  void give_order(DownstreamConnection& downstream, OperatorOrder::Action action, std::string_view endpoint);
 
   Loop& loop_;
   OverrideController& overrides_;
--- a/src/admin/override_controller.h
+++ b/src/admin/override_controller.h
@@ -10,6 +10,7 @@
 #include <string_view>
 
 #include "puffinvane/transition_table.h"
+#include "src/hot_restart/operator_orders.h"
 
 namespace puffinvane {
 
@@ -34,14 +35,15 @@
 
   explicit OverrideController(Host& host) : host_(host) {}
 
-  // Both return whether the order was accepted. A repeated order is accepted and changes nothing.
-  bool exclude(double now, std::string_view endpoint);
-  bool include(std::string_view endpoint);
-  void evacuate(double now);
-  void rejoin();
+  // Carries out an order that an operator gives to this process. Returns whether it was accepted. A repeated
+  // order is accepted and changes nothing but the time of the latest order.
+  bool accept(const OperatorOrder& order);
+  // Carries out an order that another process of the same sidecar has accepted, unless a later one is known.
+  void apply(const OperatorOrder& order);
   // Moves a drain on to the step that is due at that time.
   void advance(double now);
-  // Replaces all overrides with those of another process of the same sidecar.
+  // Replaces all overrides with those of another process of the same sidecar, for the time before it tells
+  // its orders one by one.
   void replace_with(const std::map<std::string, double, std::less<>>& excluded_since,
                     std::optional<double> draining_since);
 
@@ -64,12 +66,22 @@
   enum class Input { Evacuate, NoticeTimeElapsed, SettleTimeElapsed, Rejoin };
   static const Transition<OverrideController, Drain, Input> kTransitions[];
   void apply(Input input);
+  bool is_outdated(const OperatorOrder& order) const;
+  void exclude(double now, std::string_view endpoint);
+  void include(std::string_view endpoint);
+  void evacuate(double now);
+  void rejoin() { apply(Input::Rejoin); }
+  void forget_old_orders(double now);
   void do_nothing() {}
   void begin_last_responses() { host_.set_last_responses(true); }
   void end_last_responses() { host_.set_last_responses(false); }
 
   Host& host_;
   std::map<std::string, double, std::less<>> excluded_since_;
+  // When the latest order was given, by endpoint and about the drain. Those about endpoints that are not
+  // excluded are kept for a while, against orders of another process that arrive late.
+  std::map<std::string, double, std::less<>> ordered_at_;
+  double drain_ordered_at_ = 0;
   Drain drain_ = Drain::Serving;
   double draining_since_ = 0;
 };
--- a/src/hot_restart/former_version_test.cpp
+++ b/src/hot_restart/former_version_test.cpp
@@ -65,6 +65,9 @@
 void expect_equal(const ListenerMessage&, const ListenerMessage&) {}
 void expect_equal(const SnapshotCompleteMessage&, const SnapshotCompleteMessage&) {}
 void expect_equal(const ServingMessage&, const ServingMessage&) {}
+void expect_equal(const OperatorOrderMessage& actual, const OperatorOrderMessage& expected) {
+  EXPECT_EQ(actual.order, expected.order);
+}
 void expect_equal(const SentRequestsMessage& actual, const SentRequestsMessage& expected) {
   EXPECT_EQ(actual.id_hashes, expected.id_hashes);
 }
--- a/src/hot_restart/hot_restart.cpp
+++ b/src/hot_restart/hot_restart.cpp
@@ -94,15 +94,19 @@
   learned_state_.reset();
   loop_.delete_later(std::move(successor_));
   ids_for_successor_.clear();
+  successor_sends_orders_ = false;
   update_peer_presence();
   listener_.open();
 }
 
-void HotRestart::send_operator_overrides() {
-  if (!predecessor_ && !successor_) return;
-  const std::string packet = encode_message(OperatorOverridesMessage{owner_.operator_overrides()});
-  if (predecessor_) predecessor_->send(packet);
-  if (successor_) successor_->send(packet);
+void HotRestart::send_operator_order(const OperatorOrder& order) {
+  if (predecessor_) send_order_to(*predecessor_, order);
+  if (successor_) send_order_to(*successor_, order);
+}
+
+void HotRestart::send_order_to(Channel& channel, const OperatorOrder& order) {
+  channel.send(encode_message(OperatorOrderMessage{order}));
+  channel.send(encode_message(OperatorOverridesMessage{owner_.operator_overrides()}));
 }
 
 // A client may leave this process and send its request again to the other one.
@@ -122,10 +126,13 @@
   loop_.at(loop_.now() + kResendInterval, alive_.guard([this] { send_sent_requests(); }));
 }
 
+Channel* HotRestart::other_peer(const Channel& sender) const {
+  return &sender == predecessor_.get() ? successor_.get() : predecessor_.get();
+}
+
 void HotRestart::forward_operator_overrides(const Channel& sender) {
-  Channel* other = &sender == predecessor_.get() ? successor_.get() : predecessor_.get();
-  if (!other) return;
-  other->send(encode_message(OperatorOverridesMessage{owner_.operator_overrides()}));
+  if (Channel* other = other_peer(sender))
+    other->send(encode_message(OperatorOverridesMessage{owner_.operator_overrides()}));
 }
 
 bool HotRestart::try_send_connection(GSocket* connection, ConnectionHistory history) {
@@ -154,7 +161,14 @@
   if (&sender == predecessor_.get()) owner_.on_learned_state(message.state);
 }
 
+void HotRestart::on_message(Channel& sender, OperatorOrderMessage& message, Packet&) {
+  sends_orders(sender) = true;
+  owner_.on_operator_order(message.order);
+  if (Channel* other = other_peer(sender)) send_order_to(*other, message.order);
+}
+
 void HotRestart::on_message(Channel& sender, OperatorOverridesMessage& message, Packet&) {
+  if (sends_orders(sender)) return;
   owner_.on_operator_overrides(message.overrides);
   forward_operator_overrides(sender);
 }
@@ -175,6 +189,10 @@
   owner_.on_peer_presence(is_alone ? PeerPresence::Alone : PeerPresence::Present);
 }
 
+bool& HotRestart::sends_orders(const Channel& channel) {
+  return &channel == successor_.get() ? successor_sends_orders_ : predecessor_sends_orders_;
+}
+
 const char* HotRestart::peer_name(const Channel& channel) const {
   return &channel == successor_.get() ? "successor" : "predecessor";
 }
--- a/src/hot_restart/hot_restart.h
+++ b/src/hot_restart/hot_restart.h
@@ -34,7 +34,10 @@
     virtual OperatorOverrides operator_overrides() const = 0;
     virtual LearnedState learned_state() const = 0;
     virtual void on_learned_state(const LearnedState& part) = 0;
+    // All orders of a peer, which replace the own ones.
     virtual void on_operator_overrides(const OperatorOverrides& overrides) = 0;
+    // An order that a peer has accepted or learned of.
+    virtual void on_operator_order(const OperatorOrder& order) = 0;
     virtual void on_connection(Ref<GSocket> socket, ConnectionHistory history) = 0;
     virtual void on_peer_presence(PeerPresence presence) = 0;
     // Hashes of the ids of requests that were sent to endpoints and may still run.
@@ -51,7 +54,8 @@
   bool has_successor() const { return successor_ != nullptr; }
   // Whether there is a successor for which learned state is still being sent.
   bool is_sending_learned_state() const { return successor_state_ == SuccessorState::ReceivingLearnedState; }
-  void send_operator_overrides();
+  // To be called after the owner has carried the order out.
+  void send_operator_order(const OperatorOrder& order);
   // Notifies the predecessor and the successor soon, if there are any.
   void note_sent_request(std::uint64_t id_hash);
   // Passes a client's connection to the successor. Returns false if it wasn't sent: this process keeps it.
@@ -67,6 +71,7 @@
   void on_channel_closed(Channel& channel) override;
 
   void on_message(Channel& sender, OperatorOverridesMessage& message, Packet& packet);
+  void on_message(Channel& sender, OperatorOrderMessage& message, Packet& packet);
   void on_message(Channel& sender, ConnectionMessage& message, Packet& packet);
   void on_message(Channel& sender, LearnedStateMessage& message, Packet& packet);
   void on_message(Channel&, SentRequestsMessage& message, Packet&) {
@@ -88,6 +93,9 @@
   void discard_successor();
   void update_peer_presence();
   void forward_operator_overrides(const Channel& sender);
+  void send_order_to(Channel& channel, const OperatorOrder& order);
+  Channel* other_peer(const Channel& sender) const;
+  bool& sends_orders(const Channel& channel);
   const char* peer_name(const Channel& channel) const;
 
   Loop& loop_;
@@ -98,6 +106,9 @@
   SuccessorState successor_state_ = SuccessorState::None;
   UnsentRequestIds ids_for_predecessor_;
   UnsentRequestIds ids_for_successor_;
+  // Whether the peer is known to send OperatorOrderMessage.
+  bool predecessor_sends_orders_ = false;
+  bool successor_sends_orders_ = false;
   bool is_sending_ids_scheduled_ = false;
   std::optional<LearnedStateEncoder> learned_state_;  // set while it is being sent
   LifetimeToken alive_;
--- a/src/hot_restart/hot_restart_test.cpp
+++ b/src/hot_restart/hot_restart_test.cpp
@@ -34,11 +34,13 @@
   LearnedState learned_state() const override { return learned; }
   void on_learned_state(const LearnedState& part) override { learned_parts.push_back(part); }
   void on_operator_overrides(const OperatorOverrides& received) override { overrides = received; }
+  void on_operator_order(const OperatorOrder& order) override { orders.push_back(order); }
   void on_connection(Ref<GSocket>, ConnectionHistory history) override { connections.push_back(history); }
   void on_peer_presence(PeerPresence presence) override { presences.push_back(presence); }
 
   Ref<GSocket> listener;
   OperatorOverrides overrides;
+  std::vector<OperatorOrder> orders;
   LearnedState learned = test::learned_state_of(2);
   std::vector<LearnedState> learned_parts;
   std::vector<ConnectionHistory> connections;
@@ -234,6 +236,39 @@
   EXPECT_EQ(predecessor_->packets.size(), packets_before);
 }
 
+TEST_F(HotRestartTest, SendsAnOrderAndThenAllOverridesToBothPeers) {
+  const std::unique_ptr<Peer> successor = connect_up_to_date_successor();
+  predecessor_->packets.clear();
+  owner_.overrides = test::quoted_overrides();
+  const OperatorOrder order{OperatorOrder::Action::Exclude, "a \"quoted\"\n", 12.5};
+
+  hot_restart_->send_operator_order(order);
+
+  const std::vector<std::string> expected = {encode_message(OperatorOrderMessage{order}),
+                                             encode_message(OperatorOverridesMessage{owner_.overrides})};
+  for (const Peer* peer : {predecessor_.get(), successor.get()}) {
+    ASSERT_TRUE(run_until([&] { return peer->packets.size() >= 2; }));
+    EXPECT_EQ(peer->texts(), expected);
+  }
+}
+
+// Guards against: the overrides of a peer that didn't know this process's latest order yet undo it.
+TEST_F(HotRestartTest, IgnoresAllOverridesOfAPeerThatSendsItsOrders) {
+  const std::unique_ptr<Peer> successor = connect_up_to_date_successor();
+  const OperatorOrder order{OperatorOrder::Action::Include, "b", 3};
+  const OperatorOverrides own = owner_.overrides;
+
+  predecessor_->send(OperatorOrderMessage{order});
+  predecessor_->send(OperatorOverridesMessage{test::quoted_overrides()});
+  successor->send(OperatorOrderMessage{{OperatorOrder::Action::Evacuate, "", 4}});
+
+  ASSERT_TRUE(run_until([&] { return owner_.orders.size() == 2; }));
+  EXPECT_EQ(owner_.orders[0], order);
+  EXPECT_EQ(owner_.overrides, own);
+  ASSERT_TRUE(run_until([&] { return successor->packets.size() >= 2; }));
+  EXPECT_EQ(successor->texts()[0], encode_message(OperatorOrderMessage{order}));
+}
+
 TEST_F(HotRestartTest, AcceptsLearnedStateFromThePredecessorOnly) {
   const std::unique_ptr<Peer> successor = connect_up_to_date_successor();
 
--- a/src/hot_restart/message.h
+++ b/src/hot_restart/message.h
@@ -5,32 +5,34 @@
 // processes share. The wall clock may be stepped between sending and receiving a time.
 #pragma once
 
-#include <map>
-#include <optional>
-#include <string>
+#include <cstdint>
 #include <variant>
+#include <vector>
 
 #include "puffinvane/learned_state.h"
 #include "src/discovery/discovery.h"
+#include "src/hot_restart/operator_orders.h"
 
 namespace puffinvane {
 
-struct OperatorOverrides {
-  std::map<std::string, double, std::less<>> excluded_since_s;  // by the name of the endpoint
-  std::optional<double> evacuated_since_s;                      // unset: the sidecar is not evacuated
-  friend bool operator==(const OperatorOverrides&, const OperatorOverrides&) = default;
-};
-
 // The predecessor's endpoint list, or a part of it: a long list is sent as several messages.
 struct EndpointListMessage {
   EndpointList list;  // `is_snapshot` is set in the first part only
 };
 
-// All operator overrides of the sender; they replace those of the receiver.
+// All operator overrides of the sender; they replace those of the receiver. For the snapshot, and for
+// versions that don't know OperatorOrderMessage.
 struct OperatorOverridesMessage {
   OperatorOverrides overrides;
 };
 
+// An order that the sender has accepted or learned of. Whoever sends one sends each order so, ahead of the
+// OperatorOverridesMessage that includes it, which the receiver then ignores: the sender may not have known
+// the receiver's latest orders.
+struct OperatorOrderMessage {
+  OperatorOrder order;
+};
+
 // The listening socket of the predecessor, attached to the packet.
 struct ListenerMessage {};
 
@@ -43,7 +45,7 @@
 };
 
 // The end of the snapshot: the predecessor has sent everything that the successor needs to start. After it
-// come only learned state, connections and changed operator overrides.
+// come only learned state, connections, requests and operator orders.
 struct SnapshotCompleteMessage {};
 
 // The successor serves requests.
@@ -62,8 +64,8 @@
   std::vector<std::uint64_t> id_hashes;
 };
 
-using ControlMessage =
-    std::variant<EndpointListMessage, OperatorOverridesMessage, ListenerMessage, ConnectionMessage,
-                 SnapshotCompleteMessage, ServingMessage, LearnedStateMessage, SentRequestsMessage>;
+using ControlMessage = std::variant<EndpointListMessage, OperatorOverridesMessage, ListenerMessage,
+                                    ConnectionMessage, SnapshotCompleteMessage, ServingMessage,
+                                    LearnedStateMessage, SentRequestsMessage, OperatorOrderMessage>;
 
 }  // namespace puffinvane
--- a/src/hot_restart/message_decoder.cpp
+++ b/src/hot_restart/message_decoder.cpp
@@ -50,6 +50,30 @@
   return ControlMessage(std::move(message));
 }
 
+std::optional<OperatorOrder::Action> decode_action(std::string_view action) {
+  if (action == wire::kExcludeAction) return OperatorOrder::Action::Exclude;
+  if (action == wire::kIncludeAction) return OperatorOrder::Action::Include;
+  if (action == wire::kEvacuateAction) return OperatorOrder::Action::Evacuate;
+  if (action == wire::kRejoinAction) return OperatorOrder::Action::Rejoin;
+  return std::nullopt;
+}
+
+DecodeResult decode_operator_order(Element packet) {
+  JsonReader reader;
+  OperatorOrderMessage message;
+  const auto name = reader.member<std::string_view>(packet, wire::kOrderActionKey);
+  const std::optional<OperatorOrder::Action> action = decode_action(name);
+  if (!action) reader.fail(DecodeFault::InvalidValue, wire::kOrderActionKey);
+  message.order.action = action.value_or(OperatorOrder::Action::Exclude);
+  message.order.given_at_s = reader.member<double>(packet, wire::kOrderGivenAtKey);
+  const bool is_about_endpoint = message.order.action == OperatorOrder::Action::Exclude ||
+                                 message.order.action == OperatorOrder::Action::Include;
+  if (is_about_endpoint)
+    message.order.endpoint = reader.member<std::string_view>(packet, wire::kOrderEndpointKey);
+  if (reader.error()) return *reader.error();
+  return ControlMessage(std::move(message));
+}
+
 DecodeResult decode_connection(Element packet) {
   JsonReader reader;
   const bool used = reader.member<bool>(packet, wire::kConnectionUsedKey);
@@ -92,6 +116,7 @@
     {wire::kServingType, decode_without_fields<ServingMessage>},
     {wire::kLearnedStateType, decode_learned_state_or_empty},
     {wire::kSentRequestsType, decode_sent_requests},
+    {wire::kOperatorOrderType, decode_operator_order},
 };
 
 }  // namespace
--- a/src/hot_restart/message_decoder_test.cpp
+++ b/src/hot_restart/message_decoder_test.cpp
@@ -51,6 +51,18 @@
   EXPECT_EQ(error_of(packet), std::nullopt);
 }
 
+TEST(MessageDecoder, RefusesOrdersThatAreNotWhole) {
+  const std::string packet =
+      encode_message(OperatorOrderMessage{{OperatorOrder::Action::Exclude, "a", 12.5}});
+
+  EXPECT_EQ(error_of(replace_once(packet, "\"exclude\"", "\"forget\"")),
+            (DecodeError{DecodeFault::InvalidValue, "action"}));
+  EXPECT_EQ(error_of(replace_once(packet, "\"endpoint\"", "\"other\"")),
+            (DecodeError{DecodeFault::MissingField, "endpoint"}));
+  EXPECT_EQ(error_of(replace_once(packet, "12.5", "\"soon\"")),
+            (DecodeError{DecodeFault::WrongType, "given_at"}));
+}
+
 TEST(MessageDecoder, RefusesAnotherFormat) {
   const std::string packet =
       replace_once(encode_message(SnapshotCompleteMessage{}), "\"format\":1", "\"format\":2");
--- a/src/hot_restart/message_encoder.cpp
+++ b/src/hot_restart/message_encoder.cpp
@@ -36,6 +36,16 @@
   return "left";
 }
 
+std::string_view encode_action(OperatorOrder::Action action) {
+  switch (action) {
+    case OperatorOrder::Action::Exclude: return wire::kExcludeAction;
+    case OperatorOrder::Action::Include: return wire::kIncludeAction;
+    case OperatorOrder::Action::Evacuate: return wire::kEvacuateAction;
+    case OperatorOrder::Action::Rejoin: break;
+  }
+  return wire::kRejoinAction;
+}
+
 json encode_list_entry(const EndpointList& list, std::size_t index) {
   const ListEntry& entry = list.entries[index];
   return {{"name", entry.endpoint},
@@ -125,6 +135,14 @@
     return packet;
   }
 
+  json operator()(const OperatorOrderMessage& message) const {
+    json packet = begin_packet(wire::kOperatorOrderType);
+    packet[wire::kOrderActionKey] = encode_action(message.order.action);
+    packet[wire::kOrderGivenAtKey] = message.order.given_at_s;
+    if (!message.order.endpoint.empty()) packet[wire::kOrderEndpointKey] = message.order.endpoint;
+    return packet;
+  }
+
   json operator()(const ConnectionMessage& message) const {
     json packet = begin_packet(wire::kConnectionType);
     packet[wire::kConnectionUsedKey] = message.history == ConnectionHistory::Used;
--- a/src/hot_restart/message_fuzz_test.cpp
+++ b/src/hot_restart/message_fuzz_test.cpp
@@ -39,6 +39,7 @@
 void check_decoded(const SnapshotCompleteMessage&) {}
 void check_decoded(const ServingMessage&) {}
 void check_decoded(const SentRequestsMessage&) {}
+void check_decoded(const OperatorOrderMessage&) {}
 
 void check_packet(std::string_view text) {
   const auto decoded = decode_message(text);
--- a/src/hot_restart/message_test.cpp
+++ b/src/hot_restart/message_test.cpp
@@ -82,6 +82,20 @@
   EXPECT_EQ(decoded->overrides.evacuated_since_s, overrides.evacuated_since_s);
 }
 
+TEST(OperatorOrder, IsDecodedAsEncoded) {
+  using Action = OperatorOrder::Action;
+  const OperatorOrder orders[] = {{Action::Exclude, "a \"quoted\"\n", 12.5},
+                                  {Action::Include, "b", 7.25},
+                                  {Action::Evacuate, "", 0.5},
+                                  {Action::Rejoin, "", 3}};
+  for (const OperatorOrder& order : orders) {
+    const auto decoded = decode_as<OperatorOrderMessage>(encode_message(OperatorOrderMessage{order}));
+
+    ASSERT_TRUE(decoded.has_value());
+    EXPECT_EQ(decoded->order, order);
+  }
+}
+
 TEST(OperatorOverrides, AreDecodedAsEmptyIfThereAreNone) {
   const auto decoded = decode_as<OperatorOverridesMessage>(encode_message(OperatorOverridesMessage{}));
 
--- a/src/hot_restart/takeover.cpp
+++ b/src/hot_restart/takeover.cpp
@@ -139,6 +139,7 @@
   void on_message(ServingMessage&, Packet&) {}
   void on_message(LearnedStateMessage&, Packet&) {}
   void on_message(SentRequestsMessage&, Packet&) {}
+  void on_message(OperatorOrderMessage&, Packet&) {}
 
   const std::string& path_;
   const double deadline_s_;
--- a/src/hot_restart/wire_format.h
+++ b/src/hot_restart/wire_format.h
@@ -23,6 +23,7 @@
 inline constexpr std::string_view kServingType = "serving";
 inline constexpr std::string_view kLearnedStateType = "learned";
 inline constexpr std::string_view kSentRequestsType = "requests";
+inline constexpr std::string_view kOperatorOrderType = "order";
 
 // Endpoint list. `list` has the form of discovery's lists and two additional fields, which are monotonic
 // times: when the list was received and, in each endpoint, when that started.
@@ -35,6 +36,15 @@
 inline constexpr const char* kExcludedKey = "out";
 inline constexpr const char* kEvacuatedSinceKey = "drains_since";
 
+// Operator order. The endpoint is there in those about an endpoint.
+inline constexpr const char* kOrderActionKey = "action";
+inline constexpr const char* kOrderEndpointKey = "endpoint";
+inline constexpr const char* kOrderGivenAtKey = "given_at";
+inline constexpr std::string_view kExcludeAction = "exclude";
+inline constexpr std::string_view kIncludeAction = "include";
+inline constexpr std::string_view kEvacuateAction = "evacuate";
+inline constexpr std::string_view kRejoinAction = "rejoin";
+
 // Connection.
 inline constexpr const char* kConnectionUsedKey = "asked";
 
--- a/src/server/sidecar.cpp
+++ b/src/server/sidecar.cpp
@@ -172,9 +172,14 @@
   forwarder_.include_endpoint(endpoint, excluded_since);
 }
 
-void Sidecar::on_override() {
+void Sidecar::on_override(const OperatorOrder& order) {
+  update_drain();
+  if (hot_restart_) hot_restart_->send_operator_order(order);
+}
+
+void Sidecar::on_operator_order(const OperatorOrder& order) {
+  overrides_.apply(order);
   update_drain();
-  if (hot_restart_) hot_restart_->send_operator_overrides();
 }
 
 void Sidecar::on_operator_overrides(const OperatorOverrides& overrides) {
--- a/src/server/sidecar.h
+++ b/src/server/sidecar.h
@@ -55,7 +55,7 @@
   void set_last_responses(bool on) override { downstream_.close_after_responses(on); }
   bool is_ready() const override { return serving_; }
   std::string metrics() const override;
-  void on_override() override;
+  void on_override(const OperatorOrder& order) override;
   std::string fleet_json() const override { return fleet_ ? fleet_->to_json(part_) : ""; }
   void on_members_changed() override { members_changed_ = true; }
   // Divides the listed endpoints among the members of the fleet; checks for changes at an interval.
@@ -66,6 +66,7 @@
     return {overrides_.excluded_since(), overrides_.draining_since()};
   }
   void on_operator_overrides(const OperatorOverrides& overrides) override;
+  void on_operator_order(const OperatorOrder& order) override;
   LearnedState learned_state() const override { return forwarder_.export_learned_state(); }
   void on_learned_state(const LearnedState& part) override { forwarder_.import_learned_state(part, 1); }
   void on_connection(Ref<GSocket> socket, ConnectionHistory history) override {
