hot restart: end a drained process once its messages are sent

Cause: messages that find no room in the channel wait in the process, and a drained process ended without them. Orders that it had said yes to were lost if the successor stood still just then. Change: a process with unsent messages for its successor isn't drained yet; its deadline after SIGTERM holds as before. Measured: ManyOrders, 300 exclusions while the successor is stopped, then SIGTERM: fails on the commit before, passes now.

--- a/src/hot_restart/hot_restart.h
+++ b/src/hot_restart/hot_restart.h
@@ -54,6 +54,8 @@
   bool has_successor() const { return successor_ != nullptr; }
   // Whether there is a successor for which learned state is still being sent.
   bool is_sending_learned_state() const { return successor_state_ == SuccessorState::ReceivingLearnedState; }
+  // Whether messages for the successor wait for room in its channel. They are lost if this process ends.
+  bool has_unsent_messages() const { return successor_ && successor_->has_backlog(); }
   // To be called after the owner has carried the order out.
   void send_operator_order(const OperatorOrder& order);
   // Notifies the predecessor and the successor soon, if there are any.
--- a/src/server/sidecar.h
+++ b/src/server/sidecar.h
@@ -41,8 +41,9 @@
   void end_connections_after_response() override { downstream_.close_after_responses(true); }
   void close_idle_downstream() override { downstream_.close_idle(); }
   bool is_drained() const override {
-    return downstream_.empty() && listener_.is_closed() &&
-           !(hot_restart_ && hot_restart_->is_sending_learned_state());
+    const bool is_handing_over =
+        hot_restart_ && (hot_restart_->is_sending_learned_state() || hot_restart_->has_unsent_messages());
+    return downstream_.empty() && listener_.is_closed() && !is_handing_over;
   }
   void on_stopped() override;
   void on_request(DownstreamConnection& downstream, HttpMessage request) override;
--- a/tests/integration/crossing_orders_test.cpp
+++ b/tests/integration/crossing_orders_test.cpp
@@ -29,10 +29,10 @@
 
 class CrossingOrders : public testing::Test {
  protected:
-  CrossingOrders() {
+  explicit CrossingOrders(int endpoints = 4) {
     std::string list;
-    for (const char* name : {"a", "b", "c", "d"})
-      list += (list.empty() ? "" : ",") + list_entry_json(name, endpoint_.address);
+    for (int i = 0; i < endpoints; ++i)
+      list += (list.empty() ? "" : ",") + list_entry_json("e" + std::to_string(i), endpoint_.address);
     predecessor_ = start_process(list, 0);
     successor_ = start_process(list, 1);
     for (const double until = now() + 6; !admin_api_is_ready(admin_of(1)) && now() < until;) sleep_for(0.01);
@@ -87,10 +87,16 @@
   std::unique_ptr<SidecarProcess> successor_;
 };
 
+class ManyOrders : public CrossingOrders {
+ protected:
+  static constexpr int kEndpoints = 300;
+  ManyOrders() : CrossingOrders(kEndpoints) {}
+};
+
 // Guards against: the set of exclusions that the predecessor sent before it knew of the successor's replaces
 // it.
 TEST_F(CrossingOrders, ExclusionsOfTwoEndpointsHoldInBothProcesses) {
-  give_crossing(order("exclude", "b"), order("exclude", "c"));
+  give_crossing(order("exclude", "e1"), order("exclude", "e2"));
 
   EXPECT_TRUE(avoids(0, 2));
   EXPECT_TRUE(avoids(1, 2));
@@ -98,22 +104,22 @@
 
 // Guards against: the end of an exclusion is undone by an older exclusion of another endpoint.
 TEST_F(CrossingOrders, AnInclusionAndAnExclusionHoldInBothProcesses) {
-  give_to_predecessor(order("exclude", "b"));
-  give_to_predecessor(order("exclude", "d"));
+  give_to_predecessor(order("exclude", "e1"));
+  give_to_predecessor(order("exclude", "e3"));
 
-  give_crossing(order("include", "b"), order("exclude", "c"));
+  give_crossing(order("include", "e1"), order("exclude", "e2"));
 
   EXPECT_TRUE(avoids(0, 2));
   EXPECT_TRUE(avoids(1, 2));
-  EXPECT_EQ(status_at(admin_of(1), order("include", "c")), 200);
-  EXPECT_EQ(status_at(admin_of(0), order("include", "d")), 200);
+  EXPECT_EQ(status_at(admin_of(1), order("include", "e2")), 200);
+  EXPECT_EQ(status_at(admin_of(0), order("include", "e3")), 200);
   EXPECT_TRUE(avoids(0, 0));
   EXPECT_TRUE(avoids(1, 0));
 }
 
 // Guards against: an exclusion ends an evacuation that was ordered at the other process.
 TEST_F(CrossingOrders, AnEvacuationAndAnExclusionHoldInBothProcesses) {
-  give_crossing(order("evacuate"), order("exclude", "c"));
+  give_crossing(order("evacuate"), order("exclude", "e2"));
 
   EXPECT_TRUE(avoids(0, 1));
   EXPECT_TRUE(avoids(1, 1));
@@ -121,6 +127,20 @@
     EXPECT_EQ(status_at(predecessor_->listen, "GET /healthz HTTP/1.1\r\n\r\n"), 503);
 }
 
+// Guards against: orders that wait for room in the channel to the successor are lost when the predecessor
+// ends.
+TEST_F(ManyOrders, HoldInASuccessorThatStoodStillWhenThePredecessorWasTerminated) {
+  successor_->while_stopped([&] {
+    for (int i = 0; i < kEndpoints; ++i)
+      ASSERT_EQ(status_at(admin_of(0), order("exclude", "e" + std::to_string(i))), 200);
+    predecessor_->terminate();
+    sleep_for(kHeldUpSeconds);
+  });
+
+  EXPECT_EQ(predecessor_->exit_code(3), 0);
+  EXPECT_TRUE(avoids(1, kEndpoints));
+}
+
 }  // namespace
 }  // namespace puffinvane::test
 
