--- a/src/proxy/request_forwarder.cpp
+++ b/src/proxy/request_forwarder.cpp
@@ -125,14 +125,18 @@
 }
 
 void RequestForwarder::cancel_attempt(RequestId id, int number) {
-  PendingRequest* request = requests_.find(id);
-  if (!request || number >= int(request->attempts.size())) return;
-  UpstreamConnection* upstream = request->attempts[std::size_t(number)].upstream;
+  UpstreamConnection* upstream = upstream_of(id, number);
   if (!upstream) return;
   detach_and_close(*upstream);
   report_attempt_end_soon(id, number, Outcome::Cancelled);
 }
 
+UpstreamConnection* RequestForwarder::upstream_of(RequestId id, int number) {
+  PendingRequest* request = requests_.find(id);
+  if (!request || number >= int(request->attempts.size())) return nullptr;
+  return request->attempts[std::size_t(number)].upstream;
+}
+
 void RequestForwarder::reject_request(RequestId id, double retry_after_s) {
   std::string header = retry_after_s > 0 ? "Retry-After: " + format_retry_after(retry_after_s) + "\r\n" : "";
   conclude(id, 503, nullptr, header, "bounced: trying again does no harm\n");
@@ -242,9 +246,7 @@
 }
 
 void RequestForwarder::on_attempt_deadline(RequestId id, int number) {
-  PendingRequest* request = requests_.find(id);
-  if (!request) return;
-  UpstreamConnection* upstream = request->attempts[std::size_t(number)].upstream;
+  UpstreamConnection* upstream = upstream_of(id, number);
   if (!upstream) return;
   const bool is_unsent = upstream->blocked_locally() || upstream->is_ready();
   const Outcome outcome = is_unsent ? Outcome::NotSent : Outcome::TimedOut;
--- a/src/proxy/request_forwarder.h
+++ b/src/proxy/request_forwarder.h
@@ -176,7 +176,9 @@
   void set_upload_deadline(RequestId id, double arrived_at);
   void on_upload_deadline(RequestId id);
 
-  // Attempts. Both report functions tell the policy, the second one on the next turn of the loop.
+  // Attempts. upstream_of: the connection that carries the attempt; null if none does any more. Both report
+  // functions tell the policy, the second one on the next turn of the loop.
+  UpstreamConnection* upstream_of(RequestId id, int number);
   bool is_in_time_to_send(const PendingAttempt& attempt) const;
   UpstreamConnection::SendPermission permission_to_begin(RequestId id, int number);
   bool must_look_for_close(const PendingRequest& request) const;
--- a/src/proxy/request_forwarder_connections.cpp
+++ b/src/proxy/request_forwarder_connections.cpp
@@ -50,8 +50,7 @@
 // established, and another one to the same endpoint may be faster. Whichever is established first carries the
 // attempt; the other one is kept for later attempts.
 void RequestForwarder::open_spare(UpstreamConnection::AttemptId attempt) {
-  PendingRequest* request = requests_.find(attempt.request);
-  UpstreamConnection* waiting = request ? request->attempts[std::size_t(attempt.number)].upstream : nullptr;
+  const UpstreamConnection* waiting = upstream_of(attempt.request, attempt.number);
   if (!waiting || !waiting->connecting() || retired_at_ || loop_.descriptors().available() <= 0) return;
   const std::string endpoint = waiting->endpoint();
   if (auto found = spares_.find(endpoint);
--- a/src/proxy/request_forwarder_permission.cpp
+++ b/src/proxy/request_forwarder_permission.cpp
@@ -63,11 +63,10 @@
   if (std::exchange(attempt.is_permission_recheck_due, true)) return;
   const double due_at = loop_.now() + kPermissionRecheckInterval;
   request.alarms.push_back(loop_.at(due_at, alive_.guard([this, id, number] {
-    PendingRequest* waiting = requests_.find(id);
+    UpstreamConnection* waiting = upstream_of(id, number);
     if (!waiting) return;
-    PendingAttempt& attempt = waiting->attempts[std::size_t(number)];
-    attempt.is_permission_recheck_due = false;
-    if (attempt.upstream) attempt.upstream->send_more_body();
+    requests_.find(id)->attempts[std::size_t(number)].is_permission_recheck_due = false;
+    waiting->send_more_body();
   })));
 }
 
@@ -89,8 +88,7 @@
 // The endpoint's machine has not received the request whole. What has been written and not received is
 // discarded with the connection.
 void RequestForwarder::on_send_deadline(RequestId id, int number) {
-  PendingRequest* request = requests_.find(id);
-  UpstreamConnection* upstream = request ? request->attempts[std::size_t(number)].upstream : nullptr;
+  UpstreamConnection* upstream = upstream_of(id, number);
   if (!upstream || upstream->is_request_delivered()) return;
   const Outcome outcome = upstream->may_have_run() ? Outcome::TimedOut : Outcome::NotSent;
   detach_and_close(*upstream);
@@ -98,8 +96,7 @@
 }
 
 void RequestForwarder::end_unsent_attempt(RequestId id, int number) {
-  PendingRequest* request = requests_.find(id);
-  UpstreamConnection* upstream = request ? request->attempts[std::size_t(number)].upstream : nullptr;
+  UpstreamConnection* upstream = upstream_of(id, number);
   if (!upstream) return;
   detach_and_close(*upstream);
   report_attempt_end(id, number, Outcome::NotSent, nullptr);
