--- a/src/hot_restart/hot_restart.cpp
+++ b/src/hot_restart/hot_restart.cpp
@@ -131,8 +131,9 @@
 }
 
 void HotRestart::forward_operator_overrides(const Channel& sender) {
-  if (Channel* other = other_peer(sender))
+  if (Channel* other = other_peer(sender)) {
     other->send(encode_message(OperatorOverridesMessage{owner_.operator_overrides()}));
+  }
 }
 
 bool HotRestart::try_send_connection(GSocket* connection, ConnectionHistory history) {
--- a/src/hot_restart/message_decoder.cpp
+++ b/src/hot_restart/message_decoder.cpp
@@ -68,8 +68,9 @@
   message.order.given_at_s = reader.member<double>(packet, wire::kOrderGivenAtKey);
   const bool is_about_endpoint = message.order.action == OperatorOrder::Action::Exclude ||
                                  message.order.action == OperatorOrder::Action::Include;
-  if (is_about_endpoint)
+  if (is_about_endpoint) {
     message.order.endpoint = reader.member<std::string_view>(packet, wire::kOrderEndpointKey);
+  }
   if (reader.error()) return *reader.error();
   return ControlMessage(std::move(message));
 }
