--- a/src/hot_restart/message.h
+++ b/src/hot_restart/message.h
@@ -26,9 +26,9 @@
   OperatorOverrides overrides;
 };
 
-// An order that the sender has accepted or learned of. Whoever sends one sends each order so, ahead of the
-// OperatorOverridesMessage that includes it, which the receiver then ignores: the sender may not have known
-// the receiver's latest orders.
+// An order that the sender has accepted or learned of. A version that sends such messages sends one for each
+// order, ahead of the OperatorOverridesMessage that includes it. The receiver then ignores the latter, as the
+// sender may not have known the receiver's latest orders.
 struct OperatorOrderMessage {
   OperatorOrder order;
 };
--- a/src/proxy/request_forwarder_permission.cpp
+++ b/src/proxy/request_forwarder_permission.cpp
@@ -27,8 +27,8 @@
   return true;
 }
 
-// Also true if this can't be told because too much unread data precedes the end of its connection; nothing
-// must be begun for it then.
+// Also true if so much input is unread that the end of its connection can't be detected: nothing must be
+// begun for it then.
 bool RequestForwarder::client_may_have_left(RequestId id) {
   if (has_client_left(id)) return true;
   const DownstreamConnection* downstream = requests_.find(id)->downstream;
@@ -56,7 +56,8 @@
   return UpstreamConnection::SendPermission::NotYet;
 }
 
-// Each part of the body that is read asks again too. While memory is short none is.
+// For the time in which no part of the body is read, as memory is short. Each part that is read asks again
+// too.
 void RequestForwarder::recheck_permission_later(RequestId id, int number) {
   PendingRequest& request = *requests_.find(id);
   PendingAttempt& attempt = request.attempts[std::size_t(number)];
